Lay out the project: design, glossary, build, checks and module interfaces

Cause: the repository was empty; separate parts need agreed interfaces and a working check first. Change: docs/design.md and docs/glossary.md; CMake build with Debian's libraries; formatter, linter and sanitizer checks; base types (clock, errors, results, identifiers, hashes); interfaces of the edges; messages; a first-come-first-served placeholder behind the scheduling interface, to be replaced by the cell scheduler.

--- /dev/null
+++ b/src/base/Error.h
@@ -0,0 +1,91 @@
+#pragma once
+
+#include <cstdint>
+#include <span>
+#include <string>
+#include <string_view>
+
+namespace jasminestack {
+
+/// \brief What a caller may assume about a request that ended with an error.
+enum class RunStatus : std::uint8_t {
+    NotRun, ///< No endpoint has run it and none will.
+    Unknown, ///< An endpoint may have run it.
+    Ran, ///< An endpoint has run it.
+};
+
+/// \returns The name in error bodies: "not_run", "unknown" or "ran".
+[[nodiscard]] std::string_view toString(RunStatus) noexcept;
+
+/// \brief The closed list of error kinds. errorTable() maps each kind to its answer.
+enum class ErrorKind : std::uint8_t {
+    BadRequest,
+    Unauthorized,
+    Forbidden,
+    NotFound,
+    MethodNotAllowed,
+    HeaderTooLarge,
+    BodyTooLarge,
+    RequestTimeout,
+    UnknownModel,
+    QueueFull,
+    DeadlineExceeded,
+    DeadlineUnreachable,
+    ShuttingDown,
+    NotReady,
+    PresetRefuses,
+    RequestQuarantined,
+    IdempotencyKeyExpired,
+    IdempotencyKeyInvalid,
+    IdempotencyKeyReused,
+    IdempotencyInProgress,
+    ClaimsUnavailable,
+    EndpointUnavailable,
+    EndpointRefused,
+    EndpointLost,
+    EndpointTimeout,
+    AnswerMismatch,
+    AnswerTruncated,
+    CallerGone,
+    ConfigurationInvalid,
+    ConfigurationConflict,
+    ConfigurationOutcomeUnknown,
+    LogUnavailable,
+    PeerMessageRejected,
+    SettingsInvalid,
+    Internal,
+};
+
+/// \brief The answer for one error kind.
+struct ErrorAnswer {
+    ErrorKind kind;
+    std::string_view name; ///< Stable machine-readable name.
+    int httpStatus;
+    bool retryAdvised; ///< Whether the same request may be sent again without changes.
+};
+
+/// \returns One row for each kind, in the order of the enumeration.
+[[nodiscard]] std::span<const ErrorAnswer> errorTable() noexcept;
+
+/// \returns The row of \p kind.
+[[nodiscard]] const ErrorAnswer& answerFor(ErrorKind kind) noexcept;
+
+/// \brief A place in a text file, counted from 1; line 0 means that no place is known.
+struct SourcePosition {
+    std::string path;
+    int line { 0 };
+    int column { 0 };
+};
+
+/// \brief An error with its kind and a message for people.
+///
+/// \code
+/// return Error { .kind = ErrorKind::QueueFull, .message = "workspace ws-1 has 500 queued requests, the limit is 500"
+/// }; \endcode
+struct Error {
+    ErrorKind kind { ErrorKind::Internal };
+    std::string message;
+    SourcePosition position {};
+};
+
+}
--- /dev/null
+++ b/src/base/Forward.h
@@ -0,0 +1,35 @@
+#pragma once
+
+/// \file
+/// \brief Forward declarations of the types that cross module boundaries.
+
+namespace jasminestack {
+
+struct Millis;
+class Clock;
+class Random;
+struct Error;
+
+struct Configuration;
+struct Settings;
+
+struct Allocation;
+struct CellExchange;
+struct DemandReport;
+struct PeerMessage;
+
+struct EndpointTable;
+struct MemberTable;
+struct QueuedRequest;
+struct SelfState;
+
+class EndpointTransport;
+class HostListClient;
+class LogClient;
+class PeerTransport;
+
+class Logger;
+class Metrics;
+class Tracer;
+
+}
--- /dev/null
+++ b/src/core/Scheduling.h
@@ -0,0 +1,100 @@
+#pragma once
+
+#include "base/Result.h"
+#include "core/Blackboard.h"
+
+#include <memory>
+#include <string_view>
+#include <vector>
+
+/// \file
+/// \brief Entry points of the scheduling controllers (Admission, FairQueue, Dispatch, CellScheduler) for the daemon.
+/// None performs I/O; all take the time as an argument.
+
+namespace jasminestack {
+
+/// \brief Scheduling parameters from the settings.
+struct SchedulingOptions {
+    Millis reportInterval { 500 };
+    Millis minimumReportGap { 50 }; ///< Between reports that are sent at once.
+    Millis exchangeInterval { 2'000 };
+    Millis allocationLease { 3'000 };
+    double gain { 0.1 }; ///< Weight of other cells' service.
+};
+
+/// \brief What scheduling reads besides its own state.
+struct SchedulingView {
+    const SelfState& self;
+    const Configuration& configuration;
+    const MemberTable& members;
+    EndpointTable& endpoints;
+};
+
+/// \brief Queues, running requests, counters, allocations received and, for the cells that this daemon schedules, the
+/// state of the cell scheduler.
+struct SchedulingState;
+
+struct SchedulingStateDeleter {
+    void operator()(SchedulingState*) const noexcept;
+};
+using SchedulingStatePointer = std::unique_ptr<SchedulingState, SchedulingStateDeleter>;
+
+[[nodiscard]] SchedulingStatePointer makeSchedulingState(const SchedulingOptions&);
+
+/// \brief Puts a request into its workspace's queue.
+/// \returns QueueFull, DeadlineUnreachable or PresetRefuses if it is refused; the request was then not queued.
+[[nodiscard]] Result<void> enqueue(SchedulingState&, const SchedulingView&, QueuedRequest, Millis now);
+
+/// \brief Chooses requests for all slots that are free now and moves them from queued to running.
+/// Call it after each event that may free a slot or add work.
+[[nodiscard]] std::vector<Grant> dispatch(SchedulingState&, const SchedulingView&, Millis now);
+
+/// \brief Charges a running request with the cost that is known so far (cost units, cumulative).
+void recordProgress(SchedulingState&, const RequestId&, double costSoFar);
+
+/// \brief Ends a running request and frees its slot.
+/// \param cost Its final cost, or the cost so far if it broke off.
+/// \param completed Whether it ran to its end, so that its cost may teach the hint correction.
+void recordFinish(SchedulingState&, const SchedulingView&, const RequestId&, double cost, bool completed, Millis now);
+
+/// \brief Removes a queued request (caller gone). Does nothing if it is not queued.
+void cancelQueued(SchedulingState&, const RequestId&);
+
+/// \returns Requests whose deadline has passed while they were queued; they are removed.
+[[nodiscard]] std::vector<RequestId> expireQueued(SchedulingState&, Millis now);
+
+/// \brief Removes and returns all queued requests of a draining daemon that will not get a turn.
+[[nodiscard]] std::vector<RequestId> drainQueued(SchedulingState&);
+
+/// \brief Runs the periodic work; call it every 50 ms and after dispatch().
+/// \returns Messages to peers.
+[[nodiscard]] std::vector<OutboundMessage> tickScheduling(SchedulingState&, const SchedulingView&, Millis now);
+
+/// \brief Handlers of peer messages; each returns messages to send at once.
+[[nodiscard]] std::vector<OutboundMessage> onDemandReport(
+    SchedulingState&, const SchedulingView&, const PeerMessage&, const DemandReport&, Millis now);
+void onAllocation(SchedulingState&, const SchedulingView&, const PeerMessage&, const Allocation&, Millis now);
+void onCellExchange(SchedulingState&, const SchedulingView&, const PeerMessage&, const CellExchange&, Millis now);
+
+/// \brief Backlog and service of one workspace in one pool, for status and metrics.
+struct WorkspaceStatus {
+    WorkspaceId workspace;
+    PoolId pool;
+    std::uint32_t queued { 0 };
+    std::uint32_t running { 0 };
+    double served { 0 }; ///< Cost units served by this daemon since it started.
+    double normalisedService { 0 }; ///< Fleet-wide service divided by share, as last heard.
+};
+[[nodiscard]] std::vector<WorkspaceStatus> workspaceStatus(const SchedulingState&, const SchedulingView&);
+
+/// \brief One cell as this daemon sees it, for status.
+struct CellStatus {
+    CellId cell;
+    DaemonId scheduler; ///< As this daemon's membership view names it.
+    bool allocationValid { false };
+    std::uint32_t slots { 0 }; ///< That this daemon may fill now.
+    std::uint32_t inFlight { 0 };
+};
+[[nodiscard]] std::vector<CellStatus> cellStatus(const SchedulingState&, const SchedulingView&, Millis now);
+
+}
--- /dev/null
+++ b/src/net/HttpClient.cpp
@@ -0,0 +1,148 @@
+#include "net/HttpClient.h"
+
+#include <charconv>
+#include <cstdint>
+#include <event2/buffer.h>
+#include <event2/event.h>
+#include <event2/http.h>
+#include <list>
+
+namespace jasminestack {
+
+namespace {
+
+    evhttp_cmd_type commandFor(std::string_view method)
+    {
+        if (method == "POST")
+            return EVHTTP_REQ_POST;
+        if (method == "PUT")
+            return EVHTTP_REQ_PUT;
+        if (method == "DELETE")
+            return EVHTTP_REQ_DELETE;
+        return EVHTTP_REQ_GET;
+    }
+
+    std::string takeBody(evhttp_request* request)
+    {
+        evbuffer* input = evhttp_request_get_input_buffer(request);
+        std::string body(evbuffer_get_length(input), '\0');
+        evbuffer_remove(input, body.data(), body.size());
+        return body;
+    }
+
+}
+
+struct HttpClient::State {
+    struct Exchange {
+        State* owner { nullptr };
+        std::list<Exchange>::iterator self;
+        HttpCallback callback;
+        evhttp_connection* connection { nullptr };
+        event* timer { nullptr };
+        Result<HttpResponse> result { Error { .kind = ErrorKind::EndpointTimeout, .message = "no answer in time" } };
+    };
+
+    event_base& base;
+    std::list<Exchange> exchanges;
+
+    explicit State(event_base& eventBase)
+        : base(eventBase)
+    {
+    }
+
+    ~State()
+    {
+        while (!exchanges.empty())
+            release(exchanges.front());
+    }
+
+    void release(Exchange& exchange)
+    {
+        if (exchange.connection)
+            evhttp_connection_free(exchange.connection);
+        if (exchange.timer)
+            event_free(exchange.timer);
+        exchanges.erase(exchange.self);
+    }
+
+    // Runs as its own event, so that a connection is never freed inside one of its own callbacks.
+    static void finish(evutil_socket_t, short, void* argument)
+    {
+        auto& exchange = *static_cast<Exchange*>(argument);
+        State& owner = *exchange.owner;
+        auto callback = std::move(exchange.callback);
+        auto result = std::move(exchange.result);
+        owner.release(exchange);
+        callback(std::move(result));
+    }
+
+    static void onAnswer(evhttp_request* request, void* argument)
+    {
+        auto& exchange = *static_cast<Exchange*>(argument);
+        if (request && evhttp_request_get_response_code(request) != 0) {
+            exchange.result
+                = HttpResponse { .status = evhttp_request_get_response_code(request), .body = takeBody(request) };
+        } else {
+            exchange.result = Error { .kind = ErrorKind::EndpointUnavailable, .message = "connection failed" };
+        }
+        event_active(exchange.timer, EV_TIMEOUT, 0);
+    }
+};
+
+HttpClient::HttpClient(event_base& base)
+    : m_state(std::make_unique<State>(base))
+{
+}
+
+HttpClient::~HttpClient() = default;
+
+void HttpClient::send(HttpRequest request, HttpCallback callback)
+{
+    State& state = *m_state;
+    auto position = state.exchanges.emplace(state.exchanges.end());
+    State::Exchange& exchange = *position;
+    exchange.owner = &state;
+    exchange.self = position;
+    exchange.callback = std::move(callback);
+    exchange.timer = evtimer_new(&state.base, State::finish, &exchange);
+
+    auto address = splitAddress(request.address);
+    if (!address) {
+        exchange.result = address.error();
+        event_active(exchange.timer, EV_TIMEOUT, 0);
+        return;
+    }
+    const auto& [host, port] = address.value();
+    timeval limit { .tv_sec = request.timeout.count / 1000, .tv_usec = (request.timeout.count % 1000) * 1000 };
+    evtimer_add(exchange.timer, &limit);
+
+    exchange.connection = evhttp_connection_base_new(&state.base, nullptr, host.c_str(), port);
+    evhttp_request* message = evhttp_request_new(State::onAnswer, &exchange);
+    evkeyvalq* headers = evhttp_request_get_output_headers(message);
+    evhttp_add_header(headers, "Host", request.address.c_str());
+    evhttp_add_header(headers, "Connection", "close");
+    for (const auto& [name, value] : request.headers)
+        evhttp_add_header(headers, name.c_str(), value.c_str());
+    evbuffer_add(evhttp_request_get_output_buffer(message), request.body.data(), request.body.size());
+    if (evhttp_make_request(exchange.connection, message, commandFor(request.method), request.target.c_str()) != 0) {
+        exchange.result
+            = Error { .kind = ErrorKind::EndpointUnavailable, .message = "cannot connect to " + request.address };
+        event_active(exchange.timer, EV_TIMEOUT, 0);
+    }
+}
+
+Result<std::pair<std::string, std::uint16_t>> splitAddress(std::string_view address)
+{
+    auto colon = address.rfind(':');
+    std::uint16_t port = 0;
+    if (colon != std::string_view::npos) {
+        const char* end = address.data() + address.size();
+        auto parsed = std::from_chars(address.data() + colon + 1, end, port);
+        if (parsed.ec == std::errc {} && parsed.ptr == end && colon > 0 && port != 0)
+            return std::pair { std::string(address.substr(0, colon)), port };
+    }
+    return Error { .kind = ErrorKind::BadRequest,
+        .message = "'" + std::string(address) + "' is not of the form IP:PORT" };
+}
+
+}
--- /dev/null
+++ b/src/net/HttpClient.h
@@ -0,0 +1,59 @@
+#pragma once
+
+#include "base/Clock.h"
+#include "base/Result.h"
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+struct event_base;
+
+namespace jasminestack {
+
+/// \brief A small HTTP request with a body that fits in memory.
+struct HttpRequest {
+    std::string address; ///< "IP:PORT".
+    std::string method { "GET" };
+    std::string target { "/" };
+    std::vector<std::pair<std::string, std::string>> headers;
+    std::string body;
+    Millis timeout { 5'000 }; ///< For the whole exchange.
+};
+
+struct HttpResponse {
+    int status { 0 };
+    std::string body;
+};
+
+using HttpCallback = std::function<void(Result<HttpResponse>)>;
+
+/// \brief Sends small requests to the platform's services on the event loop. Endpoints are reached by EndpointClient.
+///
+/// \code
+/// client.send({ .address = "127.0.0.1:9000", .target = "/hosts" }, [](Result<HttpResponse> response) { ... });
+/// \endcode
+class HttpClient {
+public:
+    explicit HttpClient(event_base&);
+    ~HttpClient();
+    HttpClient(const HttpClient&) = delete;
+    HttpClient& operator=(const HttpClient&) = delete;
+
+    /// \brief Starts an exchange. The callback comes exactly once, never inside this call; pending ones are dropped
+    /// with the client.
+    void send(HttpRequest, HttpCallback);
+
+private:
+    struct State;
+    std::unique_ptr<State> m_state;
+};
+
+/// \brief Splits "IP:PORT".
+/// \returns BadRequest if \p address has another form.
+[[nodiscard]] Result<std::pair<std::string, std::uint16_t>> splitAddress(std::string_view address);
+
+}
--- /dev/null
+++ b/src/net/Interfaces.h
@@ -0,0 +1,140 @@
+#pragma once
+
+#include "base/Clock.h"
+#include "base/Identifier.h"
+#include "base/Result.h"
+
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <span>
+#include <string>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+/// \file
+/// \brief Interfaces between the decision core's callers and the outside. Each has one implementation and a mock.
+/// Every callback runs on the event loop's thread, exactly once unless stated otherwise, and never inside the call that
+/// registered it.
+
+namespace jasminestack {
+
+/// \brief A record of the platform's append-only log.
+struct LogRecord {
+    std::int64_t offset { 0 };
+    std::int64_t time { 0 }; ///< Milliseconds since the Unix epoch, set by the log.
+    std::string payload;
+};
+
+/// \brief A part of a log stream.
+struct LogBatch {
+    std::int64_t first { 0 }; ///< First retained offset of the stream.
+    std::int64_t next { 0 }; ///< Offset of the next record to be appended.
+    std::vector<LogRecord> records; ///< Empty when the requested offset is no longer retained.
+};
+
+/// \brief Client of the platform's log service.
+class LogClient {
+public:
+    using AppendCallback = std::function<void(Result<std::int64_t>)>;
+    using ReadCallback = std::function<void(Result<LogBatch>)>;
+
+    virtual ~LogClient() = default;
+
+    /// \brief Appends one record. On an error the record may still have been appended.
+    virtual void append(std::string_view stream, std::string_view payload, AppendCallback) = 0;
+
+    /// \brief Reads records from offset \p from; waits up to \p wait for the first one.
+    virtual void read(std::string_view stream, std::int64_t from, unsigned maxRecords, Millis wait, ReadCallback) = 0;
+};
+
+/// \brief A host in the platform's list.
+struct HostEntry {
+    std::string id;
+    bool isDaemon { false };
+    std::string address;
+    std::string availabilityZone;
+    std::string region;
+    bool leaving { false };
+};
+
+/// \brief Client of the platform's lagging host list.
+class HostListClient {
+public:
+    using Callback = std::function<void(Result<std::vector<HostEntry>>)>;
+
+    virtual ~HostListClient() = default;
+    virtual void fetch(Callback) = 0;
+};
+
+/// \brief Sends datagram-like messages to peers and delivers theirs; loses messages rather than blocking.
+class PeerTransport {
+public:
+    using Handler = std::function<void(std::string_view bytes)>;
+
+    virtual ~PeerTransport() = default;
+
+    /// \brief Sends \p bytes to the peer that listens on \p address ("IP:PORT").
+    virtual void send(std::string_view address, std::string_view bytes) = 0;
+
+    /// \brief Sets the handler of received messages; it is called any number of times.
+    virtual void onReceive(Handler) = 0;
+};
+
+/// \brief A request on its way to an endpoint.
+struct EndpointRequest {
+    RequestId id;
+    std::string address; ///< "IP:PORT".
+    std::string method;
+    std::string target; ///< Path and query.
+    std::vector<std::pair<std::string, std::string>> headers;
+    std::string body;
+    bool freshConnection { false }; ///< Use no idle connection older than one second (non-idempotent requests).
+    Millis connectTimeout { 1'000 };
+    Millis firstByteTimeout { 30'000 };
+    Millis idleTimeout { 10'000 }; ///< Between bytes of the answer.
+};
+
+/// \brief Status line and headers of an endpoint's answer.
+struct EndpointHead {
+    int status { 0 };
+    std::vector<std::pair<std::string, std::string>> headers;
+};
+
+/// \brief How an exchange with an endpoint ended.
+struct EndpointEnd {
+    bool complete { false }; ///< The answer ended as its framing says.
+    bool bytesMayHaveLeft { false }; ///< A byte of the request may have reached the endpoint.
+    ErrorKind error { ErrorKind::Internal }; ///< Valid when not complete.
+};
+
+/// \brief Receives the events of one exchange. onEnd() is the last call and always comes.
+class EndpointListener {
+public:
+    virtual ~EndpointListener() = default;
+    virtual void onSent() = 0; ///< The connection stands and the request is being written.
+    virtual void onHead(const EndpointHead&) = 0;
+    virtual void onBody(std::string_view chunk) = 0;
+    virtual void onEnd(const EndpointEnd&) = 0;
+};
+
+/// \brief Handle of an exchange in progress.
+using ExchangeId = std::uint64_t;
+
+/// \brief Client side of HTTP towards endpoints.
+class EndpointTransport {
+public:
+    virtual ~EndpointTransport() = default;
+
+    /// \brief Starts an exchange; \p listener must live until its onEnd() or until cancel().
+    [[nodiscard]] virtual ExchangeId start(const EndpointRequest& request, EndpointListener& listener) = 0;
+
+    /// \brief Drops an exchange and closes its connection; no further event comes.
+    virtual void cancel(ExchangeId) = 0;
+
+    /// \brief Stops or resumes reading of the answer (back pressure).
+    virtual void setPaused(ExchangeId, bool paused) = 0;
+};
+
+}
