--- a/src/core/Blackboard.h
+++ b/src/core/Blackboard.h
@@ -55,7 +55,10 @@
     Millis lastReport {};
     Millis backoffUntil {}; ///< Gets no new work before this time.
     std::uint32_t consecutiveFailures { 0 };
-    bool leaving { false };
+    bool leaving { false }; ///< Any of the three signs below.
+    bool leavingByReport { false };
+    bool leavingByHostList { false };
+    Millis leavingByPeerUntil {}; ///< A peer's news counts until then; this daemon has seen a sign itself by that time.
     bool removed { false }; ///< No longer in the configuration; running work finishes.
     std::uint32_t inFlight { 0 }; ///< Requests of this daemon; written by Dispatch.
     bool runsSuspect { false }; ///< A crash suspect runs alone on it; written by Dispatch.
--- /dev/null
+++ b/src/core/CrashGuard.cpp
@@ -0,0 +1,73 @@
+#include "core/CrashGuard.h"
+
+#include <algorithm>
+
+namespace jasminestack {
+
+namespace {
+
+    void dropOldest(CrashGuardState& state)
+    {
+        auto oldest = std::min_element(state.suspects.begin(), state.suspects.end(),
+            [](const auto& a, const auto& b) { return a.second.lastLoss < b.second.lastLoss; });
+        state.suspects.erase(oldest);
+    }
+
+    CrashSuspect& addEvent(CrashGuardState& state, const CrashGuardOptions& options, std::uint64_t contentHash,
+        std::uint64_t eventId, Millis now)
+    {
+        if (!state.suspects.contains(contentHash) && state.suspects.size() >= options.maxSuspects)
+            dropOldest(state);
+        CrashSuspect& suspect = state.suspects[contentHash];
+        if (suspect.events.insert(eventId).second) {
+            suspect.lastLoss = now;
+            if (suspect.events.size() >= options.losses)
+                suspect.quarantinedUntil = now + options.quarantine;
+        }
+        return suspect;
+    }
+
+}
+
+CrashVerdict crashVerdict(const CrashGuardState& state, std::uint64_t contentHash, Millis now) noexcept
+{
+    auto it = state.suspects.find(contentHash);
+    if (it == state.suspects.end())
+        return CrashVerdict::Clear;
+    return now < it->second.quarantinedUntil ? CrashVerdict::Quarantined : CrashVerdict::Suspect;
+}
+
+CrashMark onContentLost(CrashGuardState& state, const CrashGuardOptions& options, std::uint64_t contentHash,
+    std::uint64_t eventId, Millis now)
+{
+    const CrashSuspect& suspect = addEvent(state, options, contentHash, eventId, now);
+    return {
+        .contentHash = contentHash, .losses = static_cast<std::uint32_t>(suspect.events.size()), .eventId = eventId
+    };
+}
+
+std::optional<CrashMark> onContentCompleted(CrashGuardState& state, std::uint64_t contentHash)
+{
+    if (state.suspects.erase(contentHash) == 0)
+        return std::nullopt;
+    return CrashMark { .contentHash = contentHash };
+}
+
+void onCrashMark(CrashGuardState& state, const CrashGuardOptions& options, const CrashMark& mark, Millis now)
+{
+    if (mark.losses == 0) {
+        state.suspects.erase(mark.contentHash);
+        return;
+    }
+    addEvent(state, options, mark.contentHash, mark.eventId, now);
+}
+
+void expireSuspects(CrashGuardState& state, const CrashGuardOptions& options, Millis now)
+{
+    std::erase_if(state.suspects, [&](const auto& entry) {
+        const CrashSuspect& suspect = entry.second;
+        return now >= suspect.quarantinedUntil && now - suspect.lastLoss >= options.forgetAfter;
+    });
+}
+
+}
--- /dev/null
+++ b/tests/OutcomeTests.cpp
@@ -0,0 +1,198 @@
+#include "core/CrashGuard.h"
+#include "core/EndpointHealth.h"
+#include "core/Retry.h"
+
+#include <catch2/catch.hpp>
+
+using namespace jasminestack;
+
+// Guards against a "not run" for work that an endpoint may have received, in any order of attempts.
+TEST_CASE("run status is not_run only if no attempt can have reached an endpoint", "[retry]")
+{
+    AttemptHistory history;
+    REQUIRE(runStatus(history) == RunStatus::NotRun);
+    recordAttempt(history, { .bytesMayHaveLeft = false });
+    recordAttempt(history, { .bytesMayHaveLeft = true, .httpStatus = 503, .refusedBeforeRunning = true });
+    REQUIRE(runStatus(history) == RunStatus::NotRun);
+    recordAttempt(history, { .bytesMayHaveLeft = true });
+    REQUIRE(runStatus(history) == RunStatus::Unknown);
+    recordAttempt(history, { .bytesMayHaveLeft = false });
+    REQUIRE(runStatus(history) == RunStatus::Unknown);
+    recordAttempt(history, { .complete = true, .bytesMayHaveLeft = true, .httpStatus = 200 });
+    REQUIRE(runStatus(history) == RunStatus::Ran);
+}
+
+// Guards against a second send of a booking after a byte of the first may have left.
+TEST_CASE("a non-idempotent request is repeated only if it provably did not run", "[retry]")
+{
+    RetryBudget budget;
+    PoolId pool { "desk" };
+    RetryRules rules { .idempotent = false };
+    AttemptHistory history;
+    AttemptEnd refused { .bytesMayHaveLeft = true, .httpStatus = 503, .refusedBeforeRunning = true };
+    recordAttempt(history, refused);
+    REQUIRE(decideRetry(budget, pool, rules, history, refused, { 1'000 }) == RetryDecision::Repeat);
+    AttemptEnd broken { .bytesMayHaveLeft = true };
+    recordAttempt(history, broken);
+    REQUIRE(decideRetry(budget, pool, rules, history, broken, { 1'000 }) == RetryDecision::GiveUp);
+    AttemptEnd notSent {};
+    REQUIRE(decideRetry(budget, pool, rules, history, notSent, { 1'000 }) == RetryDecision::GiveUp);
+}
+
+// Guards against mixing tokens of two runs in one answer.
+TEST_CASE("after the first byte to the caller a stream is only resumed", "[retry]")
+{
+    RetryBudget budget;
+    PoolId pool { "p" };
+    AttemptHistory history { .attempts = 1, .mayHaveReachedEndpoint = true, .bytesSentToCaller = true };
+    AttemptEnd broken { .bytesMayHaveLeft = true };
+    REQUIRE(decideRetry(budget, pool, { .idempotent = true, .resumable = true }, history, broken, { 1 })
+        == RetryDecision::Resume);
+    REQUIRE(decideRetry(budget, pool, { .idempotent = true }, history, broken, { 1 }) == RetryDecision::GiveUp);
+    REQUIRE(decideRetry(budget, pool, { .idempotent = true, .resumable = true }, history, broken, {})
+        == RetryDecision::GiveUp);
+}
+
+// Guards against a retry storm: a pool in which everything fails gets at most a tenth more requests.
+TEST_CASE("retries stay within the pool's budget", "[retry]")
+{
+    RetryBudget budget;
+    PoolId pool { "p" };
+    int retries = 0;
+    constexpr int requests = 1'000;
+    for (int i = 0; i < requests; ++i) {
+        creditRetryBudget(budget, pool, 0.1);
+        AttemptHistory history;
+        AttemptEnd broken { .bytesMayHaveLeft = true };
+        do {
+            recordAttempt(history, broken);
+        } while (decideRetry(budget, pool, { .idempotent = true }, history, broken, { 1'000 }) == RetryDecision::Repeat
+            && ++retries);
+        REQUIRE(history.attempts <= 3);
+    }
+    REQUIRE(retries <= requests / 10 + static_cast<int>(RetryBudget::minimumTokens));
+}
+
+// Guards against a request that takes down one endpoint after another through resends.
+TEST_CASE("a content that crashes endpoints is quarantined across the fleet", "[crash]")
+{
+    CrashGuardState a;
+    CrashGuardState b;
+    CrashGuardOptions options;
+    Millis now { 1'000 };
+    constexpr std::uint64_t bad = 1;
+    constexpr std::uint64_t innocent = 2;
+    for (std::uint64_t event = 10; event < 12; ++event) {
+        onCrashMark(b, options, onContentLost(a, options, bad, event, now), now);
+        REQUIRE(crashVerdict(b, bad, now) == CrashVerdict::Suspect);
+    }
+    // The same loss reported twice counts once.
+    onCrashMark(b, options, { .contentHash = bad, .losses = 2, .eventId = 11 }, now);
+    REQUIRE(crashVerdict(b, bad, now) == CrashVerdict::Suspect);
+    onCrashMark(a, options, onContentLost(b, options, bad, 12, now), now);
+    REQUIRE(crashVerdict(a, bad, now) == CrashVerdict::Quarantined);
+    REQUIRE(crashVerdict(b, bad, now) == CrashVerdict::Quarantined);
+
+    // One that ran beside it is cleared by completing, everywhere.
+    onCrashMark(b, options, onContentLost(a, options, innocent, 10, now), now);
+    auto clear = onContentCompleted(a, innocent);
+    REQUIRE(clear);
+    onCrashMark(b, options, *clear, now);
+    REQUIRE(crashVerdict(b, innocent, now) == CrashVerdict::Clear);
+
+    now += options.quarantine;
+    REQUIRE(crashVerdict(a, bad, now) == CrashVerdict::Suspect);
+    expireSuspects(a, options, now + options.forgetAfter);
+    REQUIRE(a.suspects.empty());
+}
+
+// Guards against unbounded memory under a flood of contents that all get marks.
+TEST_CASE("the number of crash suspects is bounded", "[crash]")
+{
+    CrashGuardState state;
+    CrashGuardOptions options { .maxSuspects = 100 };
+    for (std::uint64_t i = 0; i < 1'000; ++i)
+        (void)onContentLost(state, options, i, i, Millis { static_cast<std::int64_t>(i) });
+    REQUIRE(state.suspects.size() == 100);
+    REQUIRE(state.suspects.contains(999));
+}
+
+namespace {
+
+EndpointTable tableWith(const EndpointId& id)
+{
+    Configuration configuration;
+    PoolId pool { "p" };
+    configuration.pools[pool]
+        = { .id = pool, .endpoints = { { id, { .id = id, .address = "127.0.0.1:1", .slots = 8 } } } };
+    EndpointTable table;
+    applyConfiguration(table, configuration);
+    return table;
+}
+
+}
+
+// Guards against a lagging source that takes back the sign of a faster one.
+TEST_CASE("an endpoint is leaving while any source says so", "[endpoint-health]")
+{
+    EndpointId id { "e" };
+    EndpointTable table = tableWith(id);
+    const EndpointState& endpoint = table.endpoints.at(id);
+    Millis now { 1'000 };
+    REQUIRE(acceptsWork(endpoint, now));
+    REQUIRE(onLoadReport(table, id, { .slots = 8, .leaving = true }, now));
+    REQUIRE(!onHostListEntry(table, id, false, now));
+    REQUIRE(!acceptsWork(endpoint, now));
+    REQUIRE(!onLoadReport(table, id, { .slots = 8, .leaving = false }, now));
+    REQUIRE(acceptsWork(endpoint, now));
+    onEndpointNews(table, id, true, now);
+    REQUIRE(!acceptsWork(endpoint, now));
+    REQUIRE(!onHostListEntry(table, id, false, now + Millis { 30'000 }));
+    REQUIRE(acceptsWork(endpoint, now + Millis { 30'000 }));
+}
+
+// Guards against ten broken requests of one crash being counted as ten failures, and against a permanent exclusion.
+TEST_CASE("lost exchanges back an endpoint off for a bounded time", "[endpoint-health]")
+{
+    EndpointId id { "e" };
+    EndpointTable table = tableWith(id);
+    const EndpointState& endpoint = table.endpoints.at(id);
+    Millis now { 1'000 };
+    for (int i = 0; i < 10; ++i)
+        onExchangeEnd(table, id, ExchangeOutcome::Lost, now);
+    REQUIRE(endpoint.consecutiveFailures == 1);
+    for (int i = 0; i < 30; ++i) {
+        now = endpoint.backoffUntil;
+        onExchangeEnd(table, id, ExchangeOutcome::Lost, now);
+    }
+    REQUIRE(endpoint.backoffUntil - now <= Millis { 10'000 });
+    onExchangeEnd(table, id, ExchangeOutcome::Completed, now);
+    REQUIRE(acceptsWork(endpoint, now));
+}
+
+// Guards against overfilling an engine that other daemons overfill too, and against a limit that never recovers.
+TEST_CASE("the learned limit shrinks while requests wait at the endpoint and recovers", "[endpoint-health]")
+{
+    EndpointId id { "e" };
+    EndpointTable table = tableWith(id);
+    const EndpointState& endpoint = table.endpoints.at(id);
+    for (int i = 0; i < 20; ++i)
+        (void)onLoadReport(table, id, { .slots = 8, .running = 8, .waiting = 8 }, {});
+    REQUIRE(endpoint.limit == 4);
+    for (int i = 0; i < 20; ++i)
+        (void)onLoadReport(table, id, { .slots = 8, .running = 8, .waiting = 1 }, {});
+    REQUIRE(endpoint.limit == 8);
+}
+
+// Guards against cutting running requests when an endpoint is taken out of the configuration.
+TEST_CASE("a removed endpoint stays until its last request has ended", "[endpoint-health]")
+{
+    EndpointId id { "e" };
+    EndpointTable table = tableWith(id);
+    table.endpoints.at(id).inFlight = 1;
+    applyConfiguration(table, {});
+    REQUIRE(table.endpoints.at(id).removed);
+    table.endpoints.at(id).inFlight = 0;
+    applyConfiguration(table, {});
+    REQUIRE(table.endpoints.empty());
+}
