Read settings and configuration with positions, add daemon and check commands

Cause: daemons and operators need settings and the configuration document as typed structs, with errors that name their place. Change: JSON with comments through nlohmann-json's SAX interface and a counting iterator, typed readers that collect all errors, parseSettings, parseConfiguration with the preset in force applied, and a command line whose flags are set through Abseil's reflection, so that a wrong flag ends with code 2.

--- /dev/null
+++ b/src/cli/Cli.cpp
@@ -0,0 +1,175 @@
+#include "cli/Cli.h"
+
+#include "cli/Commands.h"
+#include "cli/Flags.h"
+
+#include <absl/flags/commandlineflag.h>
+#include <absl/flags/flag.h>
+#include <absl/flags/reflection.h>
+#include <algorithm>
+#include <iostream>
+#include <sstream>
+
+ABSL_FLAG(std::string, settings, "", "file with the daemon's settings");
+ABSL_FLAG(bool, json, false, "print JSON instead of a table");
+
+namespace jasminestack {
+
+namespace {
+
+    std::vector<std::string> splitWords(std::string_view text)
+    {
+        std::istringstream stream { std::string(text) };
+        std::vector<std::string> words;
+        for (std::string word; stream >> word;)
+            words.push_back(word);
+        return words;
+    }
+
+    void printOverview(std::ostream& out)
+    {
+        out << "usage: jasminestack COMMAND [ARGUMENTS] [--FLAGS]\n\ncommands:\n";
+        std::size_t width = 0;
+        for (const Command& command : commands())
+            width = std::max(width, command.words.size() + 1 + command.arguments.size());
+        for (const Command& command : commands()) {
+            std::string left = std::string(command.words) + " " + std::string(command.arguments);
+            left.resize(width + 2, ' ');
+            out << "  " << left << command.summary << "\n";
+        }
+        out << "\n'jasminestack COMMAND --help' describes a command's flags.\n"
+               "exit codes: 0 success, 1 failure, 2 usage, 3 invalid input, 4 conflict, 5 unreachable, 6 outcome "
+               "unknown\n";
+    }
+
+    void printHelp(const Command& command, std::ostream& out)
+    {
+        out << "usage: jasminestack " << command.words << (command.arguments.empty() ? "" : " ") << command.arguments
+            << (command.flags.empty() ? "" : " [--FLAGS]") << "\n\n"
+            << command.summary << "\n";
+        if (!command.flags.empty())
+            out << "\nflags:\n";
+        for (std::string_view name : command.flags) {
+            const absl::CommandLineFlag* flag = absl::FindCommandLineFlag(std::string(name));
+            std::string left = "--" + std::string(name);
+            if (!flag->IsOfType<bool>())
+                left += "=VALUE";
+            left.resize(std::max<std::size_t>(left.size() + 1, 24), ' ');
+            out << "  " << left << flag->Help();
+            if (!flag->IsOfType<bool>() && !flag->DefaultValue().empty())
+                out << " (default " << flag->DefaultValue() << ")";
+            out << "\n";
+        }
+    }
+
+    int usageError(const std::string& message)
+    {
+        std::cerr << "jasminestack: " << message << "; see 'jasminestack --help'\n";
+        return exit_code::usage;
+    }
+
+    // Flags are set through Abseil's reflection instead of absl::ParseCommandLine, which ends the process with code 1
+    // on a wrong flag and accepts the flags of all commands for each of them.
+    bool parseFlags(const Command& command, const std::vector<std::string>& arguments, std::vector<std::string>& rest,
+        std::string& problem)
+    {
+        for (std::size_t i = 0; i < arguments.size(); ++i) {
+            if (!arguments[i].starts_with("--")) {
+                rest.push_back(arguments[i]);
+                continue;
+            }
+            std::string name = arguments[i].substr(2);
+            std::string value;
+            const auto equals = name.find('=');
+            const bool hasValue = equals != std::string::npos;
+            if (hasValue) {
+                value = name.substr(equals + 1);
+                name.resize(equals);
+            }
+            absl::CommandLineFlag* flag = nullptr;
+            if (std::find(command.flags.begin(), command.flags.end(), name) != command.flags.end())
+                flag = absl::FindCommandLineFlag(std::string(name));
+            if (!flag) {
+                problem = "'" + std::string(command.words) + "' has no flag --" + name;
+                return false;
+            }
+            if (!hasValue && flag->IsOfType<bool>()) {
+                value = "true";
+            } else if (!hasValue) {
+                if (++i == arguments.size()) {
+                    problem = "flag --" + name + " needs a value";
+                    return false;
+                }
+                value = arguments[i];
+            }
+            std::string reason;
+            if (!flag->ParseFrom(value, &reason)) {
+                problem = "flag --" + name + ": " + (reason.empty() ? "'" + value + "' is not valid" : reason);
+                return false;
+            }
+        }
+        return true;
+    }
+
+    // Checks the number of positional arguments against the command's help text.
+    bool countFits(const Command& command, std::size_t count)
+    {
+        std::size_t required = 0;
+        std::size_t allowed = 0;
+        for (const std::string& word : splitWords(command.arguments)) {
+            ++allowed;
+            required += word.front() == '[' ? 0 : 1;
+        }
+        return count >= required && count <= allowed;
+    }
+
+}
+
+const std::vector<Command>& commands()
+{
+    static const std::vector<Command> list {
+        { "daemon", "", "run a daemon until it is stopped by SIGTERM", { "settings" }, runDaemonCommand },
+        { "check", "FILE", "check settings or a configuration and print every error", { "json" }, runCheck },
+    };
+    return list;
+}
+
+int runCommandLine(int argumentCount, char** arguments)
+{
+    const std::vector<std::string> all(arguments + std::min(argumentCount, 1), arguments + argumentCount);
+    const bool help = std::find(all.begin(), all.end(), "--help") != all.end();
+    const Command* found = nullptr;
+    std::size_t consumed = 0;
+    for (const Command& command : commands()) {
+        const auto words = splitWords(command.words);
+        if (words.size() <= all.size() && std::equal(words.begin(), words.end(), all.begin())) {
+            found = &command;
+            consumed = words.size();
+        }
+    }
+    if (!found) {
+        if (help || (!all.empty() && all.front() == "help")) {
+            printOverview(std::cout);
+            return exit_code::success;
+        }
+        if (all.empty()) {
+            printOverview(std::cerr);
+            return exit_code::usage;
+        }
+        return usageError("there is no command '" + all.front() + (all.size() > 1 ? " " + all[1] : "") + "'");
+    }
+    if (help) {
+        printHelp(*found, std::cout);
+        return exit_code::success;
+    }
+    std::vector<std::string> positional;
+    std::string problem;
+    if (!parseFlags(*found, { all.begin() + static_cast<std::ptrdiff_t>(consumed), all.end() }, positional, problem))
+        return usageError(problem);
+    if (!countFits(*found, positional.size()))
+        return usageError("'" + std::string(found->words) + "' takes "
+            + (found->arguments.empty() ? "no arguments" : "the arguments " + std::string(found->arguments)));
+    return found->run(positional);
+}
+
+}
--- /dev/null
+++ b/src/cli/Commands.h
@@ -0,0 +1,39 @@
+#pragma once
+
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace jasminestack {
+
+/// \brief Exit codes of the command line.
+namespace exit_code {
+    constexpr int success = 0;
+    constexpr int failure = 1;
+    constexpr int usage = 2;
+    constexpr int invalidInput = 3;
+    constexpr int conflict = 4;
+    constexpr int unreachable = 5;
+    constexpr int outcomeUnknown = 6;
+}
+
+/// \brief One subcommand of the command line.
+struct Command {
+    std::string_view words; ///< For example "workspace create".
+    std::string_view
+        arguments; ///< Positional arguments for the help text; each word that is not in brackets is required.
+    std::string_view summary;
+    std::vector<std::string_view> flags; ///< Names of the flags that it takes.
+    int (*run)(const std::vector<std::string>& arguments);
+};
+
+/// \returns All subcommands in the order of the help text.
+[[nodiscard]] const std::vector<Command>& commands();
+
+/// \brief Recognises settings or a configuration by its fields and prints every error.
+[[nodiscard]] int runCheck(const std::vector<std::string>& arguments);
+
+/// \brief Runs a daemon with the settings of --settings.
+[[nodiscard]] int runDaemonCommand(const std::vector<std::string>& arguments);
+
+}
--- a/src/cli/Main.cpp
+++ b/src/cli/Main.cpp
@@ -1,1 +1,3 @@
-int main() { return 0; }
+#include "cli/Cli.h"
+
+int main(int argumentCount, char** arguments) { return jasminestack::runCommandLine(argumentCount, arguments); }
--- a/src/config/Configuration.h
+++ b/src/config/Configuration.h
@@ -2,6 +2,8 @@
 
 #include "base/Clock.h"
 #include "base/Identifier.h"
+#include "base/Result.h"
+#include "config/JsonDocument.h"
 
 #include <cstddef>
 #include <cstdint>
@@ -84,4 +86,13 @@
     [[nodiscard]] const RouteConfig* routeForPath(std::string_view path) const noexcept;
 };
 
+/// \brief Reads a configuration document (JSON with comments) and applies the preset in force.
+/// \param path Used in errors.
+/// \returns All errors found, each with line, column and path, joined as one ConfigurationInvalid error.
+[[nodiscard]] Result<Configuration> parseConfiguration(std::string_view text, std::string_view path);
+
+/// \brief Reads a configuration from a parsed document.
+/// \returns The configuration with version 0; valid only if nothing was added to \p problems.
+[[nodiscard]] Configuration readConfiguration(const JsonNode& root, JsonProblems& problems);
+
 }
--- /dev/null
+++ b/src/config/ConfigurationDocument.cpp
@@ -0,0 +1,245 @@
+#include "config/Configuration.h"
+#include "config/JsonReader.h"
+
+#include <array>
+
+namespace jasminestack {
+
+namespace {
+
+    constexpr std::array<std::string_view, 3> presetNames { "ordinary", "peaks", "maintenance" };
+    constexpr double minimumShare = 1e-3;
+    constexpr double maximumShare = 1e6;
+
+    bool isPresetName(std::string_view name) noexcept
+    {
+        return name == presetNames[0] || name == presetNames[1] || name == presetNames[2];
+    }
+
+    bool isKeyHash(std::string_view text) noexcept
+    {
+        constexpr std::string_view prefix = "sha256:";
+        return text.size() == prefix.size() + 64 && text.starts_with(prefix)
+            && text.find_first_not_of("0123456789abcdef", prefix.size()) == std::string_view::npos;
+    }
+
+    class ConfigurationReader {
+    public:
+        ConfigurationReader(const JsonNode& root, JsonProblems& problems)
+            : m_root(&root, "", problems)
+            , m_problems(problems)
+        {
+        }
+
+        Configuration read()
+        {
+            m_root.eachMember("workspaces",
+                [this](const JsonMember& member, const std::string& path) { readWorkspace(member, path); });
+            m_root.eachMember(
+                "pools", [this](const JsonMember& member, const std::string& path) { readPool(member, path); });
+            m_root.eachMember(
+                "routes", [this](const JsonMember& member, const std::string& path) { readRoute(member, path); });
+            {
+                ObjectReader limits = m_root.object("limits");
+                readLimits(limits, m_result.limits);
+            }
+            m_result.presetInForce = presetNames[0];
+            m_root.choice("presetInForce", m_result.presetInForce, { presetNames.begin(), presetNames.end() });
+            bool found = false;
+            m_root.eachMember("presets", [&](const JsonMember& member, const std::string& path) {
+                if (!isPresetName(member.name))
+                    problemAtName(member, path, "preset must be one of ordinary, peaks, maintenance");
+                const bool inForce = member.name == m_result.presetInForce;
+                found = found || inForce;
+                readPreset(member, path, inForce);
+            });
+            // The preset "ordinary" may be left out: shares then are those of the workspaces and all are admitted.
+            if (!found && m_result.presetInForce != presetNames[0])
+                m_root.report("presetInForce", "preset '" + m_result.presetInForce + "' is not defined in presets");
+            return std::move(m_result);
+        }
+
+    private:
+        void problemAtName(const JsonMember& member, const std::string& path, std::string message)
+        {
+            m_problems.push_back({ member.line, member.column, path, std::move(message) });
+        }
+
+        void checkId(const JsonMember& member, const std::string& path)
+        {
+            if (!isIdentifier(member.name))
+                problemAtName(member, path, "id must be 1 to 64 letters, digits, '.', '_' or '-'");
+        }
+
+        void readWorkspace(const JsonMember& member, const std::string& path)
+        {
+            checkId(member, path);
+            WorkspaceConfig workspace { .id = WorkspaceId { member.name } };
+            ObjectReader reader(&member.value, path, m_problems);
+            reader.number("share", workspace.share, minimumShare, maximumShare);
+            reader.eachText("keys", [&](const JsonNode& node, const std::string& keyPath) {
+                if (!isKeyHash(node.text))
+                    reader.report(node, keyPath, "must be \"sha256:\" and 64 lower-case hexadecimal digits");
+                else if (auto [known, isNew] = m_keyOwners.emplace(node.text, member.name); !isNew)
+                    reader.report(node, keyPath, "the same key hash is used by workspace '" + known->second + "'");
+                workspace.keyHashes.push_back(node.text);
+            });
+            reader.integer<std::size_t>("queueRequests", workspace.queueRequests, 1, 1'000'000);
+            reader.integer<std::size_t>("queueBytes", workspace.queueBytes, 1U << 10U, std::size_t { 1 } << 32U);
+            m_result.workspaces.insert_or_assign(workspace.id, std::move(workspace));
+        }
+
+        void readPool(const JsonMember& member, const std::string& path)
+        {
+            checkId(member, path);
+            PoolConfig pool { .id = PoolId { member.name } };
+            ObjectReader reader(&member.value, path, m_problems);
+            std::string kind = "model";
+            reader.choice("kind", kind, { "model", "service" }, Presence::Required);
+            pool.kind = kind == "service" ? PoolKind::Service : PoolKind::Model;
+            const bool hasModels = reader.eachText("models", [&](const JsonNode& node, const std::string& modelPath) {
+                if (node.text.empty())
+                    reader.report(node, modelPath, "must not be empty");
+                else if (auto [known, isNew] = m_modelOwners.emplace(node.text, member.name); !isNew)
+                    reader.report(
+                        node, modelPath, "model '" + node.text + "' is already served by pool '" + known->second + "'");
+                pool.models.insert(node.text);
+            });
+            if (hasModels && pool.kind == PoolKind::Service)
+                reader.report("models", "a pool of kind service has no models");
+            reader.eachMember("endpoints", [&](const JsonMember& endpoint, const std::string& endpointPath) {
+                readEndpoint(endpoint, endpointPath, pool);
+            });
+            m_result.pools.insert_or_assign(pool.id, std::move(pool));
+        }
+
+        void readEndpoint(const JsonMember& member, const std::string& path, PoolConfig& pool)
+        {
+            checkId(member, path);
+            EndpointConfig endpoint { .id = EndpointId { member.name } };
+            ObjectReader reader(&member.value, path, m_problems);
+            reader.address("address", endpoint.address, Presence::Required);
+            reader.identifier("availabilityZone", endpoint.availabilityZone, Presence::Required);
+            reader.identifier("region", endpoint.region, Presence::Required);
+            reader.integer("slots", endpoint.slots, 1U, 4'096U);
+            // Endpoint ids are keys of fleet-wide tables, and two ids for one address would count its slots twice.
+            if (auto [known, isNew] = m_endpointOwners.emplace(member.name, pool.id.value); !isNew)
+                problemAtName(member, path, "endpoint id is also used in pool '" + known->second + "'");
+            if (!endpoint.address.empty()) {
+                if (auto [known, isNew] = m_addressOwners.emplace(endpoint.address, path); !isNew)
+                    reader.report("address", "the same address is used by " + known->second);
+            }
+            pool.endpoints.insert_or_assign(endpoint.id, std::move(endpoint));
+        }
+
+        void readRoute(const JsonMember& member, const std::string& path)
+        {
+            checkId(member, path);
+            RouteConfig route;
+            ObjectReader reader(&member.value, path, m_problems);
+            reader.text("prefix", route.prefix, Presence::Required);
+            if (!route.prefix.empty()) {
+                if (route.prefix.front() != '/')
+                    reader.report("prefix", "must start with '/'");
+                else if (route.prefix.starts_with("/v1/"))
+                    reader.report("prefix", "/v1/ is reserved for model requests");
+                if (auto [known, isNew] = m_prefixOwners.emplace(route.prefix, member.name); !isNew)
+                    reader.report("prefix", "the same prefix is used by route '" + known->second + "'");
+            }
+            reader.identifier("pool", route.pool.value, Presence::Required);
+            if (!route.pool.empty()) {
+                const auto pool = m_result.pools.find(route.pool);
+                if (pool == m_result.pools.end())
+                    reader.report("pool", "pool '" + route.pool.value + "' does not exist");
+                else if (pool->second.kind != PoolKind::Service)
+                    reader.report("pool", "pool '" + route.pool.value + "' is not of kind service");
+            }
+            std::set<std::string> methods;
+            const bool given = reader.eachText("idempotentMethods", [&](const JsonNode& node, const std::string& item) {
+                if (node.text.empty() || node.text.find_first_not_of("ABCDEFGHIJKLMNOPQRSTUVWXYZ") != std::string::npos)
+                    reader.report(node, item, "'" + node.text + "' is not an HTTP method in capital letters");
+                methods.insert(node.text);
+            });
+            if (given)
+                route.idempotentMethods = std::move(methods);
+            reader.boolean("requireIdempotencyKey", route.requireIdempotencyKey);
+            m_result.routes.insert_or_assign(member.name, std::move(route));
+        }
+
+        static void readLimits(ObjectReader& reader, FleetLimits& limits)
+        {
+            reader.integer("cellSize", limits.cellSize, 1U, 1'024U);
+            reader.integer("refillMargin", limits.refillMargin, 0U, 64U);
+            reader.millis("defaultDeadlineMs", limits.defaultDeadline, 1, 86'400'000);
+            reader.integer("crashLosses", limits.crashLosses, 1U, 100U);
+            reader.millis("quarantineMs", limits.quarantine, 1'000, 86'400'000);
+            reader.integer("retryAttempts", limits.retryAttempts, 0U, 10U);
+            reader.number("retryRatio", limits.retryRatio, 0.0, 1.0);
+        }
+
+        // Presets that are not in force are read as well, so that switching to them cannot fail later.
+        void readPreset(const JsonMember& member, const std::string& path, bool inForce)
+        {
+            ObjectReader reader(&member.value, path, m_problems);
+            reader.eachMember("shares", [&](const JsonMember& share, const std::string& sharePath) {
+                const auto workspace = m_result.workspaces.find(WorkspaceId { share.name });
+                if (workspace == m_result.workspaces.end()) {
+                    problemAtName(share, sharePath, "workspace '" + share.name + "' does not exist");
+                    return;
+                }
+                const bool isNumber = share.value.type == JsonType::Integer || share.value.type == JsonType::Float;
+                if (!isNumber || !(share.value.number >= minimumShare && share.value.number <= maximumShare))
+                    reader.report(share.value, sharePath, "share must be a number from 0.001 to 1000000");
+                else if (inForce)
+                    workspace->second.share = share.value.number;
+            });
+            std::set<std::string> admitted;
+            const bool admitGiven = reader.eachText("admit", [&](const JsonNode& node, const std::string& item) {
+                if (node.text != "*" && !m_result.workspaces.contains(WorkspaceId { node.text }))
+                    reader.report(node, item, "workspace '" + node.text + "' does not exist");
+                admitted.insert(node.text);
+            });
+            if (inForce && admitGiven && !admitted.contains("*")) {
+                for (auto& [id, workspace] : m_result.workspaces)
+                    workspace.admitted = admitted.contains(id.value);
+            }
+            ObjectReader limits = reader.object("limits");
+            FleetLimits overridden = m_result.limits;
+            readLimits(limits, overridden);
+            if (inForce)
+                m_result.limits = overridden;
+        }
+
+        ObjectReader m_root;
+        JsonProblems& m_problems;
+        Configuration m_result;
+        std::map<std::string, std::string> m_keyOwners;
+        std::map<std::string, std::string> m_modelOwners;
+        std::map<std::string, std::string> m_endpointOwners;
+        std::map<std::string, std::string> m_addressOwners;
+        std::map<std::string, std::string> m_prefixOwners;
+    };
+
+}
+
+Configuration readConfiguration(const JsonNode& root, JsonProblems& problems)
+{
+    return ConfigurationReader(root, problems).read();
+}
+
+Result<Configuration> parseConfiguration(std::string_view text, std::string_view path)
+{
+    JsonProblems problems;
+    const JsonNode root = parseJson(text, problems);
+    Configuration configuration;
+    if (problems.empty())
+        configuration = readConfiguration(root, problems);
+    if (problems.empty())
+        return configuration;
+    const JsonProblem& first = problems.front();
+    return Error { .kind = ErrorKind::ConfigurationInvalid,
+        .message = formatProblems(problems, path),
+        .position = { .path = std::string(path), .line = first.line, .column = first.column } };
+}
+
+}
--- /dev/null
+++ b/src/config/Settings.cpp
@@ -0,0 +1,118 @@
+#include "config/Settings.h"
+
+#include "config/JsonReader.h"
+
+namespace jasminestack {
+
+namespace {
+
+    constexpr std::int64_t oneSecond = 1'000;
+    constexpr std::int64_t oneMinute = 60 * oneSecond;
+    constexpr std::int64_t oneHour = 60 * oneMinute;
+    constexpr std::int64_t oneDay = 24 * oneHour;
+    constexpr std::int64_t oneWeek = 7 * oneDay;
+
+    void readEdges(ObjectReader& root, Settings& settings, JsonProblems& problems)
+    {
+        {
+            ObjectReader callers = root.object("callers", Presence::Required);
+            callers.address("address", settings.callers.address, Presence::Required, true);
+            callers.integer<std::size_t>("maxHeaderBytes", settings.callers.maxHeaderBytes, 1U << 10U, 1U << 20U);
+            callers.integer<std::size_t>("maxBodyBytes", settings.callers.maxBodyBytes, 1U << 10U, 64U << 20U);
+            callers.millis("readTimeoutMs", settings.callers.readTimeout, 100, 10 * oneMinute);
+            callers.millis("writeTimeoutMs", settings.callers.writeTimeout, 100, 10 * oneMinute);
+        }
+        {
+            ObjectReader admin = root.object("admin", Presence::Required);
+            admin.address("address", settings.admin.address, Presence::Required, true);
+            admin.text("operatorTokenFile", settings.admin.operatorTokenFile);
+            admin.text("operatorTokenEnv", settings.admin.operatorTokenEnvironment);
+            if (!settings.admin.operatorTokenFile.empty() && !settings.admin.operatorTokenEnvironment.empty())
+                admin.report("operatorTokenEnv", "only one of operatorTokenFile and operatorTokenEnv may be given");
+        }
+        ObjectReader peers = root.object("peers", Presence::Required);
+        peers.address("address", settings.peers.address, Presence::Required);
+        peers.text("fleetKeyFile", settings.peers.fleetKeyFile);
+        peers.text("fleetKeyEnv", settings.peers.fleetKeyEnvironment);
+        if (settings.peers.fleetKeyFile.empty() && settings.peers.fleetKeyEnvironment.empty())
+            peers.report("fleetKeyFile", "one of fleetKeyFile and fleetKeyEnv is required");
+        if (!settings.peers.fleetKeyFile.empty() && !settings.peers.fleetKeyEnvironment.empty())
+            peers.report("fleetKeyEnv", "only one of fleetKeyFile and fleetKeyEnv may be given");
+        peers.eachText("seeds", [&](const JsonNode& node, const std::string& path) {
+            if (isAddress(node.text))
+                settings.peers.seeds.push_back(node.text);
+            else
+                problems.push_back({ node.line, node.column, path, "'" + node.text + "' is not of the form IP:PORT" });
+        });
+    }
+
+    void readPlatform(ObjectReader& root, Settings& settings)
+    {
+        {
+            ObjectReader log = root.object("log", Presence::Required);
+            log.address("address", settings.log.address, Presence::Required);
+            log.integer("claimStreams", settings.log.claimStreams, 1U, 64U);
+            log.millis("claimWindowMs", settings.log.claimWindow, oneSecond, oneWeek);
+        }
+        root.object("hostList").address("address", settings.hostList.address, Presence::Required);
+        root.object("weightStore").address("address", settings.weightStore.address, Presence::Required);
+        root.object("logging").choice(
+            "level", settings.logging.level, { "trace", "debug", "info", "warning", "error" });
+        root.object("tracing").text("otlpFile", settings.tracing.otlpFile);
+    }
+
+    void readTuning(ObjectReader& root, Settings& settings)
+    {
+        {
+            ObjectReader scheduling = root.object("scheduling");
+            scheduling.millis("reportIntervalMs", settings.scheduling.reportInterval, 50, 2 * oneSecond);
+            scheduling.millis("exchangeIntervalMs", settings.scheduling.exchangeInterval, 100, oneMinute);
+            scheduling.number("gain", settings.scheduling.gain, 0.0, 1.0);
+            scheduling.choice("policy", settings.scheduling.policy, { "fair", "static", "fifo" });
+        }
+        {
+            ObjectReader endpoints = root.object("endpoints");
+            endpoints.millis("connectTimeoutMs", settings.endpoints.connectTimeout, 50, oneMinute);
+            endpoints.millis("firstByteTimeoutMs", settings.endpoints.firstByteTimeout, 100, oneHour);
+            endpoints.millis("idleTimeoutMs", settings.endpoints.idleTimeout, 100, oneHour);
+            endpoints.millis("loadIntervalMs", settings.endpoints.loadInterval, 50, oneMinute);
+        }
+        ObjectReader shutdown = root.object("shutdown");
+        shutdown.millis("balancerGraceMs", settings.shutdown.balancerGrace, 0, 10 * oneMinute);
+        shutdown.millis("drainMs", settings.shutdown.drain, 0, oneDay);
+    }
+
+}
+
+Settings readSettings(const JsonNode& root, JsonProblems& problems)
+{
+    Settings settings;
+    ObjectReader reader(&root, "", problems);
+    {
+        ObjectReader daemon = reader.object("daemon", Presence::Required);
+        daemon.identifier("id", settings.daemon.id.value, Presence::Required);
+        daemon.identifier("region", settings.daemon.region, Presence::Required);
+        daemon.identifier("availabilityZone", settings.daemon.availabilityZone, Presence::Required);
+    }
+    readEdges(reader, settings, problems);
+    readPlatform(reader, settings);
+    readTuning(reader, settings);
+    return settings;
+}
+
+Result<Settings> parseSettings(std::string_view text, std::string_view path)
+{
+    JsonProblems problems;
+    const JsonNode root = parseJson(text, problems);
+    Settings settings;
+    if (problems.empty())
+        settings = readSettings(root, problems);
+    if (problems.empty())
+        return settings;
+    const JsonProblem& first = problems.front();
+    return Error { .kind = ErrorKind::SettingsInvalid,
+        .message = formatProblems(problems, path),
+        .position = { .path = std::string(path), .line = first.line, .column = first.column } };
+}
+
+}
--- a/src/config/Settings.h
+++ b/src/config/Settings.h
@@ -3,6 +3,7 @@
 #include "base/Clock.h"
 #include "base/Identifier.h"
 #include "base/Result.h"
+#include "config/JsonDocument.h"
 
 #include <cstddef>
 #include <string>
@@ -87,4 +88,8 @@
 /// \returns All errors found, each with line, column and path, joined as one SettingsInvalid error.
 [[nodiscard]] Result<Settings> parseSettings(std::string_view text, std::string_view path);
 
+/// \brief Reads settings from a parsed document.
+/// \returns The settings; valid only if nothing was added to \p problems.
+[[nodiscard]] Settings readSettings(const JsonNode& root, JsonProblems& problems);
+
 }
