Fold the configuration from the log

Cause: every daemon must reach the same configuration from the log, a checkpoint or a peer, and never go back. Change: ConfigurationFold with change and checkpoint records, the adoption rule, peers' states, a bounded history of results and a preview that spares the log changes that cannot be accepted.

--- /dev/null
+++ b/src/config/ConfigurationFold.cpp
@@ -0,0 +1,321 @@
+#include "config/ConfigurationFold.h"
+
+#include <nlohmann/json.hpp>
+#include <optional>
+
+namespace jasminestack {
+
+namespace {
+
+    using nlohmann::json;
+
+    // Parses with the checks of parseJson(): nesting deeper than its limit would overflow the stack in merge_patch(),
+    // and duplicate names would read differently with another parser.
+    std::optional<json> parseChecked(std::string_view text)
+    {
+        JsonProblems problems;
+        (void)parseJson(text, problems);
+        if (!problems.empty())
+            return std::nullopt;
+        json parsed = json::parse(text, nullptr, false, true);
+        if (parsed.is_discarded())
+            return std::nullopt;
+        return parsed;
+    }
+
+    std::optional<std::uint64_t> unsignedField(const json& object, const char* name)
+    {
+        const auto field = object.find(name);
+        if (field == object.end() || !field->is_number_unsigned())
+            return std::nullopt;
+        return field->get<std::uint64_t>();
+    }
+
+    std::string textField(const json& object, const char* name)
+    {
+        const auto field = object.find(name);
+        return field != object.end() && field->is_string() ? field->get<std::string>() : std::string {};
+    }
+
+    // Lines and columns are left out: the document was produced by a patch, and operators never saw its text.
+    std::string describe(const JsonProblems& problems)
+    {
+        std::string result;
+        for (const JsonProblem& problem : problems) {
+            if (!result.empty())
+                result += "; ";
+            result += (problem.path.empty() ? "" : problem.path + ": ") + problem.message;
+        }
+        return result;
+    }
+
+    Result<Configuration> validate(const std::string& document)
+    {
+        JsonProblems problems;
+        Configuration configuration;
+        if (document.size() > maximumDocumentBytes) {
+            problems.push_back({ 0, 0, "",
+                "the document has " + std::to_string(document.size()) + " bytes, the limit is "
+                    + std::to_string(maximumDocumentBytes) });
+        }
+        if (problems.empty()) {
+            const JsonNode root = parseJson(document, problems);
+            if (problems.empty())
+                configuration = readConfiguration(root, problems);
+        }
+        if (!problems.empty())
+            return Error { .kind = ErrorKind::ConfigurationInvalid, .message = describe(problems) };
+        return configuration;
+    }
+
+    // Bounds the memory of the history; the full text is in the log.
+    std::string excerpt(std::string text)
+    {
+        constexpr std::size_t limit = 512;
+        if (text.size() > limit) {
+            std::size_t end = limit;
+            while (end > 0 && (static_cast<unsigned char>(text[end]) & 0xC0U) == 0x80U)
+                --end;
+            text.resize(end);
+            text += "...";
+        }
+        return text;
+    }
+
+    void setDocument(FoldState& state, std::string document, Configuration configuration)
+    {
+        state.document = std::move(document);
+        configuration.version = state.version;
+        configuration.throughOffset = state.throughOffset;
+        state.configuration = std::make_shared<const Configuration>(std::move(configuration));
+    }
+
+    void remember(FoldState& state, const ChangeResult& result)
+    {
+        state.history.push_back(result);
+        if (state.history.size() > historyLimit) {
+            state.history.pop_front();
+            state.historyFrom = state.history.front().offset;
+        }
+    }
+
+    class Folder {
+    public:
+        explicit Folder(FoldState& state)
+            : m_state(state)
+        {
+        }
+
+        // A record that cannot be read as a change is skipped by every reader alike. Checkpoints change nothing for a
+        // reader that has folded all records before them. Repeated ids are not rejected, since a reader that started
+        // from a checkpoint would not know the earlier ones; the base decides.
+        std::optional<ChangeResult> fold(const LogRecord& record)
+        {
+            m_state.throughOffset = record.offset;
+            const auto parsed = parseChecked(record.payload);
+            if (!parsed || !parsed->is_object() || textField(*parsed, "kind") != "change")
+                return std::nullopt;
+            const auto base = unsignedField(*parsed, "base");
+            const auto patch = parsed->find("patch");
+            ChangeResult result { .id = textField(*parsed, "id"),
+                .author = textField(*parsed, "author"),
+                .offset = record.offset,
+                .time = record.time };
+            if (result.id.empty() || !base || patch == parsed->end() || !patch->is_object())
+                return std::nullopt;
+            result.base = *base;
+            result.patch = excerpt(patch->dump());
+            apply(result, *patch);
+            result.version = m_state.version;
+            return result;
+        }
+
+    private:
+        void apply(ChangeResult& result, const json& patch)
+        {
+            if (result.base != m_state.version) {
+                result.outcome = ChangeOutcome::Conflict;
+                return;
+            }
+            if (!m_document)
+                m_document = json::parse(m_state.document, nullptr, false);
+            json patched = *m_document;
+            patched.merge_patch(patch);
+            std::string text = patched.dump();
+            auto configuration = validate(text);
+            if (!configuration) {
+                result.outcome = ChangeOutcome::Invalid;
+                result.reason = excerpt(configuration.error().message);
+                return;
+            }
+            result.outcome = ChangeOutcome::Accepted;
+            ++m_state.version;
+            setDocument(m_state, std::move(text), std::move(configuration).value());
+            m_document = std::move(patched);
+        }
+
+        FoldState& m_state;
+        std::optional<json> m_document; // Parsed form of the state's document, kept while one batch is folded.
+    };
+
+    // Version 0 carries only a position: no change has been accepted yet, so there is nothing to put in force.
+    void moveTo(FoldState& state, std::uint64_t version, std::int64_t throughOffset, std::string document,
+        Configuration configuration)
+    {
+        state.version = version;
+        state.throughOffset = throughOffset;
+        state.seeking = false;
+        state.historyFrom = throughOffset + 1;
+        if (version > 0)
+            setDocument(state, std::move(document), std::move(configuration));
+    }
+
+    // A checkpoint may be adopted only if every record after its state is still retained; else a checkpoint that a
+    // paused daemon wrote late could hide accepted changes.
+    bool adoptCheckpoint(FoldState& state, const LogRecord& record, std::int64_t firstRetained)
+    {
+        const auto parsed = parseChecked(record.payload);
+        if (!parsed || !parsed->is_object() || textField(*parsed, "kind") != "checkpoint")
+            return false;
+        const auto version = unsignedField(*parsed, "version");
+        const auto through = parsed->find("throughOffset");
+        const auto document = parsed->find("document");
+        if (!version || through == parsed->end() || !through->is_number_integer() || document == parsed->end()
+            || !document->is_object())
+            return false;
+        const auto throughOffset = through->get<std::int64_t>();
+        if (throughOffset >= record.offset || throughOffset <= state.throughOffset || throughOffset + 1 < firstRetained
+            || *version < state.version)
+            return false;
+        std::string text = document->dump();
+        auto configuration = validate(text);
+        if (!configuration)
+            return false;
+        moveTo(state, *version, throughOffset, std::move(text), std::move(configuration).value());
+        return true;
+    }
+
+    void seek(FoldState& state, const LogBatch& batch)
+    {
+        if (!state.seeking || state.seekOffset < batch.first) {
+            state.seeking = true;
+            state.seekOffset = batch.first;
+        }
+        for (const LogRecord& record : batch.records) {
+            if (record.offset < state.seekOffset)
+                continue;
+            if (record.offset > state.seekOffset)
+                return;
+            ++state.seekOffset;
+            if (adoptCheckpoint(state, record, batch.first))
+                return;
+        }
+    }
+
+}
+
+std::string_view toString(ChangeOutcome outcome) noexcept
+{
+    switch (outcome) {
+    case ChangeOutcome::Accepted:
+        return "accepted";
+    case ChangeOutcome::Conflict:
+        return "conflict";
+    case ChangeOutcome::Invalid:
+        return "invalid";
+    }
+    return "invalid";
+}
+
+std::int64_t nextOffset(const FoldState& state) noexcept
+{
+    return state.seeking ? state.seekOffset : state.throughOffset + 1;
+}
+
+std::vector<ChangeResult> foldBatch(FoldState& state, const LogBatch& batch)
+{
+    std::vector<ChangeResult> results;
+    if (batch.first > state.throughOffset + 1) {
+        seek(state, batch);
+        if (state.seeking)
+            return results;
+    }
+    state.seeking = false;
+    Folder folder(state);
+    for (const LogRecord& record : batch.records) {
+        if (record.offset <= state.throughOffset)
+            continue;
+        if (record.offset != state.throughOffset + 1)
+            break;
+        if (auto result = folder.fold(record)) {
+            remember(state, *result);
+            results.push_back(std::move(*result));
+        }
+    }
+    return results;
+}
+
+Result<bool> adoptPeerState(
+    FoldState& state, std::uint64_t version, std::int64_t throughOffset, std::string_view document)
+{
+    if (throughOffset <= state.throughOffset || version < state.version)
+        return false;
+    const auto parsed = parseChecked(document);
+    if (!parsed || !parsed->is_object())
+        return Error { .kind = ErrorKind::ConfigurationInvalid, .message = "a peer's document is not a JSON object" };
+    std::string text = parsed->dump();
+    auto configuration = validate(text);
+    if (!configuration)
+        return configuration.error();
+    moveTo(state, version, throughOffset, std::move(text), std::move(configuration).value());
+    return true;
+}
+
+const ChangeResult* findResult(const FoldState& state, std::string_view id) noexcept
+{
+    const ChangeResult* found = nullptr;
+    for (const ChangeResult& result : state.history) {
+        if (result.id == id && (!found || found->outcome != ChangeOutcome::Accepted))
+            found = &result;
+    }
+    return found;
+}
+
+std::string makeCheckpoint(const FoldState& state)
+{
+    return json {
+        { "kind", "checkpoint" }, { "version", state.version }, { "throughOffset", state.throughOffset },
+        { "document", json::parse(state.document, nullptr, false) }
+    }.dump();
+}
+
+Result<std::string> makeChange(std::string_view id, std::string_view author, std::uint64_t base, std::string_view patch)
+{
+    const auto parsed = parseChecked(patch);
+    if (!parsed || !parsed->is_object())
+        return Error { .kind = ErrorKind::BadRequest, .message = "the patch is not a JSON object" };
+    json record { { "kind", "change" }, { "id", id }, { "author", author }, { "base", base }, { "patch", *parsed } };
+    return record.dump(-1, ' ', false, json::error_handler_t::replace);
+}
+
+Result<void> previewChange(const FoldState& state, std::uint64_t base, std::string_view patch)
+{
+    const auto parsed = parseChecked(patch);
+    if (!parsed || !parsed->is_object())
+        return Error { .kind = ErrorKind::ConfigurationInvalid, .message = "the patch is not a JSON object" };
+    if (base < state.version) {
+        return Error { .kind = ErrorKind::ConfigurationConflict,
+            .message = "the change is based on version " + std::to_string(base) + ", but version "
+                + std::to_string(base + 1) + " came first; the version in force is " + std::to_string(state.version) };
+    }
+    if (base > state.version)
+        return ok();
+    json patched = json::parse(state.document, nullptr, false);
+    patched.merge_patch(*parsed);
+    const auto configuration = validate(patched.dump());
+    if (!configuration)
+        return configuration.error();
+    return ok();
+}
+
+}
