--- a/src/net/HttpClient.cpp
+++ b/src/net/HttpClient.cpp
@@ -82,8 +82,11 @@
         if (request && evhttp_request_get_response_code(request) != 0) {
             exchange.result
                 = HttpResponse { .status = evhttp_request_get_response_code(request), .body = takeBody(request) };
+        } else if (request) {
+            // evhttp passes the request without a status when the connection was never established.
+            exchange.result = Error { .kind = ErrorKind::EndpointUnavailable, .message = "cannot connect" };
         } else {
-            exchange.result = Error { .kind = ErrorKind::EndpointUnavailable, .message = "connection failed" };
+            exchange.result = Error { .kind = ErrorKind::EndpointLost, .message = "connection lost before the answer" };
         }
         event_active(exchange.timer, EV_TIMEOUT, 0);
     }
--- a/src/net/HttpClient.h
+++ b/src/net/HttpClient.h
@@ -44,7 +44,8 @@
     HttpClient& operator=(const HttpClient&) = delete;
 
     /// \brief Starts an exchange. The callback comes exactly once, never inside this call; pending ones are dropped
-    /// with the client.
+    /// with the client. Errors: EndpointUnavailable if no connection was established, so that nothing was sent;
+    /// EndpointLost or EndpointTimeout if the request may have arrived.
     void send(HttpRequest, HttpCallback);
 
 private:
