Schedule by share: queues, admission, dispatch, cells and allocations

Cause: the placeholder served requests first come, first served.

Change: queues per pool and workspace with limits in requests and bytes, early refusal of unreachable deadlines, work-conserving dispatch by in-flight/quota and normalised service with charged estimates, suspects alone on an endpoint, prefix affinity among free endpoints, the cell map, and a cell scheduler that answers demand reports with allocations. DemandReport gains the last applied allocation (so that the scheduler knows when a daemon has given slots up) and each workspace's normalised service as last heard (so that a new scheduler goes on from there). Allocation gains the number of the report that it answers: its lease is counted from the sending of that report, so an allocation that a paused daemon finds in its receive buffer is not a new lease.

--- /dev/null
+++ b/src/core/CellScheduler.cpp
@@ -0,0 +1,390 @@
+#include "core/CellScheduler.h"
+
+#include "core/SlotPlacement.h"
+
+#include <algorithm>
+#include <cmath>
+#include <numeric>
+
+namespace jasminestack {
+
+namespace {
+
+    // Time in which the correction aims to repay a workspace's distance behind the mean. A few request durations, so
+    // that slots do not move back and forth.
+    constexpr double correctionHorizonSeconds = 4.0;
+    constexpr double minimumCorrection = 0.25;
+    constexpr double maximumCorrection = 4.0;
+    // Smoothing time of the measured service rate.
+    constexpr double rateSeconds = 5.0;
+    // Slots that a target must differ from the present quota before the quota changes.
+    constexpr double quotaHysteresis = 0.6;
+    constexpr double splitHysteresis = 1.0;
+    // Interval to which carried fractions refer.
+    constexpr double carrySeconds = 0.5;
+    constexpr double maximumCarry = 1.5;
+    // Share of a workspace that is no longer in the configuration and still has requests.
+    constexpr double removedShare = 0.01;
+    // Between allocations that are sent to a daemon without a report of its.
+    constexpr Millis notifyGap { 200 };
+
+    double shareOf(const Configuration& configuration, const WorkspaceId& id)
+    {
+        auto workspace = configuration.workspaces.find(id);
+        return workspace == configuration.workspaces.end() ? removedShare : workspace->second.share;
+    }
+
+    struct WorkspaceStep {
+        const WorkspaceId* id { nullptr };
+        ServedWorkspace* state { nullptr };
+        double share { 0 };
+        bool backlogged { false };
+        double demand { 0 };
+        std::vector<std::pair<std::size_t, std::uint32_t>> daemons; ///< Index into Grid::daemons and its demand.
+        std::uint32_t quota { 0 };
+        double target { 0 };
+    };
+
+    /// \brief Raises returning workspaces and collects the active ones.
+    std::vector<WorkspaceStep> collectWorkspaces(CellState& cell, const CellView& view, const Grid& grid)
+    {
+        std::map<WorkspaceId, WorkspaceStep> active;
+        for (std::size_t d = 0; d < grid.daemons.size(); ++d) {
+            for (const auto& [id, demand] : grid.daemons[d].second->demand) {
+                std::uint32_t wanted = demand.queued + demand.running;
+                if (wanted == 0)
+                    continue;
+                WorkspaceStep& step = active[id];
+                step.backlogged |= demand.queued > 0;
+                step.demand += wanted;
+                step.daemons.emplace_back(d, wanted);
+            }
+        }
+        bool any = false;
+        double floor = 0;
+        for (auto& [id, step] : active) {
+            const ServedWorkspace& workspace = cell.workspaces[id];
+            if (step.backlogged && workspace.active && (!any || workspace.normalised < floor)) {
+                floor = workspace.normalised;
+                any = true;
+            }
+        }
+        cell.virtualTime = any ? std::max(cell.virtualTime, floor) : cell.virtualTime;
+        for (auto& [id, workspace] : cell.workspaces) {
+            if (!active.contains(id)) {
+                workspace.active = false;
+                workspace.carry = 0;
+                workspace.quota = 0;
+            }
+        }
+        std::vector<WorkspaceStep> steps;
+        for (auto& [id, step] : active) {
+            auto found = cell.workspaces.find(id);
+            step.id = &found->first;
+            step.state = &found->second;
+            if (!step.state->active && view.options.mechanisms.lift)
+                step.state->normalised = std::max(step.state->normalised, any ? floor : cell.virtualTime);
+            step.state->active = true;
+            step.share = shareOf(view.configuration, id);
+            steps.push_back(std::move(step));
+        }
+        return steps;
+    }
+
+    /// \returns By workspace, how far it is behind the share-weighted mean of the backlogged ones, here and, damped by
+    /// the gain, in the pool's other cells.
+    std::vector<double> lags(const CellState& cell, const std::vector<WorkspaceStep>& steps, double gain)
+    {
+        double shares = 0;
+        double weighted = 0;
+        for (const WorkspaceStep& step : steps) {
+            if (step.backlogged) {
+                shares += step.share;
+                weighted += step.share * step.state->normalised;
+            }
+        }
+        std::vector<double> result;
+        for (const WorkspaceStep& step : steps) {
+            double lag = shares > 0 ? weighted / shares - step.state->normalised : 0;
+            for (const auto& [id, remote] : cell.remote) {
+                if (auto found = remote.lag.find(*step.id); found != remote.lag.end())
+                    lag += gain * found->second;
+            }
+            result.push_back(lag);
+        }
+        return result;
+    }
+
+    void roundQuotas(std::vector<WorkspaceStep>& steps, const CellView& view, std::uint32_t capacity, double seconds)
+    {
+        const SchedulingMechanisms& mechanisms = view.options.mechanisms;
+        std::vector<double> wanted;
+        double total = 0;
+        std::int64_t sum = 0;
+        for (WorkspaceStep& step : steps) {
+            total += step.target;
+            double y = std::clamp(step.target + (mechanisms.carryOver ? step.state->carry : 0.0), 0.0, step.demand);
+            double previous = step.state->quota;
+            bool keep = mechanisms.hysteresis && std::abs(y - previous) < quotaHysteresis && previous <= step.demand;
+            step.quota = keep ? step.state->quota : static_cast<std::uint32_t>(std::lround(y));
+            wanted.push_back(y);
+            sum += step.quota;
+        }
+        auto goal = static_cast<std::int64_t>(std::min<double>(capacity, std::round(total)));
+        while (sum != goal) {
+            std::size_t best = steps.size();
+            double bestDistance = 0;
+            for (std::size_t i = 0; i < steps.size(); ++i) {
+                double distance = wanted[i] - steps[i].quota;
+                bool possible = sum < goal ? steps[i].quota < steps[i].demand : steps[i].quota > 0;
+                if (sum > goal)
+                    distance = -distance;
+                if (possible && (best == steps.size() || distance > bestDistance)) {
+                    best = i;
+                    bestDistance = distance;
+                }
+            }
+            if (best == steps.size())
+                break;
+            steps[best].quota = sum < goal ? steps[best].quota + 1 : steps[best].quota - 1;
+            sum += sum < goal ? 1 : -1;
+        }
+        for (WorkspaceStep& step : steps) {
+            step.state->quota = step.quota;
+            bool satisfied = step.target >= step.demand;
+            double owed = step.state->carry + (step.target - step.quota) * seconds / carrySeconds;
+            step.state->carry = satisfied ? 0 : std::clamp(owed, -maximumCarry, maximumCarry);
+        }
+    }
+
+    /// \brief Splits a workspace's quota over the daemons in proportion to its requests there.
+    void splitQuota(const WorkspaceStep& step, Grid& grid, bool hysteresis)
+    {
+        std::vector<std::uint32_t> parts;
+        std::vector<double> wanted;
+        std::int64_t sum = 0;
+        for (const auto& [d, demand] : step.daemons) {
+            double target = step.quota * demand / step.demand;
+            std::uint32_t previous = std::min(demand, valueOr0(grid.daemons[d].second->quotas, *step.id));
+            bool keep = hysteresis && std::abs(target - previous) < splitHysteresis;
+            parts.push_back(keep ? previous : std::min(demand, static_cast<std::uint32_t>(std::lround(target))));
+            wanted.push_back(target);
+            sum += parts.back();
+        }
+        while (sum != step.quota) {
+            std::size_t best = parts.size();
+            double bestDistance = 0;
+            bool more = sum < step.quota;
+            for (std::size_t i = 0; i < parts.size(); ++i) {
+                double distance = (wanted[i] - parts[i]) * (more ? 1 : -1);
+                bool possible = more ? parts[i] < step.daemons[i].second : parts[i] > 0;
+                if (possible && (best == parts.size() || distance > bestDistance)) {
+                    best = i;
+                    bestDistance = distance;
+                }
+            }
+            if (best == parts.size())
+                break;
+            parts[best] = more ? parts[best] + 1 : parts[best] - 1;
+            sum += more ? 1 : -1;
+        }
+        for (std::size_t i = 0; i < parts.size(); ++i) {
+            std::size_t d = step.daemons[i].first;
+            grid.target[d] += parts[i];
+            grid.daemons[d].second->quotas[*step.id] = parts[i];
+        }
+    }
+
+}
+
+std::vector<double> waterFill(const std::vector<Claimant>& claimants, double capacity)
+{
+    std::vector<std::size_t> order(claimants.size());
+    std::iota(order.begin(), order.end(), std::size_t { 0 });
+    std::sort(order.begin(), order.end(), [&](std::size_t a, std::size_t b) {
+        return claimants[a].demand * claimants[b].weight < claimants[b].demand * claimants[a].weight;
+    });
+    double weight = 0;
+    for (const Claimant& claimant : claimants)
+        weight += claimant.weight;
+    std::vector<double> parts(claimants.size(), 0);
+    for (std::size_t i : order) {
+        if (weight <= 0)
+            break;
+        parts[i] = std::min(claimants[i].demand, capacity * claimants[i].weight / weight);
+        capacity -= parts[i];
+        weight -= claimants[i].weight;
+    }
+    return parts;
+}
+
+bool acceptReport(CellState& cell, const CellView& view, const DaemonId& sender, std::uint64_t incarnation,
+    const DemandReport& report, Millis now)
+{
+    ReportingDaemon& daemon = cell.daemons[sender];
+    bool restarted = incarnation > daemon.incarnation;
+    if (incarnation < daemon.incarnation || (!restarted && report.sequence <= daemon.reportSequence))
+        return false;
+    if (restarted) {
+        // The earlier incarnation's counters are already part of the service; its slots are free once its requests
+        // have ended, which the load reports show.
+        daemon = {};
+        daemon.incarnation = incarnation;
+    }
+    daemon.reportSequence = report.sequence;
+    daemon.heardAt = now;
+    daemon.inFlight.clear();
+    for (const EndpointUse& use : report.use)
+        daemon.inFlight[use.endpoint] = use.inFlight;
+    std::uint64_t newest = daemon.sent.empty() ? 0 : daemon.sent.back().sequence;
+    if (report.allocationSequence <= newest) {
+        while (!daemon.sent.empty() && daemon.sent.front().sequence < report.allocationSequence)
+            daemon.sent.pop_front();
+    }
+    for (auto& [id, demand] : daemon.demand) {
+        demand.queued = 0;
+        demand.running = 0;
+    }
+    for (const WorkspaceDemand& demand : report.demand) {
+        auto [known, added] = daemon.demand.try_emplace(demand.workspace, demand);
+        double share = shareOf(view.configuration, demand.workspace);
+        auto [workspace, isNew] = cell.workspaces.try_emplace(demand.workspace);
+        if (isNew || now - cell.startedAt < collectionTime) {
+            // A new scheduler goes on from the counters that the daemons heard from the earlier one.
+            workspace->second.normalised = std::max(workspace->second.normalised, demand.normalisedService);
+        }
+        if (!added) {
+            double served = static_cast<double>(demand.served) - static_cast<double>(known->second.served);
+            workspace->second.normalised += served / share;
+            cell.serviceSinceStep += served;
+            known->second = demand;
+        }
+    }
+    return true;
+}
+
+void stepCell(CellState& cell, const CellView& view, Millis now)
+{
+    const SchedulingMechanisms& mechanisms = view.options.mechanisms;
+    double seconds = cell.lastStep.count > 0 ? (now - cell.lastStep).seconds() : 0.0;
+    double decay = std::exp(-seconds / rateSeconds);
+    cell.recentService = cell.recentService * decay + cell.serviceSinceStep;
+    cell.recentSeconds = cell.recentSeconds * decay + seconds;
+    cell.serviceSinceStep = 0;
+    cell.lastStep = now;
+    Grid grid = makeGrid(cell, view, now);
+    std::vector<WorkspaceStep> steps = collectWorkspaces(cell, view, grid);
+    std::vector<double> lag = lags(cell, steps, view.options.gain);
+    double shares = 0;
+    for (const WorkspaceStep& step : steps)
+        shares += step.share;
+    // Normalised service that a workspace gains per second at its exact share.
+    double pace = shares > 0 && cell.recentSeconds > 0 ? cell.recentService / cell.recentSeconds / shares : 0;
+    std::vector<Claimant> claimants;
+    for (std::size_t i = 0; i < steps.size(); ++i) {
+        double correction = 1;
+        if (mechanisms.correction && pace > 0) {
+            correction
+                = std::clamp(1 + lag[i] / (pace * correctionHorizonSeconds), minimumCorrection, maximumCorrection);
+        }
+        claimants.push_back({ .weight = steps[i].share * correction, .demand = steps[i].demand });
+    }
+    std::vector<double> parts = waterFill(claimants, grid.capacity);
+    for (std::size_t i = 0; i < steps.size(); ++i)
+        steps[i].target = parts[i];
+    roundQuotas(steps, view, grid.capacity, std::min(1.0, seconds));
+    grid.target.assign(grid.daemons.size(), 0);
+    for (const auto& entry : grid.daemons) {
+        ReportingDaemon& daemon = *entry.second;
+        std::erase_if(daemon.quotas, [&](const auto& quota) {
+            auto demand = daemon.demand.find(quota.first);
+            return demand == daemon.demand.end() || demand->second.queued + demand->second.running == 0;
+        });
+    }
+    std::uint32_t assigned = 0;
+    for (const WorkspaceStep& step : steps) {
+        splitQuota(step, grid, mechanisms.hysteresis);
+        assigned += step.quota;
+    }
+    cell.spareSlots = grid.capacity > assigned ? grid.capacity - assigned : 0;
+    spreadSpare(grid, cell.spareSlots);
+    placeSlots(grid, view);
+}
+
+Allocation issueAllocation(CellState& cell, const CellView& view, const DaemonId& id, std::uint64_t epoch, Millis now)
+{
+    ReportingDaemon& daemon = cell.daemons[id];
+    // Numbers of a later state of this scheduler must not repeat, so they start at the time.
+    cell.sequence = std::max(cell.sequence + 1, static_cast<std::uint64_t>(std::max<std::int64_t>(0, now.count)));
+    Allocation allocation { .cell = cell.id,
+        .epoch = epoch,
+        .sequence = cell.sequence,
+        .reportSequence = daemon.reportSequence,
+        .validFor = view.options.allocationLease,
+        .slots = {},
+        .quotas = {} };
+    daemon.lastSentSlots = 0;
+    for (const auto& [endpoint, slots] : daemon.granted) {
+        allocation.slots.push_back({ .endpoint = endpoint, .slots = slots });
+        daemon.lastSentSlots += slots;
+    }
+    for (const auto& [workspace, quota] : daemon.quotas) {
+        allocation.quotas.push_back({ .workspace = workspace,
+            .running = quota,
+            .normalisedService = cell.workspaces.at(workspace).normalised });
+    }
+    daemon.sent.push_back(
+        { .sequence = cell.sequence, .expires = now + view.options.allocationLease, .slots = daemon.granted });
+    daemon.lastSent = now;
+    return allocation;
+}
+
+std::vector<DaemonId> daemonsToNotify(const CellState& cell, const CellView& view, Millis now)
+{
+    std::vector<DaemonId> result;
+    if (!view.options.mechanisms.immediateReports)
+        return result;
+    for (const auto& [id, daemon] : cell.daemons) {
+        if (!isFresh(daemon, now) || now - daemon.lastSent < notifyGap)
+            continue;
+        bool backlogged = std::any_of(
+            daemon.demand.begin(), daemon.demand.end(), [](const auto& entry) { return entry.second.queued > 0; });
+        std::uint32_t granted = 0;
+        for (const auto& [endpoint, slots] : daemon.granted)
+            granted += slots;
+        if (backlogged && granted > daemon.lastSentSlots)
+            result.push_back(id);
+    }
+    return result;
+}
+
+CellExchange makeExchange(CellState& cell, const CellView& view)
+{
+    CellExchange exchange {
+        .cell = cell.id, .sequence = ++cell.exchangeSequence, .spareSlots = cell.spareSlots, .service = {}
+    };
+    (void)view;
+    for (const auto& [id, workspace] : cell.workspaces) {
+        if (workspace.active) {
+            exchange.service.push_back(
+                { .workspace = id, .running = workspace.quota, .normalisedService = workspace.normalised });
+        }
+    }
+    return exchange;
+}
+
+void acceptExchange(CellState& cell, const CellExchange& exchange, Millis now)
+{
+    RemoteCell& remote = cell.remote[exchange.cell];
+    remote.heardAt = now;
+    remote.sequence = exchange.sequence;
+    remote.spareSlots = exchange.spareSlots;
+    remote.lag.clear();
+    double mean = 0;
+    for (const WorkspaceQuota& entry : exchange.service)
+        mean += entry.normalisedService / static_cast<double>(exchange.service.size());
+    for (const WorkspaceQuota& entry : exchange.service)
+        remote.lag[entry.workspace] = mean - entry.normalisedService;
+}
+
+}
--- a/src/core/Messages.h
+++ b/src/core/Messages.h
@@ -54,6 +54,9 @@
     std::uint32_t running { 0 };
     Millis oldestAge {}; ///< Age of the oldest queued request.
     std::uint64_t served { 0 }; ///< Cost units served in this cell by this daemon since it started; cumulative.
+    double normalisedService {
+        0
+    }; ///< As last heard from a scheduler, plus own additions; a new scheduler starts here.
 };
 
 /// \brief Requests of one daemon in flight at one endpoint.
@@ -66,6 +69,7 @@
 struct DemandReport {
     CellId cell;
     std::uint64_t sequence { 0 };
+    std::uint64_t allocationSequence { 0 }; ///< Last allocation applied from the addressed scheduler; 0: none.
     std::vector<WorkspaceDemand> demand;
     std::vector<EndpointUse> use;
 };
@@ -88,7 +92,10 @@
     CellId cell;
     std::uint64_t epoch { 0 }; ///< Incarnation of the scheduling daemon.
     std::uint64_t sequence { 0 };
-    Millis validFor { 3'000 }; ///< Counted from receipt.
+    std::uint64_t reportSequence { 0 }; ///< Last report that the scheduler had from the receiver.
+    Millis validFor {
+        3'000
+    }; ///< Counted from the sending of that report, so that a late allocation is not a new lease.
     std::vector<EndpointSlots> slots;
     std::vector<WorkspaceQuota> quotas;
 };
--- a/src/core/Scheduling.cpp
+++ b/src/core/Scheduling.cpp
@@ -1,123 +1,414 @@
 #include "core/Scheduling.h"
 
+#include "core/Admission.h"
+#include "core/CellClient.h"
+#include "core/CellMap.h"
+#include "core/CellScheduler.h"
+#include "core/Dispatch.h"
+#include "core/FairQueue.h"
+
 #include <algorithm>
 #include <map>
+#include <string>
+#include <tuple>
+#include <utility>
 
 namespace jasminestack {
 
-struct RunningRequest {
-    QueuedRequest request;
-    EndpointId endpoint;
-    double cost { 0 };
-};
-
 struct SchedulingState {
     SchedulingOptions options;
-    std::deque<QueuedRequest> queue;
-    std::map<RequestId, RunningRequest> running;
-    std::map<WorkspaceId, double> served;
+    FairQueue queues;
+    DispatchState dispatch;
+    CellMap cells;
+    std::vector<CellMember> members;
+    std::tuple<std::uint64_t, std::int64_t, std::string> configurationKey { ~0ULL, 0, "" };
+    std::size_t endpointCount { 0 };
+    Millis refreshedAt { -1'000'000 };
+    bool refreshNeeded { true };
+    std::map<CellId, CellClient> clients;
+    std::map<CellId, CellState> scheduled;
 };
 
+namespace {
+
+    // Changes that other controllers make to the endpoint table are noticed after this time at the latest. Rebuilding
+    // the copies for 600 endpoints takes a fraction of a millisecond.
+    constexpr Millis refreshInterval { 10 };
+    // Load reports older than this do not restrict the fallback allocation.
+    constexpr Millis loadLife { 2'000 };
+    // A cell without a report for this long is no longer scheduled here.
+    constexpr Millis cellLife { 5'000 };
+
+    CellView cellView(const SchedulingState& state, const SchedulingView& view, const CellInfo& info)
+    {
+        return {
+            .info = info, .configuration = view.configuration, .endpoints = view.endpoints, .options = state.options
+        };
+    }
+
+    std::uint32_t fallbackPart(
+        CellClient& client, const CellInfo& info, const EndpointState& endpoint, const DaemonId& self)
+    {
+        auto [known, added] = client.fallback.try_emplace(endpoint.id, 0U, 0U);
+        if (added || known->second.first != endpoint.limit)
+            known->second = { endpoint.limit, fallbackSlots(info, endpoint.id, endpoint.limit, self) };
+        return known->second.second;
+    }
+
+    std::uint32_t allowedSlots(SchedulingState& state, const SchedulingView& view, const EndpointState& endpoint,
+        const CellId& cell, Millis now)
+    {
+        auto client = state.clients.find(cell);
+        if (client == state.clients.end())
+            return 0;
+        if (state.options.policy == SchedulingPolicy::Fair && client->second.expires > now) {
+            auto slots = client->second.slots.find(endpoint.id);
+            std::uint32_t most = endpoint.limit + view.configuration.limits.refillMargin;
+            return slots == client->second.slots.end() ? 0 : std::min(slots->second, most);
+        }
+        if (client->second.extra)
+            return 0;
+        bool overloaded = endpoint.reportedWaiting > 0 && endpoint.lastReport + loadLife > now;
+        if (overloaded)
+            return 0;
+        return fallbackPart(client->second, state.cells.cells.at(cell), endpoint, view.self.id);
+    }
+
+    void applyConfiguration(SchedulingState& state, const SchedulingView& view)
+    {
+        for (auto& [id, pool] : state.queues.pools) {
+            std::erase_if(pool.workspaces, [&](const auto& entry) {
+                return !entry.second.active() && !view.configuration.workspaces.contains(entry.first);
+            });
+            for (auto& [workspace, queue] : pool.workspaces) {
+                if (auto found = view.configuration.workspaces.find(workspace);
+                    found != view.configuration.workspaces.end())
+                    queue.share = found->second.share;
+            }
+        }
+    }
+
+    /// \brief Rebuilds the cell map after a change of members or configuration.
+    void refreshCells(SchedulingState& state, const SchedulingView& view)
+    {
+        std::tuple key { view.configuration.version, view.configuration.throughOffset,
+            view.configuration.presetInForce };
+        std::vector<CellMember> members = liveMembers(view.self, view.members);
+        if (key == state.configurationKey && members == state.members)
+            return;
+        state.configurationKey = key;
+        state.members = std::move(members);
+        state.cells = makeCellMap(view.configuration, view.self, state.members);
+        applyConfiguration(state, view);
+        for (auto& [id, client] : state.clients) {
+            client.extra = true;
+            client.fallback.clear();
+        }
+        for (const auto& [pool, cells] : state.cells.attachedCells) {
+            for (const CellId& cell : cells) {
+                CellClient& client = state.clients[cell];
+                client.cell = cell;
+                client.extra = false;
+            }
+        }
+        std::erase_if(state.clients, [&](const auto& entry) { return !state.cells.cells.contains(entry.first); });
+        std::erase_if(state.scheduled, [&](const auto& entry) { return !state.cells.cells.contains(entry.first); });
+        state.refreshNeeded = true;
+    }
+
+    void refresh(SchedulingState& state, const SchedulingView& view, Millis now)
+    {
+        refreshCells(state, view);
+        if (!state.refreshNeeded && now - state.refreshedAt < refreshInterval
+            && state.endpointCount == view.endpoints.endpoints.size())
+            return;
+        for (auto& [id, client] : state.clients)
+            expireAllocation(client, state.queues, now);
+        refreshEndpoints(
+            state.dispatch, view.endpoints, state.cells, now, [&](const EndpointState& endpoint, const CellId& cell) {
+                return allowedSlots(state, view, endpoint, cell, now);
+            });
+        state.endpointCount = view.endpoints.endpoints.size();
+        state.refreshedAt = now;
+        state.refreshNeeded = false;
+    }
+
+    ExpectedCapacity expectedCapacity(
+        const SchedulingState& state, const PoolId& pool, const WorkspaceQueue* queue, double share)
+    {
+        auto dispatch = state.dispatch.pools.find(pool);
+        if (dispatch == state.dispatch.pools.end())
+            return {};
+        double shares = share;
+        if (auto queues = state.queues.pools.find(pool); queues != state.queues.pools.end()) {
+            for (const WorkspaceQueue* other : queues->second.backlogged)
+                shares += other == queue ? 0 : other->share;
+        }
+        double part = dispatch->second.allowed * share / shares;
+        return { .slots = queue ? std::max<double>(part, queue->quota) : part, .slotFree = dispatch->second.free > 0 };
+    }
+
+    void applyOwnAllocation(
+        SchedulingState& state, const SchedulingView& view, CellState& cell, const CellInfo& info, Millis now)
+    {
+        CellClient& client = state.clients[cell.id];
+        Allocation allocation
+            = issueAllocation(cell, cellView(state, view, info), view.self.id, view.self.incarnation, now);
+        if (applyAllocation(client, state.queues, info, view.self.id, allocation, now))
+            state.refreshNeeded = true;
+    }
+
+    CellState& scheduledCell(SchedulingState& state, const CellId& id, Millis now)
+    {
+        auto [cell, added] = state.scheduled.try_emplace(id);
+        Millis heard { -1'000'000 };
+        for (const auto& [daemon, report] : cell->second.daemons)
+            heard = std::max(heard, report.heardAt);
+        // After a pause the reports are out of date and others have scheduled meanwhile.
+        if (added || heard + cellLife <= now) {
+            cell->second = {};
+            cell->second.id = id;
+            cell->second.startedAt = now;
+        }
+        return cell->second;
+    }
+
+    /// \brief Takes a report into account, recomputes the cell and answers it.
+    std::vector<OutboundMessage> schedule(SchedulingState& state, const SchedulingView& view, const DaemonId& sender,
+        std::uint64_t incarnation, const DemandReport& report, Millis now)
+    {
+        std::vector<OutboundMessage> messages;
+        auto info = state.cells.cells.find(report.cell);
+        if (info == state.cells.cells.end())
+            return messages;
+        CellState& cell = scheduledCell(state, report.cell, now);
+        CellView inputs = cellView(state, view, info->second);
+        if (!acceptReport(cell, inputs, sender, incarnation, report, now))
+            return messages;
+        if (now - cell.lastStep >= state.options.minimumReportGap || cell.lastStep.count == 0)
+            stepCell(cell, inputs, now);
+        if (sender == view.self.id)
+            applyOwnAllocation(state, view, cell, info->second, now);
+        else
+            messages.push_back(
+                { .to = sender, .payload = issueAllocation(cell, inputs, sender, view.self.incarnation, now) });
+        for (const DaemonId& daemon : daemonsToNotify(cell, inputs, now)) {
+            if (daemon == view.self.id)
+                applyOwnAllocation(state, view, cell, info->second, now);
+            else
+                messages.push_back(
+                    { .to = daemon, .payload = issueAllocation(cell, inputs, daemon, view.self.incarnation, now) });
+        }
+        return messages;
+    }
+
+    /// \brief Marks reports as urgent when slots became idle or a workspace backlogged since the last one.
+    void noteTransitions(SchedulingState& state, const PoolId& id)
+    {
+        auto queues = state.queues.pools.find(id);
+        auto dispatch = state.dispatch.pools.find(id);
+        if (dispatch == state.dispatch.pools.end())
+            return;
+        bool newlyBacklogged = queues != state.queues.pools.end()
+            && std::any_of(queues->second.backlogged.begin(), queues->second.backlogged.end(),
+                [](const WorkspaceQueue* queue) { return !queue->reported; });
+        bool idle
+            = dispatch->second.free > 0 && (queues == state.queues.pools.end() || queues->second.backlogged.empty());
+        bool newlyIdle = idle && !dispatch->second.reportedIdle;
+        dispatch->second.reportedIdle = idle;
+        if (!newlyBacklogged && !newlyIdle)
+            return;
+        for (auto it = state.clients.lower_bound({ .pool = id, .index = 0 });
+             it != state.clients.end() && it->first.pool == id; ++it)
+            it->second.urgent = true;
+    }
+
+}
+
+std::optional<SchedulingPolicy> schedulingPolicy(std::string_view name) noexcept
+{
+    if (name == "fair")
+        return SchedulingPolicy::Fair;
+    if (name == "static")
+        return SchedulingPolicy::Static;
+    if (name == "fifo")
+        return SchedulingPolicy::Fifo;
+    return std::nullopt;
+}
+
 void SchedulingStateDeleter::operator()(SchedulingState* state) const noexcept { delete state; }
 
 SchedulingStatePointer makeSchedulingState(const SchedulingOptions& options)
 {
-    return SchedulingStatePointer(new SchedulingState { .options = options });
+    SchedulingStatePointer state(new SchedulingState { .options = options });
+    state->queues.lift = options.mechanisms.lift;
+    state->dispatch.order = options.policy == SchedulingPolicy::Fifo ? QueueOrder::Arrival : QueueOrder::Quota;
+    return state;
 }
 
-Result<void> enqueue(SchedulingState& state, const SchedulingView&, QueuedRequest request, Millis)
+Result<void> enqueue(SchedulingState& state, const SchedulingView& view, QueuedRequest request, Millis now)
 {
-    state.queue.push_back(std::move(request));
+    refresh(state, view, now);
+    const WorkspaceQueue* queue = nullptr;
+    std::size_t requests = 0;
+    std::size_t bytes = 0;
+    for (const auto& [id, pool] : state.queues.pools) {
+        auto found = pool.workspaces.find(request.workspace);
+        if (found == pool.workspaces.end())
+            continue;
+        requests += found->second.queued();
+        bytes += found->second.bytes;
+        if (id == request.pool)
+            queue = &found->second;
+    }
+    auto workspace = view.configuration.workspaces.find(request.workspace);
+    double share = workspace == view.configuration.workspaces.end() ? 1.0 : workspace->second.share;
+    BOOST_OUTCOME_TRYV(admit(
+        view.configuration, queue, expectedCapacity(state, request.pool, queue, share), request, requests, bytes, now));
+    WorkspaceQueue& target = state.queues.pools[request.pool].workspaces[request.workspace];
+    target.share = share;
+    push(state.queues, std::move(request));
     return ok();
 }
 
 std::vector<Grant> dispatch(SchedulingState& state, const SchedulingView& view, Millis now)
 {
+    refresh(state, view, now);
     std::vector<Grant> grants;
-    for (auto it = state.queue.begin(); it != state.queue.end();) {
-        EndpointState* best = nullptr;
-        for (auto& [id, endpoint] : view.endpoints.endpoints) {
-            bool usable = endpoint.pool == it->pool && !endpoint.leaving && !endpoint.removed
-                && endpoint.backoffUntil <= now && endpoint.inFlight < endpoint.limit;
-            if (usable && (!best || endpoint.inFlight < best->inFlight))
-                best = &endpoint;
-        }
-        if (!best) {
-            ++it;
-            continue;
-        }
-        ++best->inFlight;
-        grants.push_back({ .request = it->id, .endpoint = best->id, .cell = { .pool = it->pool } });
-        state.running.emplace(it->id, RunningRequest { .request = *it, .endpoint = best->id });
-        it = state.queue.erase(it);
+    for (const auto& [id, pool] : state.queues.pools) {
+        if (!pool.backlogged.empty())
+            dispatchPool(state.dispatch, state.queues, view.endpoints, id, now, grants);
+        noteTransitions(state, id);
     }
     return grants;
 }
 
 void recordProgress(SchedulingState& state, const RequestId& id, double costSoFar)
 {
-    if (auto it = state.running.find(id); it != state.running.end())
-        it->second.cost = costSoFar;
-}
-
-void recordFinish(SchedulingState& state, const SchedulingView& view, const RequestId& id, double cost, bool, Millis)
-{
-    auto it = state.running.find(id);
-    if (it == state.running.end())
+    auto running = state.dispatch.running.find(id);
+    if (running == state.dispatch.running.end() || costSoFar <= running->second.charged)
         return;
-    auto endpoint = view.endpoints.endpoints.find(it->second.endpoint);
-    if (endpoint != view.endpoints.endpoints.end() && endpoint->second.inFlight > 0)
-        --endpoint->second.inFlight;
-    state.served[it->second.request.workspace] += cost;
-    state.running.erase(it);
+    RunningRequest& request = running->second;
+    WorkspaceQueue& queue = state.queues.pools.at(request.pool).workspaces.at(request.workspace);
+    charge(queue, request.cell, costSoFar - request.charged);
+    request.charged = costSoFar;
 }
 
-void cancelQueued(SchedulingState& state, const RequestId& id)
+void recordFinish(
+    SchedulingState& state, const SchedulingView& view, const RequestId& id, double cost, bool completed, Millis now)
 {
-    std::erase_if(state.queue, [&](const QueuedRequest& request) { return request.id == id; });
+    (void)finishRequest(state.dispatch, state.queues, view.endpoints, id, cost, completed, now);
 }
 
+void cancelQueued(SchedulingState& state, const RequestId& id) { (void)take(state.queues, id); }
+
 std::vector<RequestId> expireQueued(SchedulingState& state, Millis now)
 {
     std::vector<RequestId> expired;
-    std::erase_if(state.queue, [&](const QueuedRequest& request) {
-        if (request.deadline > now)
-            return false;
-        expired.push_back(request.id);
-        return true;
-    });
+    while (!state.queues.deadlines.empty() && state.queues.deadlines.begin()->first <= now.count) {
+        RequestId id = state.queues.deadlines.begin()->second;
+        (void)take(state.queues, id);
+        expired.push_back(std::move(id));
+    }
     return expired;
 }
 
 std::vector<RequestId> drainQueued(SchedulingState& state)
 {
     std::vector<RequestId> drained;
-    for (const QueuedRequest& request : state.queue)
-        drained.push_back(request.id);
-    state.queue.clear();
+    while (!state.queues.places.empty()) {
+        RequestId id = state.queues.places.begin()->first;
+        (void)take(state.queues, id);
+        drained.push_back(std::move(id));
+    }
     return drained;
 }
 
-std::vector<OutboundMessage> tickScheduling(SchedulingState&, const SchedulingView&, Millis) { return {}; }
+std::vector<OutboundMessage> tickScheduling(SchedulingState& state, const SchedulingView& view, Millis now)
+{
+    std::vector<OutboundMessage> messages;
+    state.refreshNeeded = true;
+    refresh(state, view, now);
+    if (state.options.policy != SchedulingPolicy::Fair)
+        return messages;
+    for (auto& [id, client] : state.clients) {
+        const CellInfo& info = state.cells.cells.at(id);
+        // A lone daemon owns all slots and needs no allocation.
+        if (client.extra || info.schedulers.size() < 2)
+            continue;
+        checkSilence(client, info, view.self.id, now);
+        if (!reportDue(client, info, state.options, view.self.id, now))
+            continue;
+        std::size_t attached = state.cells.attachedCells.at(id.pool).size();
+        DaemonId scheduler = client.following;
+        DemandReport report = makeReport(client, state.queues, state.dispatch, attached, scheduler, view.self.id, now);
+        if (scheduler != view.self.id) {
+            messages.push_back({ .to = scheduler, .payload = std::move(report) });
+            continue;
+        }
+        std::vector<OutboundMessage> answers = schedule(state, view, view.self.id, view.self.incarnation, report, now);
+        std::move(answers.begin(), answers.end(), std::back_inserter(messages));
+    }
+    return messages;
+}
 
-std::vector<OutboundMessage> onDemandReport(
-    SchedulingState&, const SchedulingView&, const PeerMessage&, const DemandReport&, Millis)
+std::vector<OutboundMessage> onDemandReport(SchedulingState& state, const SchedulingView& view,
+    const PeerMessage& message, const DemandReport& report, Millis now)
 {
-    return {};
+    if (state.options.policy != SchedulingPolicy::Fair)
+        return {};
+    refresh(state, view, now);
+    return schedule(state, view, message.sender, message.incarnation, report, now);
 }
 
-void onAllocation(SchedulingState&, const SchedulingView&, const PeerMessage&, const Allocation&, Millis) { }
+void onAllocation(SchedulingState& state, const SchedulingView& view, const PeerMessage& message,
+    const Allocation& allocation, Millis now)
+{
+    refresh(state, view, now);
+    auto client = state.clients.find(allocation.cell);
+    auto info = state.cells.cells.find(allocation.cell);
+    if (client == state.clients.end() || info == state.cells.cells.end())
+        return;
+    if (applyAllocation(client->second, state.queues, info->second, message.sender, allocation, now))
+        state.refreshNeeded = true;
+}
 
 void onCellExchange(SchedulingState&, const SchedulingView&, const PeerMessage&, const CellExchange&, Millis) { }
 
 std::vector<WorkspaceStatus> workspaceStatus(const SchedulingState& state, const SchedulingView&)
 {
     std::vector<WorkspaceStatus> result;
-    for (const auto& [id, served] : state.served)
-        result.push_back({ .workspace = id, .served = served });
+    for (const auto& [pool, queues] : state.queues.pools) {
+        for (const auto& [id, queue] : queues.workspaces) {
+            result.push_back({ .workspace = id,
+                .pool = pool,
+                .queued = static_cast<std::uint32_t>(queue.queued()),
+                .running = queue.running,
+                .served = queue.charged,
+                .normalisedService = queue.normalised });
+        }
+    }
     return result;
 }
 
-std::vector<CellStatus> cellStatus(const SchedulingState&, const SchedulingView&, Millis) { return {}; }
+std::vector<CellStatus> cellStatus(const SchedulingState& state, const SchedulingView&, Millis now)
+{
+    std::vector<CellStatus> result;
+    for (const auto& [id, client] : state.clients) {
+        CellStatus status { .cell = id,
+            .scheduler = followedScheduler(client, state.cells.cells.at(id), now),
+            .allocationValid = client.expires > now };
+        if (auto pool = state.dispatch.pools.find(id.pool); pool != state.dispatch.pools.end()) {
+            for (const EndpointSlot& slot : pool->second.slots) {
+                if (pool->second.cells[slot.cell].id != id)
+                    continue;
+                status.slots += slot.allowed;
+                status.inFlight += slot.inFlight;
+            }
+        }
+        result.push_back(std::move(status));
+    }
+    return result;
+}
 
 }
--- a/src/core/Scheduling.h
+++ b/src/core/Scheduling.h
@@ -3,7 +3,9 @@
 #include "base/Result.h"
 #include "core/Blackboard.h"
 
+#include <cstdint>
 #include <memory>
+#include <optional>
 #include <string_view>
 #include <vector>
 
@@ -13,6 +15,25 @@
 
 namespace jasminestack {
 
+/// \brief How slots are divided. All but Fair are baselines for benchmarks.
+enum class SchedulingPolicy : std::uint8_t {
+    Fair, ///< Cell schedulers divide the slots by share and measured service.
+    Static, ///< Each daemon divides a fixed part of the slots by itself.
+    Fifo, ///< Each daemon serves a fixed part of the slots first come, first served.
+};
+
+/// \returns The policy with the settings' name ("fair", "static" or "fifo"), or nothing.
+[[nodiscard]] std::optional<SchedulingPolicy> schedulingPolicy(std::string_view name) noexcept;
+
+/// \brief Mechanisms that measurements may turn off one by one.
+struct SchedulingMechanisms {
+    bool correction { true }; ///< Weights follow the distance behind the mean service.
+    bool carryOver { true }; ///< Fractions of slots are carried over between steps.
+    bool immediateReports { true }; ///< Reports outside the interval, and allocations without a report.
+    bool hysteresis { true }; ///< Slots stay where they are unless the target moves by more than a fraction.
+    bool lift { true }; ///< A workspace that returns from idleness starts at the others' minimum.
+};
+
 /// \brief Scheduling parameters from the settings.
 struct SchedulingOptions {
     Millis reportInterval { 500 };
@@ -20,6 +41,9 @@
     Millis exchangeInterval { 2'000 };
     Millis allocationLease { 3'000 };
     double gain { 0.1 }; ///< Weight of other cells' service.
+    SchedulingPolicy policy { SchedulingPolicy::Fair };
+    SchedulingMechanisms mechanisms;
+    double cellBytesPerSecond { 2'600 }; ///< Reports and allocations of one cell at its scheduler, sent and received.
 };
 
 /// \brief What scheduling reads besides its own state.
--- /dev/null
+++ b/src/core/SlotPlacement.cpp
@@ -0,0 +1,277 @@
+#include "core/SlotPlacement.h"
+
+#include "core/Dispatch.h"
+
+#include <map>
+#include <string_view>
+
+namespace jasminestack {
+
+namespace {
+
+    // Without a report for this long a daemon's demand no longer counts; its slots stay held until its lease ends.
+    constexpr Millis reportLife { 2'500 };
+    // Load reports older than this say nothing about slots that unknown daemons use.
+    constexpr Millis loadLife { 1'500 };
+
+    bool holdsLease(const ReportingDaemon& daemon, Millis now)
+    {
+        return std::any_of(
+            daemon.sent.begin(), daemon.sent.end(), [&](const SentAllocation& sent) { return sent.expires > now; });
+    }
+
+    /// \returns By endpoint, the slots that attached daemons without a fresh report or a lease may use.
+    std::vector<std::uint32_t> unknownUse(const CellState& cell, const CellView& view, const Grid& grid, Millis now)
+    {
+        const auto& endpoints = view.info.endpoints;
+        std::vector<std::uint32_t> result(endpoints.size(), 0);
+        std::vector<const DaemonId*> unknown;
+        for (const DaemonId& id : view.info.attached) {
+            auto daemon = cell.daemons.find(id);
+            if (daemon == cell.daemons.end() || (!isFresh(daemon->second, now) && !holdsLease(daemon->second, now)))
+                unknown.push_back(&id);
+        }
+        if (unknown.empty())
+            return result;
+        bool collecting = now - cell.startedAt < collectionTime;
+        for (std::size_t e = 0; e < endpoints.size(); ++e) {
+            if (grid.limit[e] == 0)
+                continue;
+            const EndpointState& endpoint = view.endpoints.endpoints.at(endpoints[e]);
+            bool loadKnown = endpoint.lastReport.count > 0 && endpoint.lastReport + loadLife > now;
+            if (loadKnown) {
+                std::uint32_t known = 0;
+                for (const auto& [id, daemon] : cell.daemons)
+                    known += valueOr0(daemon.inFlight, endpoints[e]);
+                std::uint32_t reported = endpoint.reportedRunning + endpoint.reportedWaiting;
+                result[e] = reported > known ? reported - known : 0;
+            }
+            if (!loadKnown || collecting) {
+                std::uint32_t parts = 0;
+                for (const DaemonId* id : unknown)
+                    parts += fallbackSlots(view.info, endpoints[e], grid.limit[e], *id);
+                result[e] = std::max(result[e], parts);
+            }
+        }
+        return result;
+    }
+
+    std::uint32_t grantedTo(const Grid& grid, std::size_t d)
+    {
+        std::uint32_t sum = 0;
+        for (std::size_t e = 0; e < grid.limit.size(); ++e)
+            sum += grid.granted[grid.at(d, e)];
+        return sum;
+    }
+
+    struct EndpointSums {
+        std::vector<std::uint32_t> granted; ///< Targets of this step plus slots outside the scheduler's control.
+        std::vector<std::uint32_t> held; ///< Slots that may be in use at this moment.
+    };
+
+    EndpointSums sumEndpoints(const Grid& grid)
+    {
+        EndpointSums sums;
+        for (std::size_t e = 0; e < grid.limit.size(); ++e) {
+            std::uint32_t granted = grid.unknown[e] + grid.heldOutside[e];
+            std::uint32_t held = granted;
+            for (std::size_t d = 0; d < grid.daemons.size(); ++d) {
+                granted += grid.granted[grid.at(d, e)];
+                held += std::max(grid.granted[grid.at(d, e)], grid.committed[grid.at(d, e)]);
+            }
+            sums.granted.push_back(granted);
+            sums.held.push_back(held);
+        }
+        return sums;
+    }
+
+    /// \brief Takes slots from daemons above their target, unused ones first, and from endpoints that lost capacity.
+    void releaseSlots(Grid& grid)
+    {
+        for (std::size_t e = 0; e < grid.limit.size(); ++e) {
+            std::uint32_t sum = grid.unknown[e] + grid.heldOutside[e];
+            for (std::size_t d = 0; d < grid.daemons.size(); ++d)
+                sum += grid.granted[grid.at(d, e)];
+            while (sum > grid.limit[e]) {
+                std::size_t most = grid.granted.size();
+                for (std::size_t d = 0; d < grid.daemons.size(); ++d) {
+                    std::size_t at = grid.at(d, e);
+                    if (grid.granted[at] > 0 && (most == grid.granted.size() || grid.granted[at] > grid.granted[most]))
+                        most = at;
+                }
+                if (most == grid.granted.size())
+                    break;
+                --grid.granted[most];
+                --sum;
+            }
+        }
+        for (std::size_t d = 0; d < grid.daemons.size(); ++d) {
+            std::uint32_t total = grantedTo(grid, d);
+            while (total > grid.target[d]) {
+                // The endpoint with the most idle slots, else the one with the fewest granted ones: a daemon's slots
+                // stay on few endpoints, which keeps the messages short.
+                std::size_t best = 0;
+                std::int64_t bestScore = -1;
+                for (std::size_t e = 0; e < grid.limit.size(); ++e) {
+                    std::int64_t granted = grid.granted[grid.at(d, e)];
+                    if (granted == 0)
+                        continue;
+                    std::int64_t idle = std::max<std::int64_t>(0, granted - grid.inFlight[grid.at(d, e)]);
+                    std::int64_t score = idle * 1'000 + 999 - std::min<std::int64_t>(granted, 999);
+                    if (score > bestScore) {
+                        best = e;
+                        bestScore = score;
+                    }
+                }
+                if (bestScore < 0)
+                    break;
+                --grid.granted[grid.at(d, best)];
+                --total;
+            }
+        }
+    }
+
+    /// \brief Gives daemons below their target slots that are free or, within the refill margin, about to be free.
+    void grantSlots(Grid& grid, std::uint32_t margin)
+    {
+        EndpointSums sums = sumEndpoints(grid);
+        std::vector<std::uint32_t> total(grid.daemons.size());
+        for (std::size_t d = 0; d < total.size(); ++d)
+            total[d] = grantedTo(grid, d);
+        for (;;) {
+            std::size_t neediest = total.size();
+            double bestNeed = 0;
+            for (std::size_t d = 0; d < total.size(); ++d) {
+                double need = grid.target[d] > total[d] ? (grid.target[d] - total[d]) / (1.0 + total[d]) : 0;
+                if (need > bestNeed) {
+                    bestNeed = need;
+                    neediest = d;
+                }
+            }
+            if (neediest == total.size())
+                return;
+            std::size_t best = grid.limit.size();
+            std::int64_t bestScore = -1;
+            for (std::size_t e = 0; e < grid.limit.size(); ++e) {
+                std::size_t at = grid.at(neediest, e);
+                // Growing up to what the daemon is already known to hold takes nothing from others.
+                bool within = grid.granted[at] < grid.committed[at];
+                if (sums.granted[e] >= grid.limit[e] || (!within && sums.held[e] >= grid.limit[e] + margin))
+                    continue;
+                bool isFree = within || sums.held[e] < grid.limit[e];
+                std::int64_t score = (within          ? 2'000'000
+                                             : isFree ? 1'000'000
+                                                      : 0)
+                    + grid.granted[at] * 1'000 + (grid.limit[e] - std::min(grid.limit[e], sums.granted[e]));
+                if (score > bestScore) {
+                    best = e;
+                    bestScore = score;
+                }
+            }
+            if (best == grid.limit.size()) {
+                total[neediest] = grid.target[neediest]; // Nothing to give now; the next step tries again.
+                continue;
+            }
+            std::size_t at = grid.at(neediest, best);
+            if (grid.granted[at] >= grid.committed[at])
+                ++sums.held[best];
+            ++grid.granted[at];
+            ++sums.granted[best];
+            ++total[neediest];
+        }
+    }
+
+}
+
+bool isFresh(const ReportingDaemon& daemon, Millis now) noexcept { return daemon.heardAt + reportLife > now; }
+
+std::uint32_t heldSlots(const ReportingDaemon& daemon, const EndpointId& endpoint, Millis now)
+{
+    std::uint32_t held = std::max(valueOr0(daemon.inFlight, endpoint), valueOr0(daemon.granted, endpoint));
+    for (const SentAllocation& sent : daemon.sent) {
+        if (sent.expires > now)
+            held = std::max(held, valueOr0(sent.slots, endpoint));
+    }
+    return held;
+}
+
+Grid makeGrid(CellState& cell, const CellView& view, Millis now)
+{
+    Grid grid;
+    const auto& endpoints = view.info.endpoints;
+    grid.limit.assign(endpoints.size(), 0);
+    grid.heldOutside.assign(endpoints.size(), 0);
+    for (std::size_t e = 0; e < endpoints.size(); ++e) {
+        auto endpoint = view.endpoints.endpoints.find(endpoints[e]);
+        if (endpoint != view.endpoints.endpoints.end() && usable(endpoint->second, now))
+            grid.limit[e] = endpoint->second.limit;
+    }
+    for (auto& [id, daemon] : cell.daemons) {
+        std::erase_if(daemon.sent, [&](const SentAllocation& sent) { return sent.expires <= now; });
+        if (isFresh(daemon, now)) {
+            grid.daemons.emplace_back(&id, &daemon);
+            continue;
+        }
+        daemon.granted.clear();
+        daemon.quotas.clear();
+        if (!holdsLease(daemon, now))
+            daemon.inFlight.clear();
+        for (std::size_t e = 0; e < endpoints.size(); ++e)
+            grid.heldOutside[e] += heldSlots(daemon, endpoints[e], now);
+    }
+    grid.unknown = unknownUse(cell, view, grid, now);
+    grid.granted.assign(grid.daemons.size() * endpoints.size(), 0);
+    grid.committed = grid.granted;
+    grid.inFlight = grid.granted;
+    std::map<std::string_view, std::size_t> index;
+    for (std::size_t e = 0; e < endpoints.size(); ++e)
+        index.emplace(endpoints[e].value, e);
+    auto spread = [&](std::size_t d, const auto& map, std::vector<std::uint32_t>& values) {
+        for (const auto& [id, count] : map) {
+            if (auto e = index.find(id.value); e != index.end()) {
+                std::uint32_t& value = values[grid.at(d, e->second)];
+                value = std::max(value, count);
+            }
+        }
+    };
+    for (std::size_t d = 0; d < grid.daemons.size(); ++d) {
+        const ReportingDaemon& daemon = *grid.daemons[d].second;
+        spread(d, daemon.granted, grid.granted);
+        spread(d, daemon.inFlight, grid.inFlight);
+        spread(d, daemon.inFlight, grid.committed);
+        for (const SentAllocation& sent : daemon.sent)
+            spread(d, sent.slots, grid.committed);
+    }
+    for (std::size_t e = 0; e < endpoints.size(); ++e) {
+        std::uint32_t outside = grid.unknown[e] + grid.heldOutside[e];
+        grid.capacity += grid.limit[e] > outside ? grid.limit[e] - outside : 0;
+    }
+    return grid;
+}
+
+void spreadSpare(Grid& grid, std::uint32_t spare)
+{
+    if (grid.daemons.empty())
+        return;
+    auto count = static_cast<std::uint32_t>(grid.daemons.size());
+    for (std::size_t d = 0; d < count; ++d)
+        grid.target[d] += spare / count + (d < spare % count ? 1 : 0);
+}
+
+void placeSlots(Grid& grid, const CellView& view)
+{
+    if (!view.options.mechanisms.hysteresis)
+        std::fill(grid.granted.begin(), grid.granted.end(), 0);
+    releaseSlots(grid);
+    grantSlots(grid, view.configuration.limits.refillMargin);
+    for (std::size_t d = 0; d < grid.daemons.size(); ++d) {
+        auto& granted = grid.daemons[d].second->granted;
+        granted.clear();
+        for (std::size_t e = 0; e < grid.limit.size(); ++e) {
+            if (std::uint32_t count = grid.granted[grid.at(d, e)]; count > 0)
+                granted.emplace(view.info.endpoints[e], count);
+        }
+    }
+}
+
+}
