Add the request path: caller server, endpoint client, request state machine, daemon loop

Cause: the daemon had interfaces but no path from a caller to an endpoint and back.

Change: an evhttp caller server that notices callers going away, an HTTP/1.1 endpoint client with connection reuse, time limits and pausing, and RequestFlow, which takes each request through authentication, routing, queue, endpoint and answer: streaming relay of whole server-sent events, retry, resume at the next token, cancellation, cost accounting, spans, metrics, crash marks. Daemon wires them on one event loop and shuts down gracefully.

Conclusion: usable by the command line; configuration still comes from an injected function.

--- a/src/daemon/Daemon.cpp
+++ b/src/daemon/Daemon.cpp
@@ -1,7 +1,257 @@
 #include "daemon/Daemon.h"
 
+#include "base/Clock.h"
+#include "base/Random.h"
+#include "core/CrashGuard.h"
+#include "core/EndpointHealth.h"
+#include "core/Retry.h"
+#include "core/Scheduling.h"
+#include "daemon/RequestFlow.h"
+#include "net/CallerServer.h"
+#include "net/EndpointClient.h"
+#include "observe/Logging.h"
+#include "observe/Metrics.h"
+#include "observe/Tracing.h"
+
+#include <array>
+#include <csignal>
+#include <event2/event.h>
+#include <fstream>
+#include <optional>
+
 namespace jasminestack {
 
-int runDaemon(const Settings&) { return 1; }
+namespace {
+
+    constexpr timeval tickInterval { .tv_sec = 0, .tv_usec = 50'000 };
+
+    // Spans wait at most this long before they are handed over.
+    constexpr Millis traceFlushInterval { 1'000 };
+
+    struct EventBaseDeleter {
+        void operator()(event_base* base) const noexcept { event_base_free(base); }
+    };
+
+    struct EventDeleter {
+        void operator()(event* item) const noexcept { event_free(item); }
+    };
+    using EventPointer = std::unique_ptr<event, EventDeleter>;
+
+    FlowOptions flowOptions(const Settings& settings)
+    {
+        return { .maxBodyBytes = settings.callers.maxBodyBytes,
+            .connectTimeout = settings.endpoints.connectTimeout,
+            .firstByteTimeout = settings.endpoints.firstByteTimeout,
+            .idleTimeout = settings.endpoints.idleTimeout };
+    }
+
+    CallerServerOptions serverOptions(const Settings& settings)
+    {
+        return { .address = settings.callers.address,
+            .maxHeaderBytes = settings.callers.maxHeaderBytes,
+            .maxBodyBytes = settings.callers.maxBodyBytes,
+            .readTimeout = settings.callers.readTimeout,
+            .writeTimeout = settings.callers.writeTimeout };
+    }
+
+    Tracer::Sink traceSink(const std::string& path)
+    {
+        if (path.empty())
+            return {};
+        auto file = std::make_shared<std::ofstream>(path, std::ios::app);
+        return [file](std::string_view document) { *file << document << '\n' << std::flush; };
+    }
+
+}
+
+struct Daemon::State {
+    enum class Phase : std::uint8_t { Running, Grace, Draining };
+
+    Settings settings;
+    std::function<const Configuration&()> configuration;
+    Configuration noConfiguration;
+    SystemClock clock;
+    Random random { systemSeed() };
+    std::unique_ptr<event_base, EventBaseDeleter> base { event_base_new() };
+    SelfState self;
+    MemberTable members;
+    EndpointTable endpoints;
+    SchedulingStatePointer scheduling;
+    RetryBudget retryBudget;
+    CrashGuardState crashGuard;
+    Metrics metrics;
+    Tracer tracer;
+    EndpointClient transport;
+    RequestFlow flow;
+    CallerServer server;
+    EventPointer tick;
+    std::array<EventPointer, 2> signals;
+    Phase phase { Phase::Running };
+    Millis stopRequested {};
+    Millis lastFlush {};
+    std::uint64_t appliedVersion { 0 };
+    bool forced { false };
+
+    State(const Settings& theSettings, std::function<const Configuration&()> theConfiguration)
+        : settings(theSettings)
+        , configuration(std::move(theConfiguration))
+        , self { .id = settings.daemon.id,
+            .incarnation = static_cast<std::uint64_t>(clock.wallTime().count),
+            .peerAddress = settings.peers.address,
+            .availabilityZone = settings.daemon.availabilityZone,
+            .region = settings.daemon.region }
+        , scheduling(makeSchedulingState({ .reportInterval = settings.scheduling.reportInterval,
+              .exchangeInterval = settings.scheduling.exchangeInterval,
+              .gain = settings.scheduling.gain }))
+        , tracer({ .instanceId = settings.daemon.id.value }, clock, random, traceSink(settings.tracing.otlpFile))
+        , transport(*base, clock)
+        , flow(FlowContext { .clock = clock,
+                   .random = random,
+                   .configuration = [this]() -> const Configuration& { return currentConfiguration(); },
+                   .scheduling = *scheduling,
+                   .self = self,
+                   .members = members,
+                   .endpoints = endpoints,
+                   .transport = transport,
+                   .metrics = metrics,
+                   .tracer = tracer,
+                   .retryBudget = retryBudget,
+                   .crashGuard = crashGuard },
+              flowOptions(settings))
+        , server(*base, flow, serverOptions(settings))
+    {
+        tick.reset(event_new(base.get(), -1, EV_PERSIST, onTick, this));
+        event_add(tick.get(), &tickInterval);
+    }
+
+    [[nodiscard]] const Configuration& currentConfiguration() const
+    {
+        return configuration ? configuration() : noConfiguration;
+    }
+
+    void watchSignals()
+    {
+        constexpr std::array<int, 2> numbers { SIGTERM, SIGINT };
+        for (std::size_t i = 0; i < numbers.size(); ++i) {
+            signals[i].reset(evsignal_new(base.get(), numbers[i], onSignal, this));
+            event_add(signals[i].get(), nullptr);
+        }
+    }
+
+    static void onSignal(evutil_socket_t, short, void* argument) { static_cast<State*>(argument)->stop(); }
+
+    static void onTick(evutil_socket_t, short, void* argument) { static_cast<State*>(argument)->runTick(); }
+
+    void adoptConfiguration()
+    {
+        const Configuration& current = currentConfiguration();
+        if (current.version == appliedVersion)
+            return;
+        appliedVersion = current.version;
+        applyConfiguration(endpoints, current);
+        metrics.set(Gauge::ConfigurationVersion, {}, static_cast<double>(current.version));
+    }
+
+    void updateReadiness()
+    {
+        self.ready = currentConfiguration().version > 0 && phase == Phase::Running;
+        metrics.set(Gauge::Ready, {}, self.ready ? 1 : 0);
+    }
+
+    void runTick()
+    {
+        Millis now = clock.now();
+        adoptConfiguration();
+        updateReadiness();
+        flow.tick();
+        static_cast<void>(
+            tickScheduling(*scheduling, { self, currentConfiguration(), members, endpoints }, clock.now()));
+        metrics.set(Gauge::OpenStreams, {}, static_cast<double>(flow.openStreams()));
+        if (now - lastFlush >= traceFlushInterval) {
+            lastFlush = now;
+            tracer.flush();
+        }
+        advanceShutdown(now);
+    }
+
+    void stop()
+    {
+        if (phase != Phase::Running) {
+            logEvent(LogLevel::Warning, "shutdown_forced", { { "in_progress", flow.active() } });
+            forced = true;
+            event_base_loopbreak(base.get());
+            return;
+        }
+        phase = Phase::Grace;
+        stopRequested = clock.now();
+        self.draining = true;
+        updateReadiness();
+        server.closeAfterAnswers();
+        logEvent(LogLevel::Info, "shutdown_started", { { "in_progress", flow.active() } });
+    }
+
+    void advanceShutdown(Millis now)
+    {
+        if (phase == Phase::Running)
+            return;
+        Millis passed = now - stopRequested;
+        if (phase == Phase::Grace && passed >= settings.shutdown.balancerGrace) {
+            phase = Phase::Draining;
+            server.closeListener();
+            flow.refuseNew();
+        }
+        if (passed >= settings.shutdown.drain)
+            flow.refuseQueued();
+        if (phase == Phase::Draining && flow.active() == 0 && server.openExchanges() == 0) {
+            logEvent(LogLevel::Info, "shutdown_finished", { { "took_ms", passed.count } });
+            event_base_loopbreak(base.get());
+        }
+    }
+};
+
+Daemon::Daemon(const Settings& settings, std::function<const Configuration&()> configuration)
+    : m_state(std::make_unique<State>(settings, std::move(configuration)))
+{
+}
+
+Daemon::~Daemon() = default;
+
+Result<void> Daemon::start()
+{
+    auto listening = m_state->server.listen();
+    if (!listening)
+        return listening.error();
+    m_state->adoptConfiguration();
+    m_state->updateReadiness();
+    return ok();
+}
+
+int Daemon::run()
+{
+    event_base_dispatch(m_state->base.get());
+    m_state->tracer.flush();
+    return m_state->forced ? 1 : 0;
+}
+
+void Daemon::watchSignals() { m_state->watchSignals(); }
+
+void Daemon::stop() { m_state->stop(); }
+
+std::uint16_t Daemon::callerPort() const noexcept { return m_state->server.port(); }
+
+int runDaemon(const Settings& settings)
+{
+    std::signal(SIGPIPE, SIG_IGN);
+    Daemon daemon(settings);
+    auto started = daemon.start();
+    if (!started) {
+        logEvent(LogLevel::Error, "start_failed", { { "message", started.error().message } });
+        return 1;
+    }
+    daemon.watchSignals();
+    logEvent(
+        LogLevel::Info, "started", { { "daemon", settings.daemon.id.value }, { "callers", settings.callers.address } });
+    return daemon.run();
+}
 
 }
--- /dev/null
+++ b/src/daemon/FlowRequest.h
@@ -0,0 +1,145 @@
+#pragma once
+
+#include "core/EndpointHealth.h"
+#include "core/Retry.h"
+#include "core/Scheduling.h"
+#include "daemon/ErrorAnswers.h"
+#include "daemon/RequestFlow.h"
+#include "daemon/Resolve.h"
+#include "daemon/SseScanner.h"
+#include "net/CallerServer.h"
+#include "net/Interfaces.h"
+
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+/// \file
+/// \brief The state machine of one request; used by RequestFlow only.
+
+namespace jasminestack {
+
+/// \brief What a request's state machine needs from the table of all requests.
+class FlowOwner {
+public:
+    virtual ~FlowOwner() = default;
+    [[nodiscard]] virtual FlowContext& context() noexcept = 0;
+    [[nodiscard]] virtual const FlowOptions& options() const noexcept = 0;
+
+    /// \returns The view for calls of the scheduling controllers; valid until the configuration changes.
+    [[nodiscard]] virtual SchedulingView view() = 0;
+
+    /// \brief A slot may be free or a request is queued.
+    virtual void workChanged() = 0;
+
+    /// \brief A request of this content was running when \p endpoint was lost.
+    virtual void contentLost(std::uint64_t contentHash, const EndpointId& endpoint) = 0;
+
+    /// \brief A request of this content has completed.
+    virtual void contentCompleted(std::uint64_t contentHash) = 0;
+
+    /// \brief Tells an engine to stop a stream that nobody reads any more.
+    virtual void cancelStream(const std::string& address, const std::string& streamId) = 0;
+
+    virtual void streamOpened() = 0;
+    virtual void streamClosed() = 0;
+
+    /// \brief Removes the request; it is destroyed later, outside its own calls.
+    virtual void finished(const RequestId&) = 0;
+};
+
+class FlowRequest final : public CallerListener, public EndpointListener {
+public:
+    FlowRequest(FlowOwner&, RequestId, ResolvedRequest, CallerRequest, CallerExchange&);
+    ~FlowRequest() override;
+    FlowRequest(const FlowRequest&) = delete;
+    FlowRequest& operator=(const FlowRequest&) = delete;
+
+    [[nodiscard]] const PoolId& pool() const noexcept { return m_resolved.pool; }
+
+    /// \brief Queues the request.
+    void enqueue();
+
+    /// \brief The request has a slot at \p endpoint.
+    void granted(const EndpointState& endpoint);
+
+    /// \brief Ends a request that is not running.
+    void refuse(Error error);
+
+    /// \brief Ends a running request whose caller's deadline has passed before the answer began.
+    void checkDeadline(Millis now);
+
+    void onCallerGone() override;
+    void onCallerDrained() override;
+    void onSent() override;
+    void onHead(const EndpointHead&) override;
+    void onBody(std::string_view chunk) override;
+    void onEnd(const EndpointEnd&) override;
+
+private:
+    enum class Stage : std::uint8_t { Queued, Running, Ended };
+    enum class Relay : std::uint8_t {
+        Undecided, ///< No head yet.
+        Events, ///< A model engine's server-sent events.
+        Whole, ///< Collected until complete.
+        Passing, ///< Passed on as it comes, because it is too long to collect or a plain service's events.
+    };
+
+    void startAttempt(bool resume);
+    [[nodiscard]] EndpointRequest buildRequest(bool resume) const;
+    void relayEvents(std::string_view chunk);
+    void relayPassing(std::string_view chunk);
+    void beginAnswer();
+    void sendToCaller(std::string_view bytes);
+    void attemptFailed(ErrorKind kind, const AttemptEnd& end);
+    void repeatElsewhere();
+    void answerWhole();
+    void endStream();
+    void endWithError(Error error, RunStatus status);
+    void releaseSlot(bool completed);
+    void reportOutcome(ExchangeOutcome outcome);
+    void reportLoss(ErrorKind kind);
+    [[nodiscard]] CallerHead callerHead() const;
+    void finish(std::string_view outcome);
+    void dropExchange();
+    void startHop(std::string_view name);
+    void endHop(bool failed);
+    [[nodiscard]] double costSoFar() const;
+    [[nodiscard]] bool answerBegun() const noexcept { return m_answerBegun; }
+
+    FlowOwner& m_owner;
+    RequestId m_id;
+    ResolvedRequest m_resolved;
+    CallerRequest m_request;
+    CallerExchange* m_caller;
+    Stage m_stage { Stage::Queued };
+    Relay m_relay { Relay::Undecided };
+    Millis m_acceptedAt;
+    Millis m_deadline;
+    AttemptHistory m_history;
+    unsigned m_starts { 0 };
+    std::vector<EndpointId> m_avoid;
+
+    EndpointId m_endpoint;
+    std::string m_address;
+    std::string m_attemptId; ///< X-Request-Id of the current attempt.
+    ExchangeId m_exchange { 0 };
+    EndpointHead m_head;
+    std::string m_body;
+    SseScanner m_events;
+    std::uint64_t m_answerBytes { 0 };
+    std::uint64_t m_reportedTokens { 0 };
+    bool m_slotHeld { false };
+    bool m_sent { false }; ///< The current attempt's request has been written, at least in part.
+    bool m_resuming { false }; ///< The current exchange continues a stream.
+    bool m_resumable { true }; ///< The engine still has the stream, as far as is known.
+    bool m_answerBegun { false };
+    bool m_streamOpen { false };
+    bool m_paused { false };
+
+    Span m_span;
+    std::optional<Span> m_hop;
+};
+
+}
--- /dev/null
+++ b/src/net/CallerServer.h
@@ -0,0 +1,117 @@
+#pragma once
+
+#include "base/Clock.h"
+#include "base/Result.h"
+
+#include <cstddef>
+#include <cstdint>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+struct event_base;
+
+namespace jasminestack {
+
+/// \brief A caller's request with its whole body.
+struct CallerRequest {
+    std::string method;
+    std::string target; ///< Path and query as sent.
+    std::vector<std::pair<std::string, std::string>> headers;
+    std::string body;
+
+    /// \returns The value of the first header \p name (any case), or an empty view.
+    [[nodiscard]] std::string_view header(std::string_view name) const noexcept;
+
+    /// \returns The target without its query.
+    [[nodiscard]] std::string_view path() const noexcept;
+};
+
+/// \brief Status and headers of an answer to a caller. The server adds the framing headers.
+struct CallerHead {
+    int status { 200 };
+    std::vector<std::pair<std::string, std::string>> headers;
+};
+
+/// \brief Receives the events of one exchange with a caller after the request.
+class CallerListener {
+public:
+    virtual ~CallerListener() = default;
+
+    /// \brief The caller's connection is closed. Last event; the exchange is no longer valid.
+    virtual void onCallerGone() = 0;
+
+    /// \brief Everything sent so far has been written to the socket.
+    virtual void onCallerDrained() = 0;
+};
+
+/// \brief One request in progress on a caller's connection. It becomes invalid with sendWhole(), endStream() or
+/// abort(), and with CallerListener::onCallerGone().
+class CallerExchange {
+public:
+    virtual ~CallerExchange() = default;
+    virtual void attach(CallerListener&) = 0;
+    virtual void sendWhole(const CallerHead&, std::string_view body) = 0;
+    virtual void startStream(const CallerHead&) = 0;
+    virtual void sendChunk(std::string_view) = 0;
+    virtual void endStream() = 0;
+
+    /// \brief Closes the connection, so that the caller sees an incomplete answer.
+    virtual void abort() = 0;
+
+    /// \returns Bytes accepted but not yet written to the socket.
+    [[nodiscard]] virtual std::size_t bufferedBytes() const = 0;
+};
+
+/// \brief Receives the callers' requests.
+class CallerHandler {
+public:
+    virtual ~CallerHandler() = default;
+
+    /// \brief Handles one request; \p exchange may be ended inside this call.
+    virtual void onRequest(CallerRequest request, CallerExchange& exchange) = 0;
+};
+
+/// \brief Address and limits of the caller server.
+struct CallerServerOptions {
+    std::string address; ///< "IP:PORT"; port 0 binds a free one.
+    std::size_t maxHeaderBytes { 16U << 10U };
+    std::size_t maxBodyBytes { 4U << 20U };
+    Millis readTimeout { 10'000 };
+    Millis writeTimeout { 10'000 };
+};
+
+/// \brief HTTP/1.1 server for callers (evhttp).
+class CallerServer {
+public:
+    CallerServer(event_base&, CallerHandler&, const CallerServerOptions&);
+
+    /// \brief Closes the listener and all connections; exchanges in progress get no further event.
+    ~CallerServer();
+    CallerServer(const CallerServer&) = delete;
+    CallerServer& operator=(const CallerServer&) = delete;
+
+    /// \brief Binds and listens.
+    /// \returns SettingsInvalid if the address cannot be bound.
+    [[nodiscard]] Result<void> listen();
+
+    /// \returns The bound port, 0 before listen().
+    [[nodiscard]] std::uint16_t port() const noexcept;
+
+    /// \returns Requests whose answers have not been written completely.
+    [[nodiscard]] std::size_t openExchanges() const noexcept;
+
+    /// \brief From now on answers close their connection, so that callers move to other daemons.
+    void closeAfterAnswers() noexcept;
+
+    /// \brief Stops accepting connections; exchanges in progress go on.
+    void closeListener();
+
+private:
+    struct State;
+    std::unique_ptr<State> m_state;
+};
+
+}
--- /dev/null
+++ b/tests/FlowHarness.h
@@ -0,0 +1,222 @@
+#pragma once
+
+#include "base/Hash.h"
+#include "base/Random.h"
+#include "core/EndpointHealth.h"
+#include "daemon/RequestFlow.h"
+#include "net/HttpResponseParser.h"
+
+#include <list>
+#include <map>
+#include <nlohmann/json.hpp>
+#include <string>
+#include <vector>
+
+/// \file
+/// \brief A RequestFlow between a fake caller and a fake endpoint transport, with a fake clock.
+
+namespace jasminestack::test {
+
+/// \brief Records what a caller receives.
+class FakeCaller final : public CallerExchange {
+public:
+    void attach(CallerListener& theListener) override { listener = &theListener; }
+    void sendWhole(const CallerHead& theHead, std::string_view bytes) override
+    {
+        head = theHead;
+        body = bytes;
+        ended = true;
+    }
+    void startStream(const CallerHead& theHead) override
+    {
+        head = theHead;
+        streaming = true;
+    }
+    void sendChunk(std::string_view bytes) override { body.append(bytes); }
+    void endStream() override { ended = true; }
+    void abort() override { aborted = true; }
+    [[nodiscard]] std::size_t bufferedBytes() const override { return buffered; }
+
+    [[nodiscard]] std::string kind() const { return error()["kind"].get<std::string>(); }
+    [[nodiscard]] std::string runStatus() const { return error()["run_status"].get<std::string>(); }
+    [[nodiscard]] bool silent() const { return !ended && !aborted && !streaming; }
+
+    CallerListener* listener { nullptr };
+    CallerHead head;
+    std::string body;
+    std::size_t buffered { 0 };
+    bool streaming { false };
+    bool ended { false };
+    bool aborted { false };
+
+private:
+    [[nodiscard]] nlohmann::json error() const
+    {
+        std::size_t start = streaming ? body.rfind("data: ") + 6 : 0;
+        return nlohmann::json::parse(body.substr(start)).at("error");
+    }
+};
+
+/// \brief Records exchanges; tests play the endpoint's part.
+class FakeTransport final : public EndpointTransport {
+public:
+    struct Exchange {
+        EndpointRequest request;
+        EndpointListener* listener { nullptr };
+        bool cancelled { false };
+        bool paused { false };
+
+        [[nodiscard]] std::string id() const { return std::string(findHeader(request.headers, "X-Request-Id")); }
+
+        void head(int status, std::vector<std::pair<std::string, std::string>> headers = {})
+        {
+            headers.emplace_back("X-Request-Id", id());
+            listener->onSent();
+            listener->onHead({ .status = status, .headers = std::move(headers) });
+        }
+        void events() { head(200, { { "Content-Type", "text/event-stream" } }); }
+        void body(std::string_view bytes) const { listener->onBody(bytes); }
+        void end(bool complete = true, ErrorKind error = ErrorKind::EndpointLost) const
+        {
+            listener->onEnd({ .complete = complete, .bytesMayHaveLeft = true, .error = error });
+        }
+        void unreachable() const
+        {
+            listener->onEnd({ .complete = false, .bytesMayHaveLeft = false, .error = ErrorKind::EndpointUnavailable });
+        }
+        void answer(int status, std::string_view bytes, std::vector<std::pair<std::string, std::string>> headers = {})
+        {
+            head(status, std::move(headers));
+            if (!bytes.empty())
+                body(bytes);
+            end();
+        }
+    };
+
+    [[nodiscard]] ExchangeId start(const EndpointRequest& request, EndpointListener& listener) override
+    {
+        exchanges.push_back({ .request = request, .listener = &listener });
+        return exchanges.size();
+    }
+    void cancel(ExchangeId id) override { exchanges.at(id - 1).cancelled = true; }
+    void setPaused(ExchangeId id, bool paused) override { exchanges.at(id - 1).paused = paused; }
+
+    std::deque<Exchange> exchanges;
+};
+
+inline std::string event(unsigned index) // One token of a model engine.
+{
+    return "id: " + std::to_string(index) + "\ndata: {\"t\":" + std::to_string(index) + "}\n\n";
+}
+
+inline const std::string doneEvent = "data: [DONE]\n\n";
+
+/// \brief A pool "assistants" of two engines with one slot each, and a pool "desk" of one plain service.
+struct FlowHarness {
+    Configuration configuration;
+    FakeClock clock;
+    Random random { 7 };
+    SelfState self;
+    MemberTable members;
+    EndpointTable endpoints;
+    SchedulingStatePointer scheduling = makeSchedulingState({});
+    RetryBudget retryBudget;
+    CrashGuardState crashGuard;
+    Metrics metrics;
+    std::vector<CrashMark> marks;
+    std::string spans;
+    Tracer tracer { { .batchSpans = 1 }, clock, random, [this](std::string_view text) { spans.append(text); } };
+    FakeTransport transport;
+    std::list<FakeCaller> callers;
+    RequestFlow flow;
+
+    explicit FlowHarness(const FlowOptions& options = {})
+        : configuration(makeConfiguration())
+        , flow({ .clock = clock,
+                   .random = random,
+                   .configuration = [this]() -> const Configuration& { return configuration; },
+                   .scheduling = *scheduling,
+                   .self = self,
+                   .members = members,
+                   .endpoints = endpoints,
+                   .transport = transport,
+                   .metrics = metrics,
+                   .tracer = tracer,
+                   .retryBudget = retryBudget,
+                   .crashGuard = crashGuard,
+                   .sendCrashMark = [this](const CrashMark& mark) { marks.push_back(mark); } },
+              options)
+    {
+        self.id = DaemonId { "daemon-1" };
+        self.ready = true;
+        applyConfiguration(endpoints, configuration);
+    }
+
+    static Configuration makeConfiguration()
+    {
+        Configuration made { .version = 1 };
+        WorkspaceConfig workspace { .id = WorkspaceId { "ws-1" }, .keyHashes = { "sha256:" + sha256Hex("key-1") } };
+        made.workspaces.emplace(workspace.id, workspace);
+        PoolConfig engines { .id = PoolId { "assistants" }, .models = { "care-9b" } };
+        for (const char* name : { "engine-1", "engine-2" })
+            engines.endpoints.emplace(
+                EndpointId { name }, EndpointConfig { .id = EndpointId { name }, .address = name, .slots = 1 });
+        PoolConfig desk { .id = PoolId { "desk" }, .kind = PoolKind::Service };
+        desk.endpoints.emplace(
+            EndpointId { "desk-1" }, EndpointConfig { .id = EndpointId { "desk-1" }, .address = "desk-1", .slots = 1 });
+        made.pools = { { engines.id, engines }, { desk.id, desk } };
+        made.routes["booking"] = { .prefix = "/booking/", .pool = desk.id };
+        return made;
+    }
+
+    FakeCaller& send(CallerRequest request)
+    {
+        request.headers.emplace_back("Authorization", "Bearer key-1");
+        FakeCaller& caller = callers.emplace_back();
+        flow.onRequest(std::move(request), caller);
+        return caller;
+    }
+    FakeCaller& chat(bool streaming = true, std::vector<std::pair<std::string, std::string>> headers = {})
+    {
+        std::string body = R"({"model":"care-9b","messages":[{"role":"user","content":"water lilies"}],"stream":)";
+        body += streaming ? "true}" : "false}";
+        return send({ .method = "POST",
+            .target = "/v1/chat/completions",
+            .headers = std::move(headers),
+            .body = std::move(body) });
+    }
+    FakeCaller& book(const char* method = "POST")
+    {
+        return send({ .method = method, .target = "/booking/slots?day=3", .body = "slot" });
+    }
+
+    /// \returns The last exchange that the flow started.
+    FakeTransport::Exchange& last() { return transport.exchanges.back(); }
+
+    /// \returns The exchange that runs the request, not a cancellation sent after it.
+    FakeTransport::Exchange& exchange(std::size_t index) { return transport.exchanges.at(index); }
+
+    void advance(Millis step)
+    {
+        clock.advance(step);
+        flow.tick();
+    }
+
+    [[nodiscard]] std::uint32_t inFlight() const
+    {
+        std::uint32_t sum = 0;
+        for (const auto& [id, endpoint] : endpoints.endpoints)
+            sum += endpoint.inFlight;
+        return sum;
+    }
+    [[nodiscard]] double served() const
+    {
+        double sum = 0;
+        for (const WorkspaceStatus& status :
+            workspaceStatus(*scheduling, { self, configuration, members, const_cast<EndpointTable&>(endpoints) }))
+            sum += status.served;
+        return sum;
+    }
+};
+
+}
