--- /dev/null
+++ b/standins/LoadMain.cpp
@@ -0,0 +1,1 @@
+int main() { return 0; }
