Test the request path over loopback sockets and correct its time limits

Change: the read limit is off while a request is answered; the endpoint client starts the limit between bytes with the first byte.

--- a/src/net/CallerServer.cpp
+++ b/src/net/CallerServer.cpp
@@ -103,9 +103,9 @@
         m_descriptor = bufferevent_getfd(stream);
         int on = 1;
         setsockopt(m_descriptor, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
-        timeval read = toTimeval(owner.options.readTimeout);
+        // The caller has nothing to send until it is answered, however long that takes.
         timeval write = toTimeval(owner.options.writeTimeout);
-        bufferevent_set_timeouts(stream, &read, &write);
+        bufferevent_set_timeouts(stream, nullptr, &write);
         evhttp_connection_set_closecb(m_connection, onClosed, this);
         evhttp_request_set_on_complete_cb(message, onComplete, this);
         // evhttp does not read while it answers, so it would not notice the caller's close; and reading on its
@@ -193,7 +193,14 @@
             listener->onCallerGone();
     }
 
-    static void onComplete(evhttp_request*, void* argument) { delete static_cast<Exchange*>(argument); }
+    static void onComplete(evhttp_request*, void* argument)
+    {
+        auto* exchange = static_cast<Exchange*>(argument);
+        timeval read = toTimeval(exchange->m_owner.options.readTimeout);
+        timeval write = toTimeval(exchange->m_owner.options.writeTimeout);
+        bufferevent_set_timeouts(evhttp_connection_get_bufferevent(exchange->m_connection), &read, &write);
+        delete exchange;
+    }
 
     // Called by evhttp when it drops the connection by itself (write error or time limit). It has then separated an
     // unanswered request from the connection and leaves it to the application to free it.
--- a/src/net/EndpointClient.cpp
+++ b/src/net/EndpointClient.cpp
@@ -271,7 +271,11 @@
         State& state = *exchange.owner;
         evbuffer* input = bufferevent_get_input(stream);
         exchange.lastActivity = state.clock.now();
-        exchange.phase = Phase::Body;
+        if (exchange.phase == Phase::FirstByte) {
+            exchange.phase = Phase::Body;
+            timeval limit = toTimeval(exchange.request.idleTimeout);
+            evtimer_add(exchange.timer, &limit);
+        }
         while (!exchange.paused) {
             int length = evbuffer_remove(input, state.scratch.data(), state.scratch.size());
             if (length <= 0)
--- /dev/null
+++ b/tests/LoopbackHarness.h
@@ -0,0 +1,268 @@
+#pragma once
+
+#include "base/Hash.h"
+#include "daemon/Daemon.h"
+
+#include <arpa/inet.h>
+#include <atomic>
+#include <csignal>
+#include <netinet/in.h>
+#include <poll.h>
+#include <stdexcept>
+#include <string>
+#include <string_view>
+#include <sys/socket.h>
+#include <thread>
+#include <unistd.h>
+#include <utility>
+
+/// \file
+/// \brief A whole daemon on loopback; the test plays caller and endpoint with blocking sockets.
+
+namespace jasminestack::test {
+
+/// \brief A blocking socket with a generous limit for each wait, so that a fault ends the test instead of hanging it.
+class Socket {
+public:
+    explicit Socket(int descriptor)
+        : m_descriptor(descriptor)
+    {
+    }
+    Socket(Socket&& other) noexcept
+        : m_descriptor(std::exchange(other.m_descriptor, -1))
+        , m_received(std::move(other.m_received))
+    {
+    }
+    Socket& operator=(Socket&&) = delete;
+    ~Socket() { close(); }
+
+    [[nodiscard]] static Socket connectTo(std::uint16_t port)
+    {
+        Socket socket(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0));
+        sockaddr_in address = loopback(port);
+        if (connect(socket.m_descriptor, reinterpret_cast<sockaddr*>(&address), sizeof(address)) != 0)
+            socket.close();
+        return socket;
+    }
+
+    [[nodiscard]] static sockaddr_in loopback(std::uint16_t port)
+    {
+        sockaddr_in address {};
+        address.sin_family = AF_INET;
+        address.sin_port = htons(port);
+        address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+        return address;
+    }
+
+    [[nodiscard]] bool connected() const { return m_descriptor >= 0; }
+    [[nodiscard]] int descriptor() const { return m_descriptor; }
+
+    void write(std::string_view bytes) const
+    {
+        while (!bytes.empty()) {
+            ssize_t sent = ::send(m_descriptor, bytes.data(), bytes.size(), MSG_NOSIGNAL);
+            if (sent <= 0)
+                throw std::runtime_error("the peer does not read");
+            bytes.remove_prefix(static_cast<std::size_t>(sent));
+        }
+    }
+
+    /// \brief Sends what the peer takes without waiting longer than \p milliseconds for it.
+    /// \returns The number of bytes taken.
+    std::size_t writeSome(std::string_view bytes, int milliseconds) const
+    {
+        std::size_t total = 0;
+        pollfd state { .fd = m_descriptor, .events = POLLOUT };
+        while (total < bytes.size() && poll(&state, 1, milliseconds) > 0) {
+            ssize_t sent
+                = ::send(m_descriptor, bytes.data() + total, bytes.size() - total, MSG_NOSIGNAL | MSG_DONTWAIT);
+            if (sent <= 0)
+                break;
+            total += static_cast<std::size_t>(sent);
+        }
+        return total;
+    }
+
+    /// \returns All bytes up to and with the first \p mark.
+    [[nodiscard]] std::string readUntil(std::string_view mark)
+    {
+        std::size_t found = 0;
+        std::size_t searched = 0;
+        while ((found = m_received.find(mark, searched)) == std::string::npos) {
+            searched = m_received.size() - std::min(m_received.size(), mark.size() - 1);
+            if (!receive())
+                throw std::runtime_error(
+                    "closed before '" + std::string(mark) + "', got: " + m_received.substr(0, 500));
+        }
+        std::string result = m_received.substr(0, found + mark.size());
+        m_received.erase(0, result.size());
+        return result;
+    }
+
+    /// \returns All bytes until the peer closes.
+    [[nodiscard]] std::string readToEnd()
+    {
+        while (receive()) { }
+        return std::exchange(m_received, {});
+    }
+
+    /// \brief Closes with a reset instead of an orderly end.
+    void reset()
+    {
+        linger option { .l_onoff = 1, .l_linger = 0 };
+        setsockopt(m_descriptor, SOL_SOCKET, SO_LINGER, &option, sizeof(option));
+        close();
+    }
+
+    void close()
+    {
+        if (m_descriptor >= 0)
+            ::close(std::exchange(m_descriptor, -1));
+    }
+
+private:
+    bool receive()
+    {
+        constexpr int limitMs = 20'000;
+        pollfd state { .fd = m_descriptor, .events = POLLIN };
+        if (poll(&state, 1, limitMs) <= 0)
+            throw std::runtime_error("nothing received in time, got: " + m_received.substr(0, 500));
+        char buffer[65536];
+        ssize_t length = ::recv(m_descriptor, buffer, sizeof(buffer), 0);
+        if (length <= 0)
+            return false;
+        m_received.append(buffer, static_cast<std::size_t>(length));
+        return true;
+    }
+
+    int m_descriptor;
+    std::string m_received;
+};
+
+/// \brief A listening socket.
+class Listener {
+public:
+    Listener()
+        : m_socket(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0))
+    {
+        sockaddr_in address = Socket::loopback(0);
+        socklen_t length = sizeof(address);
+        if (bind(m_socket.descriptor(), reinterpret_cast<sockaddr*>(&address), length) != 0
+            || ::listen(m_socket.descriptor(), 64) != 0)
+            throw std::runtime_error("cannot listen");
+        getsockname(m_socket.descriptor(), reinterpret_cast<sockaddr*>(&address), &length);
+        m_port = ntohs(address.sin_port);
+    }
+
+    [[nodiscard]] Socket accept() const
+    {
+        pollfd state { .fd = m_socket.descriptor(), .events = POLLIN };
+        if (poll(&state, 1, 20'000) <= 0)
+            throw std::runtime_error("no connection in time");
+        return Socket(::accept(m_socket.descriptor(), nullptr, nullptr));
+    }
+
+    /// \returns Whether a connection waits within \p milliseconds.
+    [[nodiscard]] bool pending(int milliseconds) const
+    {
+        pollfd state { .fd = m_socket.descriptor(), .events = POLLIN };
+        return poll(&state, 1, milliseconds) > 0;
+    }
+
+    [[nodiscard]] std::string address() const { return "127.0.0.1:" + std::to_string(m_port); }
+
+private:
+    Socket m_socket;
+    std::uint16_t m_port { 0 };
+};
+
+inline std::string headerOf(const std::string& head, std::string_view name)
+{
+    std::size_t start = head.find("\r\n" + std::string(name) + ": ");
+    if (start == std::string::npos)
+        return {};
+    start += name.size() + 4;
+    return head.substr(start, head.find('\r', start) - start);
+}
+
+/// \brief A daemon on its own thread with one engine and one plain service, both played by the test.
+struct LoopbackDaemon {
+    Listener engine;
+    Listener desk;
+    Configuration configuration;
+    std::unique_ptr<Daemon> daemon;
+    std::thread thread;
+    std::atomic<int> exitCode { -1 };
+
+    explicit LoopbackDaemon(Settings settings = {}, unsigned slots = 8)
+    {
+        configuration.version = 1;
+        WorkspaceConfig workspace { .id = WorkspaceId { "ws-1" }, .keyHashes = { "sha256:" + sha256Hex("key-1") } };
+        configuration.workspaces.emplace(workspace.id, workspace);
+        addPool({ .id = PoolId { "assistants" }, .models = { "care-9b" } }, engine, slots);
+        addPool({ .id = PoolId { "desk" }, .kind = PoolKind::Service }, desk, slots);
+        configuration.routes["booking"] = { .prefix = "/booking/", .pool = PoolId { "desk" } };
+
+        settings.daemon.id = DaemonId { "daemon-1" };
+        settings.callers.address = "127.0.0.1:0";
+        daemon = std::make_unique<Daemon>(settings, [this]() -> const Configuration& { return configuration; });
+        auto started = daemon->start();
+        if (!started)
+            throw std::runtime_error(started.error().message);
+        daemon->watchSignals();
+        thread = std::thread([this] { exitCode = daemon->run(); });
+    }
+
+    ~LoopbackDaemon()
+    {
+        if (!thread.joinable())
+            return;
+        // The second signal ends the loop at once.
+        while (exitCode < 0) {
+            signalDaemon();
+            std::this_thread::sleep_for(std::chrono::milliseconds(20));
+        }
+        thread.join();
+    }
+
+    static void signalDaemon() { kill(getpid(), SIGTERM); }
+
+    void addPool(PoolConfig pool, const Listener& listener, unsigned slots)
+    {
+        EndpointId id { pool.id.value + "-1" };
+        pool.endpoints.emplace(id, EndpointConfig { .id = id, .address = listener.address(), .slots = slots });
+        configuration.pools.emplace(pool.id, pool);
+    }
+
+    [[nodiscard]] Socket caller() const { return Socket::connectTo(daemon->callerPort()); }
+
+    static std::string request(std::string_view method, std::string_view target, std::string_view body = {})
+    {
+        return std::string(method) + " " + std::string(target)
+            + " HTTP/1.1\r\nHost: daemon\r\nAuthorization: Bearer key-1\r\nContent-Length: "
+            + std::to_string(body.size()) + "\r\n\r\n" + std::string(body);
+    }
+    static std::string chat()
+    {
+        return request("POST", "/v1/chat/completions", R"({"model":"care-9b","stream":true})");
+    }
+
+    static std::string eventHead(const std::string& requestHead)
+    {
+        return "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\nX-Request-Id: "
+            + headerOf(requestHead, "X-Request-Id") + "\r\n\r\n";
+    }
+    static std::string whole(const std::string& requestHead, std::string_view body, int status = 200)
+    {
+        return "HTTP/1.1 " + std::to_string(status) + " X\r\nContent-Length: " + std::to_string(body.size())
+            + "\r\nX-Request-Id: " + headerOf(requestHead, "X-Request-Id") + "\r\n\r\n" + std::string(body);
+    }
+    static std::string chunk(std::string_view bytes)
+    {
+        char size[32];
+        snprintf(size, sizeof(size), "%zx\r\n", bytes.size());
+        return size + std::string(bytes) + "\r\n";
+    }
+};
+
+}
