Add the admin server

Cause: operators and monitoring need metrics, health, state and publishing over HTTP. Change: AdminServer on evhttp with handlers given as functions. The log level "trace" is no longer accepted in settings, since the logger has no such level.

--- a/src/config/Settings.cpp
+++ b/src/config/Settings.cpp
@@ -56,8 +56,7 @@
         }
         root.object("hostList").address("address", settings.hostList.address, Presence::Required);
         root.object("weightStore").address("address", settings.weightStore.address, Presence::Required);
-        root.object("logging").choice(
-            "level", settings.logging.level, { "trace", "debug", "info", "warning", "error" });
+        root.object("logging").choice("level", settings.logging.level, { "debug", "info", "warning", "error" });
         root.object("tracing").text("otlpFile", settings.tracing.otlpFile);
     }
 
--- /dev/null
+++ b/src/net/AdminServer.h
@@ -0,0 +1,76 @@
+#pragma once
+
+#include "base/Result.h"
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+#include <string_view>
+
+struct event_base;
+
+namespace jasminestack {
+
+/// \brief An answer of the admin server.
+struct AdminReply {
+    int status { 200 };
+    std::string body;
+    std::string contentType { "application/json" };
+};
+
+using AdminReplyCallback = std::function<void(AdminReply)>;
+
+/// \brief A configuration change that an operator wants published.
+struct PublishRequest {
+    std::uint64_t base { 0 };
+    std::string id; ///< UUID of the change record.
+    std::string author;
+    std::string patch; ///< JSON text of an RFC 7396 merge patch.
+};
+
+/// \brief What the admin server serves. Each handler runs on the event loop's thread.
+struct AdminHandlers {
+    std::function<std::string()> metrics; ///< Prometheus text format.
+    std::function<std::string()> notReadyReason; ///< Empty when the daemon is ready.
+    std::function<std::string()> status; ///< JSON text.
+    std::function<std::string()> configuration; ///< JSON text.
+    std::function<std::string(std::string_view id)> history; ///< JSON text; all changes if the id is empty.
+    std::function<std::string()> endpoints; ///< JSON text.
+    std::function<Result<void>(std::string_view level)> setLogLevel;
+    /// Calls back once, possibly later.
+    std::function<void(PublishRequest, AdminReplyCallback)> publish;
+};
+
+/// \brief Address and operator token of the admin server.
+struct AdminServerOptions {
+    std::string address; ///< "IP:PORT"; port 0 binds a free one.
+    std::string operatorToken; ///< Empty: changes are refused.
+};
+
+/// \brief HTTP server for metrics, health checks and operators' commands.
+///
+/// \code
+/// auto server = AdminServer::listen(base, { .address = "127.0.0.1:8081", .operatorToken = token }, handlers);
+/// \endcode
+class AdminServer {
+public:
+    /// \returns SettingsInvalid if the address cannot be bound.
+    [[nodiscard]] static Result<std::unique_ptr<AdminServer>> listen(event_base&, AdminServerOptions, AdminHandlers);
+    ~AdminServer();
+    AdminServer(const AdminServer&) = delete;
+    AdminServer& operator=(const AdminServer&) = delete;
+
+    /// \returns The bound address "IP:PORT".
+    [[nodiscard]] const std::string& address() const noexcept;
+
+private:
+    struct State;
+    explicit AdminServer(std::unique_ptr<State>);
+    std::unique_ptr<State> m_state;
+};
+
+/// \returns An answer with the error body of the callers' interface (without run status).
+[[nodiscard]] AdminReply adminError(ErrorKind, std::string_view message);
+
+}
