Add the codec of peer messages

msgpack arrays with front-coded identifiers and a 16 byte HMAC-SHA256 tag; a replay window of 64 messages per sender and incarnation; rejections are counted by reason.

--- /dev/null
+++ b/src/net/PeerPayloadCodec.cpp
@@ -0,0 +1,397 @@
+#include "net/PeerPayloadCodec.h"
+
+#include <algorithm>
+#include <cmath>
+#include <limits>
+
+namespace jasminestack {
+
+ArrayReader::ArrayReader(const msgpack::object& object)
+    : m_items(nullptr)
+    , m_size(0)
+{
+    if (object.type != msgpack::type::ARRAY)
+        throw msgpack::type_error();
+    m_items = object.via.array.ptr;
+    m_size = object.via.array.size;
+}
+
+const msgpack::object& ArrayReader::take()
+{
+    if (m_next == m_size)
+        throw msgpack::type_error();
+    return m_items[m_next++];
+}
+
+std::uint64_t ArrayReader::unsignedValue() { return take().as<std::uint64_t>(); }
+
+std::uint32_t ArrayReader::smallValue() { return take().as<std::uint32_t>(); }
+
+std::int64_t ArrayReader::signedValue() { return take().as<std::int64_t>(); }
+
+double ArrayReader::number()
+{
+    auto value = take().as<double>();
+    if (!std::isfinite(value))
+        throw msgpack::type_error();
+    return value;
+}
+
+std::string_view ArrayReader::text()
+{
+    const msgpack::object& item = take();
+    if (item.type != msgpack::type::STR)
+        throw msgpack::type_error();
+    return { item.via.str.ptr, item.via.str.size };
+}
+
+ArrayReader ArrayReader::nested() { return ArrayReader(take()); }
+
+void ArrayReader::finish() const
+{
+    if (!atEnd())
+        throw msgpack::type_error();
+}
+
+namespace {
+
+    using Packer = msgpack::packer<StringBuffer>;
+
+    /// Front coding: each text is packed as the length of the prefix shared with the one before and the rest.
+    class TextPacker {
+    public:
+        explicit TextPacker(Packer& packer)
+            : m_packer(packer)
+        {
+        }
+        void pack(std::string_view text)
+        {
+            auto differ = std::mismatch(text.begin(), text.end(), m_previous.begin(), m_previous.end());
+            auto shared = static_cast<std::size_t>(differ.first - text.begin());
+            m_packer.pack(shared);
+            m_packer.pack(text.substr(shared));
+            m_previous = text;
+        }
+
+    private:
+        Packer& m_packer;
+        std::string m_previous;
+    };
+
+    class TextReader {
+    public:
+        std::string read(ArrayReader& reader)
+        {
+            std::size_t shared = reader.unsignedValue();
+            // Without the bound, front coding would let a small message expand to a very large one.
+            std::string_view rest = reader.text();
+            if (shared > m_previous.size() || shared + rest.size() > maxText)
+                throw msgpack::type_error();
+            m_previous = m_previous.substr(0, shared).append(rest);
+            return m_previous;
+        }
+
+    private:
+        static constexpr std::size_t maxText = 256;
+        std::string m_previous;
+    };
+
+    /// Whole numbers take the short integer form.
+    void packNumber(Packer& packer, double value)
+    {
+        if (value >= 0 && value < 9.0e15 && value == std::floor(value))
+            packer.pack(static_cast<std::uint64_t>(value));
+        else
+            packer.pack(value);
+    }
+
+    void packCell(Packer& packer, const CellId& cell)
+    {
+        packer.pack(cell.pool.value);
+        packer.pack(cell.index);
+    }
+
+    CellId readCell(ArrayReader& reader)
+    {
+        CellId cell { .pool = PoolId(reader.text()) };
+        cell.index = reader.smallValue();
+        return cell;
+    }
+
+    void packDigest(Packer& packer, const ConfigurationDigest& digest)
+    {
+        packer.pack(digest.version);
+        packer.pack(digest.throughOffset);
+    }
+
+    ConfigurationDigest readDigest(ArrayReader& reader)
+    {
+        ConfigurationDigest digest { .version = reader.unsignedValue() };
+        digest.throughOffset = reader.signedValue();
+        return digest;
+    }
+
+    constexpr std::uint32_t updateFields = 10;
+
+    void packUpdates(Packer& packer, const std::vector<MemberUpdate>& updates)
+    {
+        TextPacker ids(packer);
+        TextPacker addresses(packer);
+        TextPacker zones(packer);
+        TextPacker regions(packer);
+        packer.pack_array(static_cast<std::uint32_t>(updates.size()) * updateFields);
+        for (const MemberUpdate& update : updates) {
+            ids.pack(update.id.value);
+            addresses.pack(update.address);
+            zones.pack(update.availabilityZone);
+            regions.pack(update.region);
+            packer.pack(update.incarnation);
+            packer.pack(static_cast<unsigned>(update.state));
+        }
+    }
+
+    std::vector<MemberUpdate> readUpdates(ArrayReader reader)
+    {
+        TextReader ids;
+        TextReader addresses;
+        TextReader zones;
+        TextReader regions;
+        std::vector<MemberUpdate> updates;
+        while (!reader.atEnd()) {
+            MemberUpdate& update = updates.emplace_back();
+            update.id = DaemonId(ids.read(reader));
+            update.address = addresses.read(reader);
+            update.availabilityZone = zones.read(reader);
+            update.region = regions.read(reader);
+            update.incarnation = reader.unsignedValue();
+            std::uint64_t state = reader.unsignedValue();
+            if (state > static_cast<std::uint64_t>(MemberState::Left))
+                throw msgpack::type_error();
+            update.state = static_cast<MemberState>(state);
+        }
+        return updates;
+    }
+
+    template <typename ProbeLike> void packProbe(Packer& packer, const ProbeLike& probe)
+    {
+        packer.pack_array(4); // nonce, version, offset, updates
+        packer.pack(probe.nonce);
+        packDigest(packer, probe.configuration);
+        packUpdates(packer, probe.updates);
+    }
+
+    template <typename ProbeLike> ProbeLike readProbe(ArrayReader& reader)
+    {
+        ProbeLike probe { .nonce = reader.unsignedValue() };
+        probe.configuration = readDigest(reader);
+        probe.updates = readUpdates(reader.nested());
+        return probe;
+    }
+
+    void packOne(Packer& packer, const Probe& probe) { packProbe(packer, probe); }
+    void packOne(Packer& packer, const ProbeAck& ack) { packProbe(packer, ack); }
+
+    void packOne(Packer& packer, const DemandReport& report)
+    {
+        packer.pack_array(5);
+        packCell(packer, report.cell);
+        packer.pack(report.sequence);
+        packer.pack_array(static_cast<std::uint32_t>(report.demand.size()) * 6);
+        TextPacker workspaces(packer);
+        for (const WorkspaceDemand& demand : report.demand) {
+            workspaces.pack(demand.workspace.value);
+            packer.pack(demand.queued);
+            packer.pack(demand.running);
+            packer.pack(demand.oldestAge.count);
+            packer.pack(demand.served);
+        }
+        packer.pack_array(static_cast<std::uint32_t>(report.use.size()) * 3);
+        TextPacker endpoints(packer);
+        for (const EndpointUse& use : report.use) {
+            endpoints.pack(use.endpoint.value);
+            packer.pack(use.inFlight);
+        }
+    }
+
+    DemandReport readDemandReport(ArrayReader& reader)
+    {
+        DemandReport report { .cell = readCell(reader) };
+        report.sequence = reader.unsignedValue();
+        TextReader workspaces;
+        for (ArrayReader list = reader.nested(); !list.atEnd();) {
+            WorkspaceDemand& demand = report.demand.emplace_back();
+            demand.workspace = WorkspaceId(workspaces.read(list));
+            demand.queued = list.smallValue();
+            demand.running = list.smallValue();
+            demand.oldestAge = { list.signedValue() };
+            demand.served = list.unsignedValue();
+        }
+        TextReader endpoints;
+        for (ArrayReader list = reader.nested(); !list.atEnd();) {
+            EndpointUse& use = report.use.emplace_back();
+            use.endpoint = EndpointId(endpoints.read(list));
+            use.inFlight = list.smallValue();
+        }
+        return report;
+    }
+
+    // Normalised service is packed as the least value and 32-bit distances from it: the distances are what a daemon
+    // compares, and they stay small while the values grow without bound.
+    void packOne(Packer& packer, const Allocation& allocation)
+    {
+        packer.pack_array(8);
+        packCell(packer, allocation.cell);
+        packer.pack(allocation.epoch);
+        packer.pack(allocation.sequence);
+        packer.pack(allocation.validFor.count);
+        packer.pack_array(static_cast<std::uint32_t>(allocation.slots.size()) * 3);
+        TextPacker endpoints(packer);
+        for (const EndpointSlots& slots : allocation.slots) {
+            endpoints.pack(slots.endpoint.value);
+            packer.pack(slots.slots);
+        }
+        double least = allocation.quotas.empty() ? 0 : std::numeric_limits<double>::max();
+        for (const WorkspaceQuota& quota : allocation.quotas)
+            least = std::min(least, quota.normalisedService);
+        packNumber(packer, least);
+        packer.pack_array(static_cast<std::uint32_t>(allocation.quotas.size()) * 4);
+        TextPacker workspaces(packer);
+        for (const WorkspaceQuota& quota : allocation.quotas) {
+            workspaces.pack(quota.workspace.value);
+            packer.pack(quota.running);
+            packer.pack(static_cast<float>(quota.normalisedService - least));
+        }
+    }
+
+    Allocation readAllocation(ArrayReader& reader)
+    {
+        Allocation allocation { .cell = readCell(reader) };
+        allocation.epoch = reader.unsignedValue();
+        allocation.sequence = reader.unsignedValue();
+        allocation.validFor = { reader.signedValue() };
+        TextReader endpoints;
+        for (ArrayReader list = reader.nested(); !list.atEnd();) {
+            EndpointSlots& slots = allocation.slots.emplace_back();
+            slots.endpoint = EndpointId(endpoints.read(list));
+            slots.slots = list.smallValue();
+        }
+        double least = reader.number();
+        TextReader workspaces;
+        for (ArrayReader list = reader.nested(); !list.atEnd();) {
+            WorkspaceQuota& quota = allocation.quotas.emplace_back();
+            quota.workspace = WorkspaceId(workspaces.read(list));
+            quota.running = list.smallValue();
+            quota.normalisedService = least + list.number();
+        }
+        return allocation;
+    }
+
+    void packOne(Packer& packer, const CellExchange& exchange)
+    {
+        packer.pack_array(5);
+        packCell(packer, exchange.cell);
+        packer.pack(exchange.sequence);
+        packer.pack(exchange.spareSlots);
+        packer.pack_array(static_cast<std::uint32_t>(exchange.service.size()) * 4);
+        TextPacker workspaces(packer);
+        for (const WorkspaceQuota& service : exchange.service) {
+            workspaces.pack(service.workspace.value);
+            packer.pack(service.running);
+            packNumber(packer, service.normalisedService);
+        }
+    }
+
+    CellExchange readCellExchange(ArrayReader& reader)
+    {
+        CellExchange exchange { .cell = readCell(reader) };
+        exchange.sequence = reader.unsignedValue();
+        exchange.spareSlots = reader.smallValue();
+        TextReader workspaces;
+        for (ArrayReader list = reader.nested(); !list.atEnd();) {
+            WorkspaceQuota& service = exchange.service.emplace_back();
+            service.workspace = WorkspaceId(workspaces.read(list));
+            service.running = list.smallValue();
+            service.normalisedService = list.number();
+        }
+        return exchange;
+    }
+
+    void packOne(Packer& packer, const ConfigurationRequest& request)
+    {
+        packer.pack_array(2);
+        packDigest(packer, request.have);
+    }
+
+    void packOne(Packer& packer, const ConfigurationState& state)
+    {
+        packer.pack_array(3);
+        packDigest(packer, state.digest);
+        packer.pack(state.document);
+    }
+
+    void packOne(Packer& packer, const CrashMark& mark)
+    {
+        packer.pack_array(3);
+        packer.pack(mark.contentHash);
+        packer.pack(mark.losses);
+        packer.pack(mark.eventId);
+    }
+
+    void packOne(Packer& packer, const EndpointNews& news)
+    {
+        packer.pack_array(2);
+        packer.pack(news.endpoint.value);
+        packer.pack(static_cast<unsigned>(news.leaving));
+    }
+
+    PeerPayload readOne(std::uint64_t type, ArrayReader& reader)
+    {
+        switch (type) {
+        case 0:
+            return readProbe<Probe>(reader);
+        case 1:
+            return readProbe<ProbeAck>(reader);
+        case 2:
+            return readDemandReport(reader);
+        case 3:
+            return readAllocation(reader);
+        case 4:
+            return readCellExchange(reader);
+        case 5:
+            return ConfigurationRequest { .have = readDigest(reader) };
+        case 6: {
+            ConfigurationState state { .digest = readDigest(reader) };
+            state.document = reader.text();
+            return state;
+        }
+        case 7: {
+            CrashMark mark { .contentHash = reader.unsignedValue() };
+            mark.losses = reader.smallValue();
+            mark.eventId = reader.unsignedValue();
+            return mark;
+        }
+        case 8: {
+            EndpointNews news { .endpoint = EndpointId(reader.text()) };
+            news.leaving = reader.unsignedValue() != 0;
+            return news;
+        }
+        default:
+            throw msgpack::type_error();
+        }
+    }
+
+}
+
+void packPayload(Packer& packer, const PeerPayload& payload)
+{
+    std::visit([&](const auto& one) { packOne(packer, one); }, payload);
+}
+
+PeerPayload unpackPayload(std::uint64_t type, ArrayReader reader)
+{
+    PeerPayload payload = readOne(type, reader);
+    reader.finish();
+    return payload;
+}
+
+}
--- /dev/null
+++ b/tests/PeerCodecTests.cpp
@@ -0,0 +1,192 @@
+#include "base/Hash.h"
+#include "base/Random.h"
+#include "net/PeerCodec.h"
+
+#include <catch2/catch.hpp>
+
+using namespace jasminestack;
+
+namespace {
+
+const std::string fleetKey = "0123456789abcdef0123456789abcdef";
+
+std::string numbered(const char* prefix, unsigned i)
+{
+    return std::string(prefix) + (i < 10 ? "0" : "") + std::to_string(i);
+}
+
+DemandReport largeReport()
+{
+    DemandReport report { .cell = { .pool = PoolId("workshop"), .index = 0 }, .sequence = 70'000 };
+    for (unsigned i = 0; i < 16; ++i) {
+        report.demand.push_back({ .workspace = WorkspaceId(numbered("kilic-small-", i)),
+            .queued = 40 + i,
+            .running = 5,
+            .oldestAge = { 12'000 + i },
+            .served = 40'000'000 + i });
+    }
+    for (unsigned i = 0; i < 20; ++i)
+        report.use.push_back({ .endpoint = EndpointId(numbered("gebze-engine-", i)), .inFlight = 1 });
+    return report;
+}
+
+PeerMessage message(PeerPayload payload, std::uint64_t sequence = 1, std::uint64_t incarnation = 1'700'000'000'000)
+{
+    return {
+        .sender = DaemonId("router-3"), .incarnation = incarnation, .sequence = sequence, .payload = std::move(payload)
+    };
+}
+
+template <typename T> T roundTrip(T payload)
+{
+    PeerCodec codec(fleetKey);
+    auto decoded = codec.decode(codec.encode(message(payload)));
+    REQUIRE(decoded);
+    REQUIRE(decoded.value().sender == DaemonId("router-3"));
+    REQUIRE(decoded.value().incarnation == 1'700'000'000'000);
+    REQUIRE(std::holds_alternative<T>(decoded.value().payload));
+    return std::get<T>(decoded.value().payload);
+}
+
+/// A body with a valid tag.
+std::string tagged(const std::string& body) { return body + hmacSha256(fleetKey, body).substr(0, PeerCodec::tagBytes); }
+
+}
+
+// Guards against fields lost or exchanged between the packing and the reading of a type.
+TEST_CASE("peer messages survive a round trip", "[peers]")
+{
+    auto probe = roundTrip(Probe { .nonce = 7,
+        .configuration = { .version = 12, .throughOffset = 99 },
+        .updates = { { .id = DaemonId("a-1"),
+                         .address = "127.0.0.1:25001",
+                         .availabilityZone = "gebze",
+                         .region = "marmara",
+                         .incarnation = 5,
+                         .state = MemberState::Suspect },
+            { .id = DaemonId("a-2"), .address = "127.0.0.1:25002", .incarnation = 6, .state = MemberState::Left } } });
+    REQUIRE(probe.nonce == 7);
+    REQUIRE(probe.configuration.version == 12);
+    REQUIRE(probe.configuration.throughOffset == 99);
+    REQUIRE(probe.updates.size() == 2);
+    REQUIRE(probe.updates[0].availabilityZone == "gebze");
+    REQUIRE(probe.updates[0].region == "marmara");
+    REQUIRE(probe.updates[0].state == MemberState::Suspect);
+    REQUIRE(probe.updates[1].id == DaemonId("a-2"));
+    REQUIRE(probe.updates[1].address == "127.0.0.1:25002");
+    REQUIRE(probe.updates[1].region.empty());
+    REQUIRE(probe.updates[1].incarnation == 6);
+
+    REQUIRE(roundTrip(ProbeAck { .nonce = 1, .configuration = {} }).configuration.throughOffset == -1);
+
+    auto report = roundTrip(largeReport());
+    REQUIRE(report.cell == CellId { .pool = PoolId("workshop"), .index = 0 });
+    REQUIRE(report.demand.size() == 16);
+    REQUIRE(report.demand[15].workspace == WorkspaceId("kilic-small-15"));
+    REQUIRE(report.demand[15].served == 40'000'015);
+    REQUIRE(report.demand[3].oldestAge == Millis { 12'003 });
+    REQUIRE(report.use[19].endpoint == EndpointId("gebze-engine-19"));
+
+    auto allocation = roundTrip(Allocation { .cell = { .pool = PoolId("p"), .index = 3 },
+        .epoch = 9,
+        .sequence = 4,
+        .validFor = { 2'500 },
+        .slots = { { .endpoint = EndpointId("e1"), .slots = 4 } },
+        .quotas = { { .workspace = WorkspaceId("w1"), .running = 2, .normalisedService = 1.0e12 },
+            { .workspace = WorkspaceId("w2"), .running = 3, .normalisedService = 1.0e12 + 12.5 } } });
+    REQUIRE(allocation.cell.index == 3);
+    REQUIRE(allocation.validFor == Millis { 2'500 });
+    REQUIRE(allocation.slots[0].slots == 4);
+    REQUIRE(allocation.quotas[1].normalisedService == Approx(1.0e12 + 12.5).epsilon(1e-15));
+    REQUIRE(allocation.quotas[1].running == 3);
+
+    auto exchange = roundTrip(CellExchange { .cell = { .pool = PoolId("p") },
+        .sequence = 1,
+        .spareSlots = 6,
+        .service = { { .workspace = WorkspaceId("w"), .running = 1, .normalisedService = 0.25 } } });
+    REQUIRE(exchange.spareSlots == 6);
+    REQUIRE(exchange.service[0].normalisedService == 0.25);
+
+    REQUIRE(roundTrip(ConfigurationRequest { .have = { .version = 2, .throughOffset = 3 } }).have.throughOffset == 3);
+    auto state = roundTrip(ConfigurationState { .digest = { .version = 1 }, .document = std::string(300'000, 'x') });
+    REQUIRE(state.document.size() == 300'000);
+    auto mark = roundTrip(CrashMark { .contentHash = ~0ULL, .losses = 2, .eventId = 8 });
+    REQUIRE(mark.contentHash == ~0ULL);
+    REQUIRE(mark.losses == 2);
+    REQUIRE(mark.eventId == 8);
+    REQUIRE_FALSE(roundTrip(EndpointNews { .endpoint = EndpointId("e"), .leaving = false }).leaving);
+}
+
+// Guards against growth of the most frequent message; the bound is the target of the control traffic budget.
+TEST_CASE("a report of 16 workspaces and 20 endpoints stays within 400 bytes", "[peers]")
+{
+    PeerCodec codec(fleetKey);
+    std::size_t size = codec.encode(message(largeReport(), 100'000)).size();
+    INFO("size " << size);
+    REQUIRE(size <= 400);
+}
+
+// Guards against accepting forged, replayed or foreign messages.
+TEST_CASE("forged, replayed and foreign messages are rejected and counted", "[peers]")
+{
+    PeerCodec sender(fleetKey);
+    PeerCodec receiver(fleetKey);
+    auto send = [&](std::uint64_t sequence, std::uint64_t incarnation) {
+        return static_cast<bool>(
+            receiver.decode(sender.encode(message(ConfigurationRequest {}, sequence, incarnation))));
+    };
+    REQUIRE(send(100, 5));
+    REQUIRE_FALSE(send(100, 5));
+    REQUIRE(send(99, 5));
+    REQUIRE_FALSE(send(99, 5));
+    REQUIRE(send(37, 5));
+    REQUIRE_FALSE(send(36, 5));
+    REQUIRE(send(200, 5));
+    REQUIRE_FALSE(send(101, 5));
+    REQUIRE(send(137, 5));
+    REQUIRE(send(1, 6));
+    REQUIRE_FALSE(send(201, 5));
+    REQUIRE(receiver.rejections()[static_cast<std::size_t>(PeerRejection::Replayed)] == 5);
+
+    std::string good = sender.encode(message(ConfigurationRequest {}, 50, 6));
+    std::string bad = good;
+    bad[2] = static_cast<char>(bad[2] ^ 1);
+    REQUIRE(receiver.decode(bad).error().kind == ErrorKind::PeerMessageRejected);
+    REQUIRE_FALSE(PeerCodec("another key").decode(good));
+    REQUIRE(receiver.rejections()[static_cast<std::size_t>(PeerRejection::WrongTag)] == 1);
+
+    std::string body = good.substr(0, good.size() - PeerCodec::tagBytes);
+    body[1] = 2;
+    REQUIRE_FALSE(receiver.decode(tagged(body)));
+    REQUIRE(receiver.rejections()[static_cast<std::size_t>(PeerRejection::UnknownVersion)] == 1);
+    REQUIRE_FALSE(receiver.decode(std::string(PeerCodec::maxMessageBytes + 1, 'x')));
+    REQUIRE(receiver.rejections()[static_cast<std::size_t>(PeerRejection::Oversized)] == 1);
+    REQUIRE(receiver.decode(good));
+}
+
+// Guards against exceptions, crashes and large allocations on damaged bodies whose tag is valid.
+TEST_CASE("damaged bodies never throw", "[peers]")
+{
+    PeerCodec codec(fleetKey);
+    Random random(41);
+    std::vector<std::string> bodies;
+    for (const PeerPayload& payload : { PeerPayload(largeReport()), PeerPayload(Probe { .updates = { {}, {} } }),
+             PeerPayload(Allocation { .slots = { {} }, .quotas = { {}, {} } }), PeerPayload(ConfigurationState {}) }) {
+        std::string bytes = codec.encode(message(payload));
+        bodies.push_back(bytes.substr(0, bytes.size() - PeerCodec::tagBytes));
+    }
+    std::string arrayBomb = "\x96\x01\x02";
+    for (int i = 0; i < 3'000; ++i)
+        arrayBomb += "\xdd\xff\xff\xff\xff";
+    bodies.push_back(arrayBomb);
+    for (int round = 0; round < 20'000; ++round) {
+        std::string body = bodies[random.below(bodies.size())];
+        for (std::uint64_t changes = 1 + random.below(3); changes > 0; --changes)
+            body[random.below(body.size())] = static_cast<char>(random.below(256));
+        if (random.below(3) == 0)
+            body.resize(random.below(body.size()) + 1);
+        REQUIRE_NOTHROW(codec.decode(tagged(body)));
+    }
+    REQUIRE_NOTHROW(codec.decode(""));
+    REQUIRE_NOTHROW(codec.decode(tagged("")));
+}
