--- a/src/net/Interfaces.h
+++ b/src/net/Interfaces.h
@@ -67,6 +67,13 @@
 
     /// \brief Sets the handler of received messages; it is called any number of times.
     virtual void onReceive(Handler) = 0;
+
+    /// \brief Tells that an authentic message of the peer that listens on \p address has arrived.
+    virtual void heard(std::string_view address) { (void)address; }
+
+    /// \brief Replaces the connection to \p address, because the peer does not receive what is sent over it. Does
+    /// nothing if the connection is too young to judge.
+    virtual void reconnect(std::string_view address) { (void)address; }
 };
 
 /// \brief A request on its way to an endpoint.
