--- a/src/core/Messages.h
+++ b/src/core/Messages.h
@@ -106,10 +106,19 @@
     ConfigurationDigest have;
 };
 
-/// \brief A peer's fold of the configuration stream.
+/// \brief A change record of the configuration stream, as one peer passes it to another.
+struct ConfigurationChange {
+    std::int64_t offset { 0 };
+    std::int64_t time { 0 }; ///< Set by the log.
+    std::string payload;
+};
+
+/// \brief A peer's fold of the configuration stream, or the changes that lead to it where those are smaller.
 struct ConfigurationState {
     ConfigurationDigest digest;
-    std::string document; ///< JSON text of the document at digest.version.
+    std::string document; ///< JSON text of the document at digest.version; empty if changes are sent instead.
+    std::int64_t changesFrom { 0 }; ///< changes holds every change record from here through digest.throughOffset.
+    std::vector<ConfigurationChange> changes;
 };
 
 /// \brief An endpoint was lost while requests of this content ran on it, or the content has completed.
--- a/src/net/PeerPayloadCodec.cpp
+++ b/src/net/PeerPayloadCodec.cpp
@@ -324,9 +324,16 @@
 
     void packOne(Packer& packer, const ConfigurationState& state)
     {
-        packer.pack_array(3);
+        packer.pack_array(5);
         packDigest(packer, state.digest);
         packer.pack(state.document);
+        packer.pack(state.changesFrom);
+        packer.pack_array(static_cast<std::uint32_t>(state.changes.size()) * 3);
+        for (const ConfigurationChange& change : state.changes) {
+            packer.pack(change.offset);
+            packer.pack(change.time);
+            packer.pack(change.payload);
+        }
     }
 
     void packOne(Packer& packer, const CrashMark& mark)
@@ -362,6 +369,13 @@
         case 6: {
             ConfigurationState state { .digest = readDigest(reader) };
             state.document = reader.text();
+            state.changesFrom = reader.signedValue();
+            for (ArrayReader list = reader.nested(); !list.atEnd();) {
+                ConfigurationChange& change = state.changes.emplace_back();
+                change.offset = list.signedValue();
+                change.time = list.signedValue();
+                change.payload = list.text();
+            }
             return state;
         }
         case 7: {
--- a/tests/PeerCodecTests.cpp
+++ b/tests/PeerCodecTests.cpp
@@ -110,6 +110,14 @@
     REQUIRE(roundTrip(ConfigurationRequest { .have = { .version = 2, .throughOffset = 3 } }).have.throughOffset == 3);
     auto state = roundTrip(ConfigurationState { .digest = { .version = 1 }, .document = std::string(300'000, 'x') });
     REQUIRE(state.document.size() == 300'000);
+    auto changes = roundTrip(ConfigurationState { .digest = { .version = 4, .throughOffset = 9 },
+        .changesFrom = 7,
+        .changes = { { .offset = 8, .time = 1'700'000'000'000, .payload = "{}" } } });
+    REQUIRE(changes.changesFrom == 7);
+    REQUIRE(changes.changes.size() == 1);
+    REQUIRE(changes.changes[0].offset == 8);
+    REQUIRE(changes.changes[0].time == 1'700'000'000'000);
+    REQUIRE(changes.changes[0].payload == "{}");
     auto mark = roundTrip(CrashMark { .contentHash = ~0ULL, .losses = 2, .eventId = 8 });
     REQUIRE(mark.contentHash == ~0ULL);
     REQUIRE(mark.losses == 2);
