Take the configuration from the log

Cause: the daemon had no configuration of its own and refused every request. Change: the daemon owns the log client and the configuration service, starts and ticks them.

--- a/src/daemon/Daemon.cpp
+++ b/src/daemon/Daemon.cpp
@@ -6,9 +6,12 @@
 #include "core/EndpointHealth.h"
 #include "core/Retry.h"
 #include "core/Scheduling.h"
+#include "daemon/ConfigurationService.h"
 #include "daemon/RequestFlow.h"
 #include "net/CallerServer.h"
 #include "net/EndpointClient.h"
+#include "net/HttpClient.h"
+#include "net/HttpLogClient.h"
 #include "observe/Logging.h"
 #include "observe/Metrics.h"
 #include "observe/Tracing.h"
@@ -68,11 +71,13 @@
     enum class Phase : std::uint8_t { Running, Grace, Draining };
 
     Settings settings;
-    std::function<const Configuration&()> configuration;
-    Configuration noConfiguration;
+    std::function<const Configuration&()> configuration; ///< Replaces the log's configuration if not empty.
     SystemClock clock;
     Random random { systemSeed() };
     std::unique_ptr<event_base, EventBaseDeleter> base { event_base_new() };
+    HttpClient http;
+    HttpLogClient log;
+    ConfigurationService configurationService;
     SelfState self;
     MemberTable members;
     EndpointTable endpoints;
@@ -95,6 +100,9 @@
     State(const Settings& theSettings, std::function<const Configuration&()> theConfiguration)
         : settings(theSettings)
         , configuration(std::move(theConfiguration))
+        , http(*base)
+        , log(http, settings.log.address)
+        , configurationService(log, clock)
         , self { .id = settings.daemon.id,
             .incarnation = static_cast<std::uint64_t>(clock.wallTime().count),
             .peerAddress = settings.peers.address,
@@ -126,7 +134,7 @@
 
     [[nodiscard]] const Configuration& currentConfiguration() const
     {
-        return configuration ? configuration() : noConfiguration;
+        return configuration ? configuration() : configurationService.current();
     }
 
     void watchSignals()
@@ -161,6 +169,8 @@
     void runTick()
     {
         Millis now = clock.now();
+        if (!configuration)
+            configurationService.tick();
         adoptConfiguration();
         updateReadiness();
         flow.tick();
@@ -221,6 +231,8 @@
     auto listening = m_state->server.listen();
     if (!listening)
         return listening.error();
+    if (!m_state->configuration)
+        m_state->configurationService.start();
     m_state->adoptConfiguration();
     m_state->updateReadiness();
     return ok();
