Start structured logging in the daemon

Cause: the daemon wrote Boost.Log's default lines and ignored logging.level. Change: runDaemon starts logging with the level from the settings before anything else.

--- a/src/daemon/Daemon.cpp
+++ b/src/daemon/Daemon.cpp
@@ -254,6 +254,7 @@
 int runDaemon(const Settings& settings)
 {
     std::signal(SIGPIPE, SIG_IGN);
+    startLogging(parseLogLevel(settings.logging.level).value());
     Daemon daemon(settings);
     auto started = daemon.start();
     if (!started) {
