Add the operator commands and the admin server's documents

Cause: operators create workspaces, switch presets, publish configurations and look at the fleet from a terminal. Change: workspace, preset, config, endpoint and status commands over the admin server, with tables or JSON and the exit codes of the design; JSON documents of fold, history, endpoints and status. A change whose answer is lost is looked up by its id or by the change that took its base, and is never sent again. 'config show' writes its version as the first line, and 'config publish' refuses a copy made from an older version. Only the hash of a new API key is published.

--- /dev/null
+++ b/src/cli/AdminSession.cpp
@@ -0,0 +1,265 @@
+#include "cli/AdminSession.h"
+
+#include "base/Clock.h"
+#include "base/Random.h"
+#include "cli/Commands.h"
+#include "cli/Flags.h"
+
+#include <absl/flags/flag.h>
+#include <cstdlib>
+#include <event2/event.h>
+#include <fstream>
+#include <iostream>
+#include <memory>
+#include <optional>
+
+namespace jasminestack {
+
+namespace {
+
+    using nlohmann::json;
+
+    constexpr Millis pollInterval { 200 };
+
+    std::string environment(const char* name)
+    {
+        const char* value = std::getenv(name); // NOLINT(concurrency-mt-unsafe): the command line has one thread.
+        return value ? value : "";
+    }
+
+    Result<std::string> operatorToken()
+    {
+        const std::string path = absl::GetFlag(FLAGS_token_file);
+        std::string token = path.empty() ? environment("JASMINESTACK_OPERATOR_TOKEN") : "";
+        if (!path.empty()) {
+            std::ifstream stream(path);
+            if (!stream || !std::getline(stream, token))
+                return Error { .kind = ErrorKind::BadRequest,
+                    .message = "cannot read the operator token from " + path };
+        }
+        token.erase(token.find_last_not_of(" \t\r\n") + 1);
+        if (token.empty()) {
+            return Error { .kind = ErrorKind::BadRequest,
+                .message = "changes need an operator token: --token-file or JASMINESTACK_OPERATOR_TOKEN" };
+        }
+        return token;
+    }
+
+    std::string author()
+    {
+        std::string name = absl::GetFlag(FLAGS_author);
+        if (name.empty())
+            name = environment("USER");
+        return name.empty() ? "unknown" : name.substr(0, 128);
+    }
+
+    void pause(Millis time)
+    {
+        std::unique_ptr<event_base, decltype(&event_base_free)> base(event_base_new(), &event_base_free);
+        timeval limit { .tv_sec = time.count / 1000, .tv_usec = (time.count % 1000) * 1000 };
+        event_base_loopexit(base.get(), &limit);
+        event_base_loop(base.get(), EVLOOP_NO_EXIT_ON_EMPTY);
+    }
+
+    // The text of an error body, or the body itself if it has another form.
+    std::string errorText(const HttpResponse& response)
+    {
+        const json body = json::parse(response.body, nullptr, false);
+        if (body.is_object() && body.contains("error") && body["error"].is_object())
+            return body["error"].value("kind", "") + ": " + body["error"].value("message", "");
+        return "HTTP status " + std::to_string(response.status);
+    }
+
+    std::string errorKind(const HttpResponse& response)
+    {
+        const json body = json::parse(response.body, nullptr, false);
+        if (body.is_object() && body.contains("error") && body["error"].is_object())
+            return body["error"].value("kind", "");
+        return {};
+    }
+
+    // What the history says about a change.
+    struct Lookup {
+        std::string outcome; // Empty: not known.
+        std::uint64_t version { 0 };
+        std::string reason;
+        std::string winner; // Author of the change that won.
+    };
+
+    Lookup lookUp(const std::string& id, std::uint64_t base)
+    {
+        Lookup result;
+        const auto answer = adminExchange("GET", "/admin/config/history");
+        if (!answer || answer.value().status != 200)
+            return result;
+        const json body = json::parse(answer.value().body, nullptr, false);
+        if (!body.is_object() || !body.contains("changes"))
+            return result;
+        for (const json& change : body["changes"]) {
+            const auto outcome = change.value("outcome", "");
+            if (outcome == "accepted" && change.value("base", std::uint64_t { 0 }) == base
+                && change.value("id", "") != id) {
+                // Another change took the base, so that this one cannot be accepted even if its record comes later.
+                result.winner = change.value("author", "");
+                if (result.outcome.empty()) {
+                    result.outcome = "conflict";
+                    result.version = change.value("version", std::uint64_t { 0 });
+                }
+            }
+            if (change.value("id", "") == id && result.outcome != "accepted") {
+                result.outcome = outcome;
+                result.version = change.value("version", std::uint64_t { 0 });
+                result.reason = change.value("reason", "");
+            }
+        }
+        return result;
+    }
+
+    Publication report(Publication publication, std::string_view outcome, const std::string& message)
+    {
+        if (absl::GetFlag(FLAGS_json)) {
+            std::cout << json {
+                { "id", publication.id }, { "outcome", outcome }, { "version", publication.version },
+                { "message", message }
+            }.dump(2) << "\n";
+        } else if (publication.code == exit_code::success) {
+            std::cout << message << "\n";
+        }
+        if (publication.code != exit_code::success)
+            (void)fail(publication.code, message);
+        return publication;
+    }
+
+    Publication reportLookup(Publication publication, const Lookup& found, std::uint64_t base)
+    {
+        publication.version = found.version;
+        if (found.outcome == "accepted") {
+            publication.code = exit_code::success;
+            return report(publication, "accepted", "version " + std::to_string(found.version) + " is in force");
+        }
+        if (found.outcome == "conflict") {
+            publication.code = exit_code::conflict;
+            return report(publication, "conflict",
+                "the change was not applied: another change of version " + std::to_string(base)
+                    + (found.winner.empty() ? "" : " by " + found.winner) + " won; version "
+                    + std::to_string(found.version) + " is in force");
+        }
+        publication.code = exit_code::invalidInput;
+        return report(publication, "invalid", "the change is invalid: " + found.reason);
+    }
+
+    Publication resolve(Publication publication, std::uint64_t base)
+    {
+        const SystemClock clock;
+        const Millis end = clock.now() + Millis { absl::GetFlag(FLAGS_timeout_ms) };
+        do {
+            const Lookup found = lookUp(publication.id, base);
+            if (!found.outcome.empty())
+                return reportLookup(publication, found, base);
+            pause(pollInterval);
+        } while (clock.now() < end);
+        publication.code = exit_code::outcomeUnknown;
+        return report(publication, "unknown",
+            "the outcome of change " + publication.id
+                + " is unknown; do not repeat it, but look it up with 'jasminestack config history --id "
+                + publication.id + "'");
+    }
+
+    Publication send(const json& patch, std::uint64_t base, const std::string& token)
+    {
+        Publication publication { .id = Random(systemSeed()).uuid() };
+        const json body { { "base", base }, { "id", publication.id }, { "author", author() }, { "patch", patch } };
+        const auto answer = adminExchange("POST", "/admin/config/publish", body.dump(), token);
+        if (!answer) {
+            if (answer.error().kind != ErrorKind::EndpointUnavailable)
+                return resolve(publication, base);
+            publication.code = exit_code::unreachable;
+            return report(publication, "not_sent", answer.error().message);
+        }
+        const HttpResponse& response = answer.value();
+        const json parsed = json::parse(response.body, nullptr, false);
+        const std::string kind = errorKind(response);
+        if (response.status == 200 && parsed.is_object() && parsed.value("outcome", "") == "accepted")
+            return reportLookup(
+                publication, { .outcome = "accepted", .version = parsed.value("version", std::uint64_t { 0 }) }, base);
+        if (kind == "configuration_conflict") {
+            Lookup found = lookUp(publication.id, base);
+            found.outcome = "conflict";
+            found.version = parsed["error"].value("version", found.version);
+            return reportLookup(publication, found, base);
+        }
+        if (kind == "configuration_invalid" || kind == "bad_request") {
+            publication.code = exit_code::invalidInput;
+            return report(publication, "invalid", errorText(response));
+        }
+        // These refusals come before the record is appended.
+        if (kind == "unauthorized" || kind == "forbidden" || kind == "log_unavailable" || kind == "not_ready"
+            || kind == "shutting_down" || kind == "not_found" || kind == "method_not_allowed") {
+            publication.code = exit_code::failure;
+            return report(publication, "refused", errorText(response));
+        }
+        return resolve(publication, base);
+    }
+
+}
+
+Result<HttpResponse> adminExchange(
+    std::string_view method, std::string_view target, std::string_view body, std::string_view token)
+{
+    std::unique_ptr<event_base, decltype(&event_base_free)> base(event_base_new(), &event_base_free);
+    HttpClient client(*base);
+    HttpRequest request { .address = absl::GetFlag(FLAGS_admin),
+        .method = std::string(method),
+        .target = std::string(target),
+        .body = std::string(body),
+        .timeout = Millis { absl::GetFlag(FLAGS_timeout_ms) } };
+    if (!token.empty())
+        request.headers.emplace_back("Authorization", "Bearer " + std::string(token));
+    if (!body.empty())
+        request.headers.emplace_back("Content-Type", "application/json");
+    std::optional<Result<HttpResponse>> result;
+    client.send(std::move(request), [&](Result<HttpResponse> answer) { result = std::move(answer); });
+    while (!result && event_base_loop(base.get(), EVLOOP_ONCE) == 0) { }
+    if (!result)
+        return Error { .kind = ErrorKind::Internal, .message = "the event loop ended" };
+    return std::move(*result);
+}
+
+int fail(int code, std::string_view message)
+{
+    std::cerr << "jasminestack: " << message << "\n";
+    return code;
+}
+
+int fetchJson(std::string_view target, json& into)
+{
+    const auto answer = adminExchange("GET", target);
+    if (!answer)
+        return fail(exit_code::unreachable,
+            "cannot reach the admin server at " + absl::GetFlag(FLAGS_admin) + ": " + answer.error().message);
+    if (answer.value().status != 200)
+        return fail(exit_code::failure, errorText(answer.value()));
+    into = json::parse(answer.value().body, nullptr, false);
+    if (into.is_discarded())
+        return fail(exit_code::failure, "the admin server's answer is not JSON");
+    return exit_code::success;
+}
+
+Publication publish(const PatchBuilder& build)
+{
+    const auto token = operatorToken();
+    if (!token)
+        return { .code = fail(exit_code::usage, token.error().message) };
+    json current;
+    if (const int code = fetchJson("/admin/config", current); code != exit_code::success)
+        return { .code = code };
+    const auto version = current.value("version", std::uint64_t { 0 });
+    json patch = json::object();
+    if (const int code = build(current["document"], version, patch); code != exit_code::success)
+        return { .code = code };
+    if (patch.empty())
+        return report({ .version = version }, "unchanged", "nothing to change in version " + std::to_string(version));
+    return send(patch, version, token.value());
+}
+
+}
--- a/src/cli/CheckCommand.cpp
+++ b/src/cli/CheckCommand.cpp
@@ -13,19 +13,15 @@
 
 namespace jasminestack {
 
-namespace {
-
-    std::optional<std::string> readFile(const std::string& path)
-    {
-        std::ifstream stream(path, std::ios::binary);
-        if (!stream)
-            return std::nullopt;
-        std::string text { std::istreambuf_iterator<char>(stream), {} };
-        if (stream.bad())
-            return std::nullopt;
-        return text;
-    }
-
+std::optional<std::string> readFile(const std::string& path)
+{
+    std::ifstream stream(path, std::ios::binary);
+    if (!stream)
+        return std::nullopt;
+    std::string text { std::istreambuf_iterator<char>(stream), {} };
+    if (stream.bad())
+        return std::nullopt;
+    return text;
 }
 
 int runCheck(const std::vector<std::string>& arguments)
--- a/src/cli/Cli.cpp
+++ b/src/cli/Cli.cpp
@@ -12,6 +12,19 @@
 
 ABSL_FLAG(std::string, settings, "", "file with the daemon's settings");
 ABSL_FLAG(bool, json, false, "print JSON instead of a table");
+ABSL_FLAG(std::string, admin, "127.0.0.1:8081", "address IP:PORT of a daemon's admin server");
+ABSL_FLAG(std::string, token_file, "", "file with the operator token (else JASMINESTACK_OPERATOR_TOKEN)");
+ABSL_FLAG(std::string, author, "", "who makes the change (else USER)");
+ABSL_FLAG(std::int64_t, timeout_ms, 15'000, "time limit for an answer, and for resolving a lost one");
+ABSL_FLAG(double, share, 0.0, "share of the workspace, greater than 0");
+ABSL_FLAG(std::string, preset, "", "set the share for this preset instead of the workspace's own");
+ABSL_FLAG(std::int64_t, queue_requests, 0, "queued requests a daemon holds for the workspace at most");
+ABSL_FLAG(std::int64_t, queue_bytes, 0, "bytes of queued bodies a daemon holds for the workspace at most");
+ABSL_FLAG(bool, add_key, false, "create a further API key and print it once");
+ABSL_FLAG(std::string, remove_key, "", "remove the API key with this hash or first digits of it");
+ABSL_FLAG(std::int64_t, base, -1, "version that the file was made from (else its first line '// version N')");
+ABSL_FLAG(std::string, id, "", "show only the change with this id");
+ABSL_FLAG(std::int64_t, limit, 20, "changes to show at most, the latest ones");
 
 namespace jasminestack {
 
@@ -26,6 +39,14 @@
         return words;
     }
 
+    // Abseil's flag names are identifiers; on the command line they are written with dashes.
+    absl::CommandLineFlag* findFlag(std::string_view name)
+    {
+        std::string identifier(name);
+        std::replace(identifier.begin(), identifier.end(), '-', '_');
+        return absl::FindCommandLineFlag(identifier);
+    }
+
     void printOverview(std::ostream& out)
     {
         out << "usage: jasminestack COMMAND [ARGUMENTS] [--FLAGS]\n\ncommands:\n";
@@ -50,7 +71,7 @@
         if (!command.flags.empty())
             out << "\nflags:\n";
         for (std::string_view name : command.flags) {
-            const absl::CommandLineFlag* flag = absl::FindCommandLineFlag(std::string(name));
+            const absl::CommandLineFlag* flag = findFlag(name);
             std::string left = "--" + std::string(name);
             if (!flag->IsOfType<bool>())
                 left += "=VALUE";
@@ -73,6 +94,11 @@
     bool parseFlags(const Command& command, const std::vector<std::string>& arguments, std::vector<std::string>& rest,
         std::string& problem)
     {
+        // Repeated runs in one process start from the defaults.
+        for (std::string_view name : command.flags) {
+            absl::CommandLineFlag* flag = findFlag(name);
+            (void)flag->ParseFrom(flag->DefaultValue(), &problem);
+        }
         for (std::size_t i = 0; i < arguments.size(); ++i) {
             if (!arguments[i].starts_with("--")) {
                 rest.push_back(arguments[i]);
@@ -88,7 +114,7 @@
             }
             absl::CommandLineFlag* flag = nullptr;
             if (std::find(command.flags.begin(), command.flags.end(), name) != command.flags.end())
-                flag = absl::FindCommandLineFlag(std::string(name));
+                flag = findFlag(name);
             if (!flag) {
                 problem = "'" + std::string(command.words) + "' has no flag --" + name;
                 return false;
@@ -111,6 +137,18 @@
         return true;
     }
 
+    std::vector<std::string_view> withReadFlags(std::vector<std::string_view> flags)
+    {
+        flags.insert(flags.end(), { "admin", "timeout-ms", "json" });
+        return flags;
+    }
+
+    std::vector<std::string_view> withChangeFlags(std::vector<std::string_view> flags)
+    {
+        flags.insert(flags.end(), { "token-file", "author" });
+        return withReadFlags(std::move(flags));
+    }
+
     // Checks the number of positional arguments against the command's help text.
     bool countFits(const Command& command, std::size_t count)
     {
@@ -130,13 +168,31 @@
     static const std::vector<Command> list {
         { "daemon", "", "run a daemon until it is stopped by SIGTERM", { "settings" }, runDaemonCommand },
         { "check", "FILE", "check settings or a configuration and print every error", { "json" }, runCheck },
+        { "workspace create", "ID", "create a workspace and print its API key once",
+            withChangeFlags({ "share", "queue-requests", "queue-bytes" }), runWorkspaceCreate },
+        { "workspace list", "", "list the workspaces with their shares in force", withReadFlags({}), runWorkspaceList },
+        { "workspace set", "ID", "change a workspace's share, limits or API keys",
+            withChangeFlags({ "share", "preset", "queue-requests", "queue-bytes", "add-key", "remove-key" }),
+            runWorkspaceSet },
+        { "workspace remove", "ID", "remove a workspace", withChangeFlags({}), runWorkspaceRemove },
+        { "preset show", "[NAME]", "show the presets, or the shares and limits of one", withReadFlags({}),
+            runPresetShow },
+        { "preset use", "NAME", "put a preset in force", withChangeFlags({}), runPresetUse },
+        { "config show", "", "print the configuration in force", withReadFlags({}), runConfigShow },
+        { "config diff", "FILE", "print the merge patch from the configuration in force to the file", withReadFlags({}),
+            runConfigDiff },
+        { "config publish", "FILE", "put the configuration of the file in force", withChangeFlags({ "base" }),
+            runConfigPublish },
+        { "config history", "", "list the latest changes with their outcomes", withReadFlags({ "id", "limit" }),
+            runConfigHistory },
+        { "endpoint list", "", "list the endpoints as the daemon sees them", withReadFlags({}), runEndpointList },
+        { "status", "", "show daemons, pools, workspaces, service gap and cells", withReadFlags({}), runStatus },
     };
     return list;
 }
 
 int runCommandLine(int argumentCount, char** arguments)
 {
-    const absl::FlagSaver saver; // Repeated runs in one process start from the defaults.
     const std::vector<std::string> all(arguments + std::min(argumentCount, 1), arguments + argumentCount);
     const bool help = std::find(all.begin(), all.end(), "--help") != all.end();
     const Command* found = nullptr;
--- a/src/cli/Commands.h
+++ b/src/cli/Commands.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -17,6 +18,9 @@
     constexpr int outcomeUnknown = 6;
 }
 
+/// \returns The content of the file, or nothing if it cannot be read.
+[[nodiscard]] std::optional<std::string> readFile(const std::string& path);
+
 /// \brief One subcommand of the command line.
 struct Command {
     std::string_view words; ///< For example "workspace create".
@@ -33,6 +37,20 @@
 /// \brief Recognises settings or a configuration by its fields and prints every error.
 [[nodiscard]] int runCheck(const std::vector<std::string>& arguments);
 
+/// \brief Commands over the admin server of --admin.
+[[nodiscard]] int runWorkspaceCreate(const std::vector<std::string>& arguments);
+[[nodiscard]] int runWorkspaceList(const std::vector<std::string>& arguments);
+[[nodiscard]] int runWorkspaceSet(const std::vector<std::string>& arguments);
+[[nodiscard]] int runWorkspaceRemove(const std::vector<std::string>& arguments);
+[[nodiscard]] int runPresetShow(const std::vector<std::string>& arguments);
+[[nodiscard]] int runPresetUse(const std::vector<std::string>& arguments);
+[[nodiscard]] int runConfigShow(const std::vector<std::string>& arguments);
+[[nodiscard]] int runConfigDiff(const std::vector<std::string>& arguments);
+[[nodiscard]] int runConfigPublish(const std::vector<std::string>& arguments);
+[[nodiscard]] int runConfigHistory(const std::vector<std::string>& arguments);
+[[nodiscard]] int runEndpointList(const std::vector<std::string>& arguments);
+[[nodiscard]] int runStatus(const std::vector<std::string>& arguments);
+
 /// \brief Runs a daemon with the settings of --settings.
 [[nodiscard]] int runDaemonCommand(const std::vector<std::string>& arguments);
 
--- /dev/null
+++ b/src/daemon/AdminRoutes.cpp
@@ -0,0 +1,212 @@
+#include "daemon/AdminRoutes.h"
+
+#include <algorithm>
+#include <limits>
+#include <map>
+#include <nlohmann/json.hpp>
+
+namespace jasminestack {
+
+namespace {
+
+    using nlohmann::json;
+
+    // Texts from the log may hold anything, so that bytes that are not UTF-8 are replaced instead of thrown at.
+    std::string dump(const json& value) { return value.dump(-1, ' ', false, json::error_handler_t::replace); }
+
+    json parse(const std::string& text) { return json::parse(text, nullptr, false); }
+
+    std::string presetOf(const FoldState& fold)
+    {
+        return fold.configuration ? fold.configuration->presetInForce : std::string {};
+    }
+
+    std::string_view stateName(MemberState state)
+    {
+        switch (state) {
+        case MemberState::Alive:
+            return "alive";
+        case MemberState::Suspect:
+            return "suspect";
+        case MemberState::Dead:
+            return "dead";
+        case MemberState::Left:
+            return "left";
+        }
+        return "unknown";
+    }
+
+    std::string_view stateName(const EndpointState& endpoint, Millis now)
+    {
+        if (endpoint.removed)
+            return "removed";
+        if (endpoint.leaving)
+            return "leaving";
+        return endpoint.backoffUntil > now ? "backoff" : "in use";
+    }
+
+    json daemonsOf(const StatusSources& sources)
+    {
+        const SelfState& self = sources.view.self;
+        json daemons = json::array({ { { "id", self.id.value }, { "state", "this daemon" }, { "region", self.region },
+            { "availabilityZone", self.availabilityZone }, { "address", self.peerAddress },
+            { "version", sources.fold.version }, { "throughOffset", sources.fold.throughOffset } } });
+        for (const auto& [id, member] : sources.view.members.members) {
+            daemons.push_back({ { "id", id.value }, { "state", stateName(member.last.state) },
+                { "region", member.last.region }, { "availabilityZone", member.last.availabilityZone },
+                { "address", member.last.address }, { "version", member.configuration.version },
+                { "throughOffset", member.configuration.throughOffset } });
+        }
+        return daemons;
+    }
+
+    // Distance between the most and the least served workspace among those with a backlog.
+    std::map<PoolId, double> gaps(const std::vector<WorkspaceStatus>& workspaces)
+    {
+        std::map<PoolId, std::pair<double, double>> ranges;
+        for (const WorkspaceStatus& workspace : workspaces) {
+            if (workspace.queued == 0)
+                continue;
+            auto [range, isNew] = ranges.try_emplace(
+                workspace.pool, std::numeric_limits<double>::max(), std::numeric_limits<double>::lowest());
+            range->second.first = std::min(range->second.first, workspace.normalisedService);
+            range->second.second = std::max(range->second.second, workspace.normalisedService);
+        }
+        std::map<PoolId, double> result;
+        for (const auto& [pool, range] : ranges)
+            result[pool] = range.second - range.first;
+        return result;
+    }
+
+    json poolsOf(const StatusSources& sources, const std::vector<WorkspaceStatus>& workspaces)
+    {
+        const auto gapOf = gaps(workspaces);
+        json pools = json::array();
+        for (const auto& [id, pool] : sources.view.configuration.pools) {
+            std::uint64_t slots = 0;
+            std::uint64_t inFlight = 0;
+            std::uint64_t leaving = 0;
+            for (const auto& [endpointId, state] : sources.view.endpoints.endpoints) {
+                if (state.pool != id || state.removed)
+                    continue;
+                slots += state.limit;
+                inFlight += state.inFlight;
+                leaving += state.leaving ? 1 : 0;
+            }
+            const auto gap = gapOf.find(id);
+            pools.push_back({ { "pool", id.value }, { "kind", pool.kind == PoolKind::Model ? "model" : "service" },
+                { "models", pool.models }, { "endpoints", pool.endpoints.size() }, { "leaving", leaving },
+                { "slots", slots }, { "inFlight", inFlight },
+                { "gap", gap == gapOf.end() ? json(nullptr) : json(gap->second) } });
+        }
+        return pools;
+    }
+
+    json workspacesOf(const StatusSources& sources, const std::vector<WorkspaceStatus>& workspaces)
+    {
+        json list = json::array();
+        for (const WorkspaceStatus& workspace : workspaces) {
+            const auto configured = sources.view.configuration.workspaces.find(workspace.workspace);
+            const bool known = configured != sources.view.configuration.workspaces.end();
+            list.push_back({ { "workspace", workspace.workspace.value }, { "pool", workspace.pool.value },
+                { "share", known ? json(configured->second.share) : json(nullptr) }, { "queued", workspace.queued },
+                { "running", workspace.running }, { "served", workspace.served },
+                { "normalisedService", workspace.normalisedService } });
+        }
+        return list;
+    }
+
+    json cellsOf(const StatusSources& sources)
+    {
+        json cells = json::array();
+        for (const CellStatus& cell : cellStatus(sources.scheduling, sources.view, sources.now)) {
+            cells.push_back({ { "cell", cell.cell.pool.value + "/" + std::to_string(cell.cell.index) },
+                { "scheduler", cell.scheduler.value }, { "allocation", cell.allocationValid ? "valid" : "fallback" },
+                { "slots", cell.slots }, { "inFlight", cell.inFlight } });
+        }
+        return cells;
+    }
+
+}
+
+std::string configurationJson(const FoldState& fold)
+{
+    return dump({ { "version", fold.version }, { "throughOffset", fold.throughOffset }, { "preset", presetOf(fold) },
+        { "document", parse(fold.document) } });
+}
+
+std::string historyJson(const FoldState& fold, std::string_view id)
+{
+    json changes = json::array();
+    for (const ChangeResult& result : fold.history) {
+        if (!id.empty() && result.id != id)
+            continue;
+        json change { { "id", result.id }, { "author", result.author }, { "offset", result.offset },
+            { "time", result.time }, { "base", result.base }, { "outcome", toString(result.outcome) },
+            { "version", result.version }, { "patch", result.patch } };
+        if (!result.reason.empty())
+            change["reason"] = result.reason;
+        changes.push_back(std::move(change));
+    }
+    return dump({ { "version", fold.version }, { "throughOffset", fold.throughOffset }, { "from", fold.historyFrom },
+        { "changes", std::move(changes) } });
+}
+
+std::string endpointsJson(const EndpointTable& table, const Configuration& configuration, Millis now)
+{
+    json endpoints = json::array();
+    for (const auto& [id, state] : table.endpoints) {
+        json endpoint { { "endpoint", id.value }, { "pool", state.pool.value }, { "address", state.address },
+            { "state", stateName(state, now) }, { "limit", state.limit }, { "inFlight", state.inFlight },
+            { "reportedRunning", state.reportedRunning }, { "reportedWaiting", state.reportedWaiting },
+            { "consecutiveFailures", state.consecutiveFailures },
+            { "reportAgeMs", state.lastReport.count == 0 ? json(nullptr) : json((now - state.lastReport).count) } };
+        if (const auto pool = configuration.pools.find(state.pool); pool != configuration.pools.end()) {
+            if (const auto found = pool->second.endpoints.find(id); found != pool->second.endpoints.end()) {
+                endpoint["availabilityZone"] = found->second.availabilityZone;
+                endpoint["region"] = found->second.region;
+            }
+        }
+        endpoints.push_back(std::move(endpoint));
+    }
+    return dump({ { "endpoints", std::move(endpoints) } });
+}
+
+std::string statusJson(const StatusSources& sources)
+{
+    const SelfState& self = sources.view.self;
+    const auto workspaces = workspaceStatus(sources.scheduling, sources.view);
+    const std::string_view state = self.draining ? "draining" : sources.notReadyReason.empty() ? "ready" : "not ready";
+    return dump({ { "daemon",
+                      { { "id", self.id.value }, { "region", self.region },
+                          { "availabilityZone", self.availabilityZone }, { "incarnation", self.incarnation } } },
+        { "state", state }, { "notReadyReason", sources.notReadyReason },
+        { "configuration",
+            { { "version", sources.fold.version }, { "throughOffset", sources.fold.throughOffset },
+                { "preset", presetOf(sources.fold) }, { "seeking", sources.fold.seeking } } },
+        { "daemons", daemonsOf(sources) }, { "pools", poolsOf(sources, workspaces) },
+        { "workspaces", workspacesOf(sources, workspaces) }, { "cells", cellsOf(sources) } });
+}
+
+AdminReply publishReply(const ChangeResult& result)
+{
+    if (result.outcome == ChangeOutcome::Accepted)
+        return { .body = dump({ { "id", result.id }, { "outcome", "accepted" }, { "version", result.version } }) };
+    if (result.outcome == ChangeOutcome::Invalid)
+        return publishReply(
+            Error { .kind = ErrorKind::ConfigurationInvalid, .message = result.reason }, result.id, result.version);
+    return publishReply(Error { .kind = ErrorKind::ConfigurationConflict,
+                            .message = "another change of version " + std::to_string(result.base) + " came first" },
+        result.id, result.version);
+}
+
+AdminReply publishReply(const Error& error, std::string_view id, std::uint64_t version)
+{
+    const ErrorAnswer& answer = answerFor(error.kind);
+    json body { { "error", { { "kind", answer.name }, { "message", error.message }, { "id", id } } } };
+    if (error.kind == ErrorKind::ConfigurationConflict)
+        body["error"]["version"] = version;
+    return { .status = answer.httpStatus, .body = dump(body) };
+}
+
+}
--- /dev/null
+++ b/tests/AdminRoutesTests.cpp
@@ -0,0 +1,113 @@
+#include "daemon/AdminRoutes.h"
+
+#include <catch2/catch.hpp>
+#include <nlohmann/json.hpp>
+
+using namespace jasminestack;
+using nlohmann::json;
+
+namespace {
+
+constexpr std::string_view document = R"({
+  "workspaces": {"guild": {"share": 2}, "harbour": {}},
+  "pools": {"assistants": {"kind": "model", "models": ["m"], "endpoints": {
+    "e1": {"address": "10.0.0.1:8000", "availabilityZone": "gebze", "region": "marmara", "slots": 2}}}}
+})";
+
+FoldState foldOf(std::initializer_list<std::pair<std::uint64_t, std::string>> changes)
+{
+    FoldState state;
+    LogBatch batch;
+    for (const auto& [base, patch] : changes) {
+        const auto offset = static_cast<std::int64_t>(batch.records.size());
+        batch.records.push_back({ .offset = offset,
+            .time = 5,
+            .payload = makeChange("id-" + std::to_string(offset), "ada", base, patch).value() });
+    }
+    (void)foldBatch(state, batch);
+    return state;
+}
+
+}
+
+TEST_CASE("the history tells the outcome of each change", "[admin]")
+{
+    const FoldState fold = foldOf({ { 0, std::string(document) }, { 0, "{}" }, { 1, R"({"limits":{"cellSize":0}})" } });
+    const json all = json::parse(historyJson(fold, ""));
+    REQUIRE(all["version"] == 1);
+    REQUIRE(all["throughOffset"] == 2);
+    REQUIRE(all["changes"].size() == 3);
+    REQUIRE(all["changes"][0]["outcome"] == "accepted");
+    REQUIRE(all["changes"][1]["outcome"] == "conflict");
+    REQUIRE(all["changes"][2]["reason"] == "limits.cellSize: 0 is out of range 1 to 1024");
+    REQUIRE(json::parse(historyJson(fold, "id-1"))["changes"].size() == 1);
+    const json configuration = json::parse(configurationJson(fold));
+    REQUIRE(configuration["version"] == 1);
+    REQUIRE(configuration["preset"] == "ordinary");
+    REQUIRE(configuration["document"] == json::parse(document));
+}
+
+TEST_CASE("publications are answered by their result", "[admin]")
+{
+    REQUIRE(publishReply(ChangeResult { .id = "a", .outcome = ChangeOutcome::Accepted, .version = 4 }).status == 200);
+    const auto conflict = publishReply(ChangeResult { .id = "a", .outcome = ChangeOutcome::Conflict, .version = 4 });
+    REQUIRE(conflict.status == 409);
+    REQUIRE(json::parse(conflict.body)["error"]["version"] == 4);
+    REQUIRE(publishReply(ChangeResult { .id = "a", .outcome = ChangeOutcome::Invalid }).status == 422);
+    const auto lost = publishReply(Error { .kind = ErrorKind::ConfigurationOutcomeUnknown, .message = "x" }, "a", 0);
+    REQUIRE(lost.status == 504);
+    REQUIRE(json::parse(lost.body)["error"]["id"] == "a");
+}
+
+// Guards against a status without what operators look for first: versions of all daemons, backlog, gap and cells.
+TEST_CASE("status shows daemons, pools, workspaces and cells", "[admin]")
+{
+    const FoldState fold = foldOf({ { 0, std::string(document) } });
+    SelfState self { .id = DaemonId { "d1" }, .incarnation = 7, .peerAddress = "127.0.0.1:1", .ready = true };
+    MemberTable members;
+    members.members[DaemonId { "d2" }]
+        = { .last = { .id = DaemonId { "d2" }, .address = "127.0.0.1:2", .state = MemberState::Suspect },
+              .configuration = { .version = 1, .throughOffset = 0 } };
+    EndpointTable endpoints;
+    endpoints.endpoints[EndpointId { "e1" }] = { .id = EndpointId { "e1" },
+        .pool = PoolId { "assistants" },
+        .address = "10.0.0.1:8000",
+        .limit = 2,
+        .lastReport = Millis { 900 },
+        .leaving = true };
+    const auto scheduling = makeSchedulingState({});
+    const SchedulingView view {
+        .self = self, .configuration = *fold.configuration, .members = members, .endpoints = endpoints
+    };
+    const Millis now { 1'000 };
+    REQUIRE(enqueue(*scheduling, view,
+        { .id = RequestId { "r1" },
+            .workspace = WorkspaceId { "guild" },
+            .pool = PoolId { "assistants" },
+            .enqueuedAt = now,
+            .deadline = Millis { 60'000 } },
+        now));
+    const json status = json::parse(
+        statusJson({ .fold = fold, .scheduling = *scheduling, .view = view, .notReadyReason = "", .now = now }));
+    REQUIRE(status["state"] == "ready");
+    REQUIRE(status["configuration"]["version"] == 1);
+    REQUIRE(status["daemons"].size() == 2);
+    REQUIRE(status["daemons"][1]["state"] == "suspect");
+    REQUIRE(status["daemons"][1]["version"] == 1);
+    REQUIRE(status["pools"][0]["pool"] == "assistants");
+    REQUIRE(status["pools"][0]["leaving"] == 1);
+    REQUIRE(status["pools"][0]["gap"] == 0.0);
+    bool found = false;
+    for (const json& workspace : status["workspaces"]) {
+        if (workspace["workspace"] == "guild") {
+            found = true;
+            REQUIRE(workspace["queued"] == 1);
+            REQUIRE(workspace["share"] == 2.0);
+        }
+    }
+    REQUIRE(found);
+    const json list = json::parse(endpointsJson(endpoints, *fold.configuration, now));
+    REQUIRE(list["endpoints"][0]["state"] == "leaving");
+    REQUIRE(list["endpoints"][0]["availabilityZone"] == "gebze");
+    REQUIRE(list["endpoints"][0]["reportAgeMs"] == 100);
+}
--- /dev/null
+++ b/tests/OperatorCommandTests.cpp
@@ -0,0 +1,286 @@
+#include "CommandLine.h"
+#include "base/Hash.h"
+#include "daemon/AdminRoutes.h"
+
+#include <atomic>
+#include <catch2/catch.hpp>
+#include <event2/event.h>
+#include <filesystem>
+#include <fstream>
+#include <nlohmann/json.hpp>
+#include <optional>
+#include <thread>
+#include <unistd.h>
+
+using namespace jasminestack;
+using nlohmann::json;
+
+namespace {
+
+/// What happens to the next publications.
+enum class Fault : std::uint8_t {
+    None,
+    AnswerLost, ///< The record is appended, but the operator gets no answer.
+    RecordLost, ///< Neither record nor answer.
+    LostThenOvertaken, ///< The answer is lost, and another operator's record came before.
+    LogDown,
+};
+
+/// An admin server on a thread of its own, with the fold and a log in memory behind it.
+class FakeDaemon {
+public:
+    explicit FakeDaemon(Fault fault = Fault::None)
+        : m_fault(fault)
+        , m_base(event_base_new(), &event_base_free)
+    {
+        append("setup", 0,
+            R"({"workspaces":{"guild":{"share":2,"keys":["sha256:)" + std::string(64, 'a')
+                + R"("]},"harbour":{}},"presets":{"peaks":{"shares":{"guild":5},"admit":["guild"]}}})");
+        AdminHandlers handlers;
+        handlers.configuration = [this] { return configurationJson(m_state); };
+        handlers.history = [this](std::string_view id) { return historyJson(m_state, id); };
+        handlers.publish
+            = [this](const PublishRequest& request, const AdminReplyCallback& reply) { publish(request, reply); };
+        auto listening = AdminServer::listen(
+            *m_base, { .address = "127.0.0.1:0", .operatorToken = "operator-secret" }, std::move(handlers));
+        REQUIRE(listening);
+        m_server = std::move(listening).value();
+        m_tokenFile = std::filesystem::temp_directory_path() / ("jasminestack-token-" + std::to_string(getpid()));
+        std::ofstream(m_tokenFile) << "operator-secret\n";
+        m_thread = std::thread([this] {
+            // Wakes up to see the end; no other thread touches the event base.
+            while (!m_stop) {
+                timeval limit { .tv_sec = 0, .tv_usec = 5'000 };
+                event_base_loopexit(m_base.get(), &limit);
+                event_base_loop(m_base.get(), 0);
+            }
+        });
+    }
+
+    ~FakeDaemon()
+    {
+        stop();
+        std::filesystem::remove(m_tokenFile);
+    }
+
+    FakeDaemon(const FakeDaemon&) = delete;
+    FakeDaemon& operator=(const FakeDaemon&) = delete;
+
+    void stop()
+    {
+        m_stop = true;
+        if (m_thread.joinable())
+            m_thread.join();
+        m_server.reset();
+    }
+
+    CommandRun run(std::vector<std::string> words, bool withToken = true)
+    {
+        // Only a lost answer or record makes a command wait for its time limit.
+        const bool waits = m_fault == Fault::AnswerLost || m_fault == Fault::RecordLost;
+        words.insert(words.end(), { "--admin", m_server->address(), "--timeout-ms", waits ? "1000" : "10000" });
+        if (withToken)
+            words.insert(words.end(), { "--token-file", m_tokenFile.string(), "--author", "ada" });
+        return runCommand(std::move(words));
+    }
+
+    /// Valid after stop().
+    [[nodiscard]] const FoldState& state() const { return m_state; }
+    [[nodiscard]] json document() const { return json::parse(m_state.document); }
+
+private:
+    ChangeResult append(const std::string& id, std::uint64_t base, const std::string& patch)
+    {
+        LogBatch batch { .first = 0, .next = m_state.throughOffset + 2 };
+        batch.records.push_back({ .offset = m_state.throughOffset + 1,
+            .time = 1'700'000'000'000,
+            .payload = makeChange(id, "ada", base, patch).value() });
+        return foldBatch(m_state, batch).front();
+    }
+
+    void publish(const PublishRequest& request, const AdminReplyCallback& reply)
+    {
+        if (const auto preview = previewChange(m_state, request.base, request.patch); !preview) {
+            reply(publishReply(preview.error(), request.id, m_state.version));
+            return;
+        }
+        const Error lost { .kind = ErrorKind::ConfigurationOutcomeUnknown, .message = "the log does not answer" };
+        switch (m_fault) {
+        case Fault::None:
+            reply(publishReply(append(request.id, request.base, request.patch)));
+            break;
+        case Fault::AnswerLost:
+            (void)append(request.id, request.base, request.patch);
+            break;
+        case Fault::RecordLost:
+            reply(publishReply(lost, request.id, m_state.version));
+            break;
+        case Fault::LostThenOvertaken:
+            (void)append("other", request.base, R"({"limits":{"cellSize":8}})");
+            reply(publishReply(lost, request.id, m_state.version));
+            break;
+        case Fault::LogDown:
+            reply(
+                publishReply(Error { .kind = ErrorKind::LogUnavailable, .message = "the log is down" }, request.id, 0));
+            break;
+        }
+    }
+
+    Fault m_fault;
+    FoldState m_state;
+    std::unique_ptr<event_base, decltype(&event_base_free)> m_base;
+    std::unique_ptr<AdminServer> m_server;
+    std::filesystem::path m_tokenFile;
+    std::atomic<bool> m_stop { false };
+    std::thread m_thread;
+};
+
+struct TemporaryFile {
+    std::filesystem::path path
+        = std::filesystem::temp_directory_path() / ("jasminestack-document-" + std::to_string(getpid()) + ".json");
+    explicit TemporaryFile(const std::string& text) { std::ofstream(path) << text; }
+    ~TemporaryFile() { std::filesystem::remove(path); }
+    TemporaryFile(const TemporaryFile&) = delete;
+    TemporaryFile& operator=(const TemporaryFile&) = delete;
+};
+
+}
+
+// Guards against keys in plain text in the configuration, which every daemon and reader of the log sees.
+TEST_CASE("workspace create prints a key and publishes only its hash", "[cli]")
+{
+    FakeDaemon daemon;
+    const auto run = daemon.run({ "workspace", "create", "yard", "--share", "3", "--queue-requests", "50" });
+    INFO(run.errors);
+    REQUIRE(run.code == 0);
+    const auto start = run.output.find("jsk_");
+    REQUIRE(start != std::string::npos);
+    const std::string key = run.output.substr(start, 52);
+    REQUIRE(run.output.find("version 2 is in force") != std::string::npos);
+    REQUIRE(daemon.run({ "workspace", "create", "yard" }).code == 3);
+    REQUIRE(daemon.run({ "workspace", "create", "not an id" }).code == 3);
+    daemon.stop();
+    REQUIRE(daemon.document()["workspaces"]["yard"]
+        == json { { "keys", { "sha256:" + sha256Hex(key) } }, { "queueRequests", 50 }, { "share", 3.0 } });
+    REQUIRE(daemon.state().document.find(key) == std::string::npos);
+}
+
+TEST_CASE("workspaces are listed, changed and removed", "[cli]")
+{
+    FakeDaemon daemon;
+    const auto list = daemon.run({ "workspace", "list" }, false);
+    REQUIRE(list.code == 0);
+    REQUIRE(list.output.find("WORKSPACE  SHARE  KEYS") != std::string::npos);
+    REQUIRE(daemon.run({ "workspace", "set", "guild", "--share", "7", "--preset", "peaks" }).code == 0);
+    REQUIRE(daemon.run({ "workspace", "set", "harbour", "--share=0.5" }).code == 0);
+    REQUIRE(daemon.run({ "workspace", "set", "guild", "--add-key" }).output.find("jsk_") != std::string::npos);
+    REQUIRE(daemon.run({ "workspace", "set", "guild", "--remove-key", "aaaa" }).code == 0);
+    REQUIRE(daemon.run({ "workspace", "set", "guild", "--remove-key", "aaaa" }).code == 3);
+    REQUIRE(daemon.run({ "workspace", "set", "nobody", "--share", "1" }).code == 3);
+    REQUIRE(daemon.run({ "workspace", "set", "guild" }).code == 2);
+    REQUIRE(daemon.run({ "workspace", "set", "guild", "--share", "-1" }).code == 2);
+    REQUIRE(daemon.run({ "workspace", "set", "guild", "--queue-requests", "-1" }).code == 3);
+    daemon.stop();
+    REQUIRE(daemon.document()["presets"]["peaks"]["shares"]["guild"] == 7.0);
+    REQUIRE(daemon.document()["workspaces"]["harbour"]["share"] == 0.5);
+    REQUIRE(daemon.document()["workspaces"]["guild"]["keys"].size() == 1);
+}
+
+TEST_CASE("a removed workspace also leaves the presets", "[cli]")
+{
+    FakeDaemon daemon;
+    REQUIRE(daemon.run({ "workspace", "remove", "guild" }).code == 0);
+    daemon.stop();
+    REQUIRE_FALSE(daemon.document()["workspaces"].contains("guild"));
+    REQUIRE(daemon.document()["presets"]["peaks"]["admit"].empty());
+}
+
+TEST_CASE("presets are shown and put in force", "[cli]")
+{
+    FakeDaemon daemon;
+    const auto show = daemon.run({ "preset", "show" }, false);
+    REQUIRE(show.output.find("WORKSPACE  peaks") != std::string::npos);
+    REQUIRE(daemon.run({ "preset", "use", "maintenance" }).code == 3);
+    REQUIRE(daemon.run({ "preset", "use", "peaks" }).code == 0);
+    REQUIRE(daemon.run({ "preset", "use", "peaks" }).output == "nothing to change in version 2\n");
+    REQUIRE(daemon.run({ "preset", "show", "peaks", "--json" }, false).output.find("\"inForce\": \"peaks\"")
+        != std::string::npos);
+    REQUIRE(daemon.run({ "preset", "use", "ordinary" }).code == 0);
+}
+
+// Guards against an edited copy of an older version that undoes other operators' changes.
+TEST_CASE("an edited configuration is published on the version that it was made from", "[cli]")
+{
+    FakeDaemon daemon;
+    const auto shown = daemon.run({ "config", "show" }, false);
+    REQUIRE(shown.output.starts_with("// version 1\n"));
+    std::string text = shown.output;
+    text.replace(text.find("\"harbour\": {}"), 13, "\"harbour\": {\"share\": 4}");
+    const TemporaryFile file(text);
+    const auto diff = daemon.run({ "config", "diff", file.path.string(), "--json" }, false);
+    REQUIRE(json::parse(diff.output)["patch"] == json::parse(R"({"workspaces":{"harbour":{"share":4}}})"));
+    REQUIRE(daemon.run({ "config", "publish", file.path.string() }).code == 0);
+    REQUIRE(daemon.run({ "preset", "use", "peaks" }).code == 0);
+    const auto stale = daemon.run({ "config", "publish", file.path.string() });
+    REQUIRE(stale.code == 4);
+    REQUIRE(stale.errors.find("made from version 1, but version 3 is in force") != std::string::npos);
+    REQUIRE(daemon.run({ "config", "publish", file.path.string(), "--base", "3" }).code == 0);
+    const auto history = daemon.run({ "config", "history", "--limit", "2", "--json" }, false);
+    REQUIRE(json::parse(history.output)["changes"].size() == 2);
+    REQUIRE(daemon.run({ "config", "history" }, false).output.find("setup") != std::string::npos);
+    daemon.stop();
+    REQUIRE_FALSE(daemon.document().contains("presetInForce"));
+}
+
+TEST_CASE("an invalid configuration file is reported with its places", "[cli]")
+{
+    FakeDaemon daemon;
+    const TemporaryFile file("{\n  \"limits\": {\"cellSize\": 0}\n}");
+    const auto run = daemon.run({ "config", "publish", file.path.string() });
+    REQUIRE(run.code == 3);
+    REQUIRE(run.errors.find(":2:26: limits.cellSize: 0 is out of range") != std::string::npos);
+}
+
+// Guards against a second application of a change whose answer was lost, and against a false report about it.
+TEST_CASE("a lost answer is resolved from the history", "[cli]")
+{
+    SECTION("the change was applied")
+    {
+        FakeDaemon daemon(Fault::AnswerLost);
+        const auto run = daemon.run({ "workspace", "set", "harbour", "--share", "9" });
+        REQUIRE(run.code == 0);
+        REQUIRE(run.output.find("version 2 is in force") != std::string::npos);
+        daemon.stop();
+        REQUIRE(daemon.state().version == 2);
+        REQUIRE(daemon.state().throughOffset == 1);
+    }
+    SECTION("another change won, so that this one can no longer be accepted")
+    {
+        FakeDaemon daemon(Fault::LostThenOvertaken);
+        const auto run = daemon.run({ "workspace", "set", "harbour", "--share", "9" });
+        REQUIRE(run.code == 4);
+        REQUIRE(run.errors.find("by ada won; version 2 is in force") != std::string::npos);
+    }
+    SECTION("nothing is known: the change is not sent again")
+    {
+        FakeDaemon daemon(Fault::RecordLost);
+        const auto run = daemon.run({ "workspace", "create", "yard" });
+        REQUIRE(run.code == 6);
+        REQUIRE(run.errors.find("is unknown; do not repeat it") != std::string::npos);
+        REQUIRE(run.output.find("jsk_") != std::string::npos);
+        daemon.stop();
+        REQUIRE(daemon.state().throughOffset == 0);
+    }
+}
+
+TEST_CASE("failures have exit codes of their own", "[cli]")
+{
+    FakeDaemon daemon(Fault::LogDown);
+    REQUIRE(daemon.run({ "preset", "use", "peaks" }).code == 1);
+    REQUIRE(daemon.run({ "preset", "use", "peaks" }, false).code == 2);
+    REQUIRE(daemon.run({ "config", "history", "--id", "no-such-id" }, false).code == 6);
+    REQUIRE(runCommand({ "status", "--admin", "127.0.0.1:1" }).code == 5);
+    REQUIRE(runCommand({ "status", "--admin", "nonsense" }).code == 5);
+    const TemporaryFile token("wrong\n");
+    REQUIRE(daemon.run({ "preset", "use", "peaks", "--token-file", token.path.string() }, false).code == 1);
+}
