Serve the admin port from the daemon

Cause: the admin server had no daemon behind it. A peer that was behind a patch of more than 512 bytes could not catch up without the log: the history keeps such patches cut, and the service sent only the changes after the cut one. Change: makeAdminHandlers() connects the routes to the configuration service, the scheduler and the metrics; the daemon listens on the admin address. The history now keeps patches up to 4 KiB whole and leaves out longer ones, and a peer then gets the document.

--- a/src/cli/Cli.cpp
+++ b/src/cli/Cli.cpp
@@ -22,6 +22,7 @@
 ABSL_FLAG(std::int64_t, queue_bytes, 0, "bytes of queued bodies a daemon holds for the workspace at most");
 ABSL_FLAG(bool, add_key, false, "create a further API key and print it once");
 ABSL_FLAG(std::string, remove_key, "", "remove the API key with this hash or first digits of it");
+ABSL_FLAG(std::string, key_hash, "", "\"sha256:\" and the hash of an existing API key, instead of a new key");
 ABSL_FLAG(std::int64_t, base, -1, "version that the file was made from (else its first line '// version N')");
 ABSL_FLAG(std::string, id, "", "show only the change with this id");
 ABSL_FLAG(std::int64_t, limit, 20, "changes to show at most, the latest ones");
@@ -169,7 +170,7 @@
         { "daemon", "", "run a daemon until it is stopped by SIGTERM", { "settings" }, runDaemonCommand },
         { "check", "FILE", "check settings or a configuration and print every error", { "json" }, runCheck },
         { "workspace create", "ID", "create a workspace and print its API key once",
-            withChangeFlags({ "share", "queue-requests", "queue-bytes" }), runWorkspaceCreate },
+            withChangeFlags({ "share", "queue-requests", "queue-bytes", "key-hash" }), runWorkspaceCreate },
         { "workspace list", "", "list the workspaces with their shares in force", withReadFlags({}), runWorkspaceList },
         { "workspace set", "ID", "change a workspace's share, limits or API keys",
             withChangeFlags({ "share", "preset", "queue-requests", "queue-bytes", "add-key", "remove-key" }),
--- a/src/cli/Flags.h
+++ b/src/cli/Flags.h
@@ -16,6 +16,7 @@
 ABSL_DECLARE_FLAG(std::int64_t, queue_bytes);
 ABSL_DECLARE_FLAG(bool, add_key);
 ABSL_DECLARE_FLAG(std::string, remove_key);
+ABSL_DECLARE_FLAG(std::string, key_hash);
 ABSL_DECLARE_FLAG(std::int64_t, base);
 ABSL_DECLARE_FLAG(std::string, id);
 ABSL_DECLARE_FLAG(std::int64_t, limit);
--- a/src/cli/WorkspaceCommands.cpp
+++ b/src/cli/WorkspaceCommands.cpp
@@ -103,18 +103,24 @@
 int runWorkspaceCreate(const std::vector<std::string>& arguments)
 {
     const std::string& id = arguments.front();
-    const auto key = makeApiKey();
-    if (!key)
-        return fail(exit_code::failure, "the system's random number generator failed");
+    std::string hash = absl::GetFlag(FLAGS_key_hash);
+    std::optional<ApiKey> key;
+    if (hash.empty()) {
+        key = makeApiKey();
+        if (!key)
+            return fail(exit_code::failure, "the system's random number generator failed");
+        hash = key->hash;
+    }
     const auto publication = publish([&](const json& document, std::uint64_t, json& patch) {
         if (member(document, "workspaces").contains(id))
             return fail(exit_code::invalidInput, "workspace " + id + " exists already");
-        json workspace { { "keys", { key->hash } } };
+        json workspace { { "keys", { hash } } };
         const int code = readLimits(workspace);
         patch["workspaces"][id] = std::move(workspace);
         return code;
     });
-    printKey(publication, id, *key);
+    if (key)
+        printKey(publication, id, *key);
     return publication.code;
 }
 
--- a/src/config/ConfigurationFold.cpp
+++ b/src/config/ConfigurationFold.cpp
@@ -68,7 +68,10 @@
         return configuration;
     }
 
-    // Bounds the memory of the history; the full text is in the log.
+    // Bounds the memory of the history to 18 MiB; the full text is in the log. Patches are kept whole or not at all,
+    // since peers fold them.
+    constexpr std::size_t historyPatchBytes = 4'096;
+
     std::string excerpt(std::string text)
     {
         constexpr std::size_t limit = 512;
@@ -124,7 +127,9 @@
             if (result.id.empty() || !base || patch == parsed->end() || !patch->is_object())
                 return std::nullopt;
             result.base = *base;
-            result.patch = excerpt(patch->dump());
+            result.patch = patch->dump();
+            if (result.patch.size() > historyPatchBytes)
+                result.patch.clear();
             apply(result, *patch);
             result.version = m_state.version;
             return result;
--- a/src/config/ConfigurationFold.h
+++ b/src/config/ConfigurationFold.h
@@ -39,7 +39,7 @@
     ChangeOutcome outcome { ChangeOutcome::Invalid };
     std::uint64_t version { 0 }; ///< The version after this record; for a conflict the one that won.
     std::string reason; ///< For Invalid; cut after 512 bytes.
-    std::string patch; ///< JSON text; cut after 512 bytes.
+    std::string patch; ///< JSON text; empty if it is longer than 4 KiB.
 };
 
 /// \brief State of a reader of the stream.
--- a/src/daemon/AdminRoutes.cpp
+++ b/src/daemon/AdminRoutes.cpp
@@ -1,6 +1,12 @@
 #include "daemon/AdminRoutes.h"
 
+#include "daemon/ConfigurationService.h"
+#include "observe/Logging.h"
+#include "observe/Metrics.h"
+
 #include <algorithm>
+#include <cstdlib>
+#include <fstream>
 #include <limits>
 #include <map>
 #include <nlohmann/json.hpp>
@@ -209,4 +215,80 @@
     return { .status = answer.httpStatus, .body = dump(body) };
 }
 
+AdminHandlers makeAdminHandlers(const AdminSources& sources)
+{
+    const auto reason = [sources]() -> std::string {
+        const SelfState& self = sources.view().self;
+        if (self.draining)
+            return "the daemon is shutting down";
+        if (sources.configuration.current().version == 0) {
+            return sources.configuration.logReachable()
+                ? "no configuration is known: none has been published, or its records have expired"
+                : "no configuration is known: the log cannot be read and no peer has one";
+        }
+        return self.ready ? "" : "the daemon is starting";
+    };
+    return {
+        .metrics = [sources] { return sources.metrics.text(); },
+        .notReadyReason = reason,
+        .status =
+            [sources, reason] {
+                return statusJson({ .fold = sources.configuration.fold(),
+                    .scheduling = sources.scheduling,
+                    .view = sources.view(),
+                    .notReadyReason = reason(),
+                    .now = sources.clock.now() });
+            },
+        .configuration = [sources] { return configurationJson(sources.configuration.fold()); },
+        .history = [sources](std::string_view id) { return historyJson(sources.configuration.fold(), id); },
+        .endpoints =
+            [sources] {
+                const SchedulingView view = sources.view();
+                return endpointsJson(view.endpoints, view.configuration, sources.clock.now());
+            },
+        .setLogLevel = [](std::string_view name) -> Result<void> {
+            const auto level = parseLogLevel(name);
+            if (!level)
+                return level.error();
+            setLogLevel(level.value());
+            return ok();
+        },
+        .publish =
+            [sources](const PublishRequest& request, const AdminReplyCallback& reply) {
+                ConfigurationService& service = sources.configuration;
+                service.publish(request.base, request.patch, request.id, request.author,
+                    [&service, reply, id = request.id](const Result<std::uint64_t>& version) {
+                        if (version)
+                            reply(publishReply(ChangeResult {
+                                .id = id, .outcome = ChangeOutcome::Accepted, .version = version.value() }));
+                        else
+                            reply(publishReply(version.error(), id, service.digest().version));
+                    });
+            },
+    };
+}
+
+Result<std::string> readOperatorToken(const Settings::Admin& settings)
+{
+    std::string token;
+    if (!settings.operatorTokenFile.empty()) {
+        std::ifstream stream(settings.operatorTokenFile);
+        std::getline(stream, token);
+    } else if (!settings.operatorTokenEnvironment.empty()) {
+        // NOLINTNEXTLINE(concurrency-mt-unsafe): read once at start.
+        const char* value = std::getenv(settings.operatorTokenEnvironment.c_str());
+        token = value ? value : "";
+    } else {
+        return token;
+    }
+    token.erase(token.find_last_not_of(" \t\r\n") + 1);
+    if (token.empty()) {
+        const bool file = !settings.operatorTokenFile.empty();
+        return Error { .kind = ErrorKind::SettingsInvalid,
+            .message = "there is no operator token in "
+                + (file ? settings.operatorTokenFile : "environment variable " + settings.operatorTokenEnvironment) };
+    }
+    return token;
+}
+
 }
--- a/src/daemon/AdminRoutes.h
+++ b/src/daemon/AdminRoutes.h
@@ -1,19 +1,26 @@
 #pragma once
 
 #include "base/Clock.h"
+#include "base/Result.h"
 #include "config/ConfigurationFold.h"
+#include "config/Settings.h"
 #include "core/Blackboard.h"
 #include "core/Scheduling.h"
 #include "net/AdminServer.h"
 
+#include <functional>
 #include <string>
 #include <string_view>
 
 /// \file
-/// \brief JSON documents of the admin server. Field names are part of the interface that operators' tools read.
+/// \brief Handlers of the admin server and their JSON documents. Field names are part of the interface that operators'
+/// tools read.
 
 namespace jasminestack {
 
+class ConfigurationService;
+class Metrics;
+
 /// \returns `{"version","throughOffset","preset","document"}`.
 [[nodiscard]] std::string configurationJson(const FoldState&);
 
@@ -44,4 +51,20 @@
 /// \param version Version in force, for a conflict.
 [[nodiscard]] AdminReply publishReply(const Error&, std::string_view id, std::uint64_t version);
 
+/// \brief What the handlers read and call; everything must outlive the admin server.
+struct AdminSources {
+    ConfigurationService& configuration;
+    const SchedulingState& scheduling;
+    std::function<SchedulingView()> view;
+    const Metrics& metrics;
+    const Clock& clock;
+};
+
+/// \brief Connects the admin server's routes to the parts of a daemon.
+[[nodiscard]] AdminHandlers makeAdminHandlers(const AdminSources&);
+
+/// \returns The operator token from the file or environment variable of the settings, without white space at its end;
+/// empty if the settings name none; SettingsInvalid if the source cannot be read or is empty.
+[[nodiscard]] Result<std::string> readOperatorToken(const Settings::Admin&);
+
 }
--- a/src/daemon/ConfigurationService.cpp
+++ b/src/daemon/ConfigurationService.cpp
@@ -297,15 +297,18 @@
     if (m_fold.historyFrom <= have.throughOffset + 1 && have.throughOffset < m_fold.throughOffset
         && m_fold.throughOffset - have.throughOffset <= maxFillerRecords) {
         std::size_t size = 0;
+        bool complete = true;
         for (auto it = m_fold.history.rbegin(); it != m_fold.history.rend() && it->offset > have.throughOffset; ++it) {
             auto payload = makeChange(it->id, it->author, it->base, it->patch);
-            if (!payload)
+            if (!payload) {
+                complete = false; // The history leaves out long patches.
                 break;
+            }
             size += payload.value().size();
             state.changes.push_back({ .offset = it->offset, .time = it->time, .payload = std::move(payload).value() });
         }
         std::reverse(state.changes.begin(), state.changes.end());
-        if (size < m_fold.document.size()) {
+        if (complete && size < m_fold.document.size()) {
             state.changesFrom = have.throughOffset + 1;
             return state;
         }
--- a/src/daemon/ConfigurationService.h
+++ b/src/daemon/ConfigurationService.h
@@ -50,6 +50,7 @@
     [[nodiscard]] const Configuration& current() const noexcept;
     [[nodiscard]] ConfigurationDigest digest() const noexcept;
     [[nodiscard]] const std::string& document() const noexcept { return m_fold.document; }
+    [[nodiscard]] const FoldState& fold() const noexcept { return m_fold; }
     [[nodiscard]] const std::deque<ChangeResult>& history() const noexcept { return m_fold.history; }
 
     /// \returns Whether the last read of the log succeeded.
--- a/src/daemon/Daemon.cpp
+++ b/src/daemon/Daemon.cpp
@@ -6,6 +6,7 @@
 #include "core/EndpointHealth.h"
 #include "core/Retry.h"
 #include "core/Scheduling.h"
+#include "daemon/AdminRoutes.h"
 #include "daemon/ConfigurationService.h"
 #include "daemon/RequestFlow.h"
 #include "net/CallerServer.h"
@@ -89,6 +90,7 @@
     EndpointClient transport;
     RequestFlow flow;
     CallerServer server;
+    std::unique_ptr<AdminServer> admin;
     EventPointer tick;
     std::array<EventPointer, 2> signals;
     Phase phase { Phase::Running };
@@ -137,6 +139,29 @@
         return configuration ? configuration() : configurationService.current();
     }
 
+    Result<void> startAdmin()
+    {
+        if (settings.admin.address.empty())
+            return ok();
+        auto token = readOperatorToken(settings.admin);
+        if (!token)
+            return token.error();
+        auto listening = AdminServer::listen(*base,
+            { .address = settings.admin.address, .operatorToken = std::move(token).value() },
+            makeAdminHandlers({ .configuration = configurationService,
+                .scheduling = *scheduling,
+                .view =
+                    [this] {
+                        return SchedulingView { self, currentConfiguration(), members, endpoints };
+                    },
+                .metrics = metrics,
+                .clock = clock }));
+        if (!listening)
+            return listening.error();
+        admin = std::move(listening).value();
+        return ok();
+    }
+
     void watchSignals()
     {
         constexpr std::array<int, 2> numbers { SIGTERM, SIGINT };
@@ -231,6 +256,8 @@
     auto listening = m_state->server.listen();
     if (!listening)
         return listening.error();
+    if (auto started = m_state->startAdmin(); !started)
+        return started.error();
     if (!m_state->configuration)
         m_state->configurationService.start();
     m_state->adoptConfiguration();
--- a/tests/AdminRoutesTests.cpp
+++ b/tests/AdminRoutesTests.cpp
@@ -1,7 +1,11 @@
 #include "daemon/AdminRoutes.h"
 
 #include <catch2/catch.hpp>
+#include <cstdlib>
+#include <filesystem>
+#include <fstream>
 #include <nlohmann/json.hpp>
+#include <unistd.h>
 
 using namespace jasminestack;
 using nlohmann::json;
@@ -111,3 +115,19 @@
     REQUIRE(list["endpoints"][0]["availabilityZone"] == "gebze");
     REQUIRE(list["endpoints"][0]["reportAgeMs"] == 100);
 }
+
+TEST_CASE("the operator token is read from a file or the environment", "[admin]")
+{
+    REQUIRE(readOperatorToken({}).value().empty());
+    const auto path = std::filesystem::temp_directory_path() / ("jasminestack-operator-" + std::to_string(getpid()));
+    std::ofstream(path) << "secret \n";
+    REQUIRE(readOperatorToken({ .operatorTokenFile = path.string() }).value() == "secret");
+    std::ofstream(path) << "\n";
+    // An empty token must not be taken for "no token", which would refuse all changes without a word at the start.
+    REQUIRE(readOperatorToken({ .operatorTokenFile = path.string() }).error().kind == ErrorKind::SettingsInvalid);
+    std::filesystem::remove(path);
+    REQUIRE_FALSE(readOperatorToken({ .operatorTokenFile = path.string() }));
+    setenv("JASMINESTACK_TEST_TOKEN", "from-environment", 1);
+    REQUIRE(readOperatorToken({ .operatorTokenEnvironment = "JASMINESTACK_TEST_TOKEN" }).value() == "from-environment");
+    REQUIRE_FALSE(readOperatorToken({ .operatorTokenEnvironment = "JASMINESTACK_TEST_NO_TOKEN" }));
+}
--- a/tests/ConfigurationFoldTests.cpp
+++ b/tests/ConfigurationFoldTests.cpp
@@ -1,4 +1,6 @@
+#include "ScriptedLog.h"
 #include "config/ConfigurationFold.h"
+#include "daemon/ConfigurationService.h"
 
 #include <algorithm>
 #include <array>
@@ -279,6 +281,26 @@
     REQUIRE(findResult(state, "d") == nullptr);
 }
 
+// Guards against a peer that cannot catch up because the history leaves out long patches.
+TEST_CASE("a peer behind a long patch gets the document", "[fold]")
+{
+    FakeClock clock;
+    ScriptedLog log(clock);
+    ConfigurationService ahead(log, clock);
+    ConfigurationService behind(log, clock);
+    ahead.start();
+    std::string workspaces;
+    for (int i = 0; i < 300; ++i)
+        workspaces += (i ? ",\"w" : "\"w") + std::to_string(i) + "\":{\"share\":2}";
+    log.put("config", change("a", 0, R"({"workspaces":{)" + workspaces + "}}"));
+    log.put("config", change("b", 1, R"({"presets":{"peaks":{}}})"));
+    log.pump();
+    REQUIRE(ahead.digest().version == 2);
+    REQUIRE(ahead.history().front().patch.empty());
+    REQUIRE(behind.adopt(ahead.stateFor(behind.digest())));
+    REQUIRE(behind.document() == ahead.document());
+}
+
 TEST_CASE("the history is bounded and says from where it is complete", "[fold]")
 {
     FakeLog log;
