--- a/src/core/CellClient.cpp
+++ b/src/core/CellClient.cpp
@@ -13,8 +13,10 @@
     constexpr Millis silentAfter { 500 };
     // A silent scheduler is tried again after this time; a dead one is no longer a member by then.
     constexpr Millis silenceMemory { 5'000 };
-    // Reports may wait this long for their byte budget, so that three fit into a lease.
+    // Reports wait at most this long for their byte budget. Without a backlog a late failover costs nothing, so two
+    // reports in a lease are enough.
     constexpr Millis longestReportGap { 1'000 };
+    constexpr Millis idleReportGap { 1'400 };
     constexpr double tokenBurst = 4;
     // Version, type, sender, incarnation, sequence and authentication tag.
     constexpr std::size_t envelopeBytes = 48;
@@ -27,6 +29,14 @@
         return value < 128 ? 1 : value < 256 ? 2 : value < 65'536 ? 3 : value < 4'294'967'296 ? 5 : 9;
     }
 
+    /// \returns Size of a floating-point number in msgpack, which stores whole ones as integers.
+    std::size_t numberBytes(double value) noexcept
+    {
+        return value >= 0 && value == std::floor(value) && value < 1e18
+            ? integerBytes(static_cast<std::uint64_t>(value))
+            : 9;
+    }
+
     void recomputeQuota(WorkspaceQueue& queue)
     {
         queue.quota = 0;
@@ -89,8 +99,8 @@
     client.tokens = std::max(client.tokens, 1.0);
 }
 
-bool reportDue(
-    CellClient& client, const CellInfo& info, const SchedulingOptions& options, const DaemonId& self, Millis now)
+bool reportDue(CellClient& client, const CellInfo& info, const SchedulingOptions& options, const DaemonId& self,
+    bool backlogged, Millis now)
 {
     Millis since = now - client.lastReport;
     bool local = client.following == self;
@@ -109,8 +119,8 @@
         return true;
     if (since < options.reportInterval)
         return false;
-    Millis longest = std::max(longestReportGap, options.reportInterval);
-    return client.tokens >= 2 || since >= longest;
+    return client.tokens >= 2
+        || since >= std::max(options.reportInterval, backlogged ? longestReportGap : idleReportGap);
 }
 
 DemandReport makeReport(CellClient& client, FairQueue& queues, const DispatchState& dispatch, std::size_t attachedCells,
@@ -121,6 +131,8 @@
         .allocationSequence = client.grantedBy == scheduler ? client.allocationSequence : 0,
         .demand = {},
         .use = {} };
+    // A scheduler that has sent an allocation counts by itself.
+    bool known = client.grantedBy == scheduler && client.expires > now;
     auto cells = static_cast<std::uint32_t>(std::max<std::size_t>(1, attachedCells));
     if (auto pool = queues.pools.find(client.cell.pool); pool != queues.pools.end()) {
         for (auto& [id, queue] : pool->second.workspaces) {
@@ -138,7 +150,7 @@
                 .running = cellUse.running,
                 .oldestAge = oldest ? now - oldest->enqueuedAt : Millis {},
                 .served = static_cast<std::uint64_t>(std::llround(std::max(0.0, cellUse.charged))),
-                .normalisedService = cellUse.normalised });
+                .normalisedService = known ? 0 : cellUse.normalised });
         }
     }
     if (auto pool = dispatch.pools.find(client.cell.pool); pool != dispatch.pools.end()) {
@@ -197,6 +209,7 @@
     if (client.expires.count < 0 || client.expires > now)
         return;
     client.expires = { -1 };
+    client.fallbackSince = now;
     client.slots.clear();
     setQuotas(queues, client.cell, {});
 }
@@ -206,7 +219,8 @@
     std::size_t bytes = envelopeBytes + stringBytes(report.cell.pool.value) + 8;
     for (const WorkspaceDemand& demand : report.demand) {
         bytes += stringBytes(demand.workspace.value) + integerBytes(demand.queued) + integerBytes(demand.running)
-            + integerBytes(static_cast<std::uint64_t>(demand.oldestAge.count)) + integerBytes(demand.served) + 10;
+            + integerBytes(static_cast<std::uint64_t>(demand.oldestAge.count)) + integerBytes(demand.served)
+            + numberBytes(demand.normalisedService) + 1;
     }
     for (const EndpointUse& use : report.use)
         bytes += stringBytes(use.endpoint.value) + integerBytes(use.inFlight) + 1;
@@ -219,7 +233,8 @@
     for (const EndpointSlots& slots : allocation.slots)
         bytes += stringBytes(slots.endpoint.value) + integerBytes(slots.slots) + 1;
     for (const WorkspaceQuota& quota : allocation.quotas)
-        bytes += stringBytes(quota.workspace.value) + integerBytes(quota.running) + 10;
+        bytes += stringBytes(quota.workspace.value) + integerBytes(quota.running) + numberBytes(quota.normalisedService)
+            + 1;
     return bytes;
 }
 
@@ -227,7 +242,8 @@
 {
     std::size_t bytes = envelopeBytes + stringBytes(exchange.cell.pool.value) + 10;
     for (const WorkspaceQuota& quota : exchange.service)
-        bytes += stringBytes(quota.workspace.value) + integerBytes(quota.running) + 10;
+        bytes += stringBytes(quota.workspace.value) + integerBytes(quota.running) + numberBytes(quota.normalisedService)
+            + 1;
     return bytes;
 }
 
--- a/src/core/CellClient.h
+++ b/src/core/CellClient.h
@@ -39,10 +39,11 @@
     std::uint64_t allocationSequence { 0 };
     Millis expires { -1 };
     std::map<EndpointId, std::uint32_t> slots;
+    Millis fallbackSince {}; ///< When the allocation expired or the cell was attached.
 
     bool extra { false }; ///< Used only because it reported spare slots.
     Millis spareUntil {};
-    std::map<EndpointId, std::pair<std::uint32_t, std::uint32_t>> fallback; ///< Limit and own part of it.
+    std::map<EndpointId, std::pair<std::uint32_t, std::uint32_t>> fallbackParts; ///< Limit and own part of it.
 };
 
 /// \returns The daemon that schedules the cell in this daemon's view: the first one that is not silent.
@@ -51,8 +52,10 @@
 /// \brief Gives up on a scheduler that leaves reports unanswered.
 void checkSilence(CellClient&, const CellInfo&, const DaemonId& self, Millis now);
 
+/// \param backlogged Whether this daemon has queued requests for the pool.
 /// \returns Whether a report is due now.
-[[nodiscard]] bool reportDue(CellClient&, const CellInfo&, const SchedulingOptions&, const DaemonId& self, Millis now);
+[[nodiscard]] bool reportDue(
+    CellClient&, const CellInfo&, const SchedulingOptions&, const DaemonId& self, bool backlogged, Millis now);
 
 /// \brief Builds a report and notes that it is sent now.
 [[nodiscard]] DemandReport makeReport(CellClient&, FairQueue&, const DispatchState&, std::size_t attachedCells,
--- a/src/core/CellScheduler.cpp
+++ b/src/core/CellScheduler.cpp
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <cmath>
 #include <numeric>
+#include <set>
 
 namespace jasminestack {
 
@@ -27,6 +28,12 @@
     constexpr double removedShare = 0.01;
     // Between allocations that are sent to a daemon without a report of its.
     constexpr Millis notifyGap { 200 };
+    // Unused byte budget of this long may be spent at once.
+    constexpr double budgetSeconds = 1.0;
+    // Typical size of an allocation.
+    constexpr double notificationBytes = 200;
+    // Normalised service above this is sent as an integer, which takes half the bytes and is exact enough for ties.
+    constexpr double fractionLimit = 100;
 
     double shareOf(const Configuration& configuration, const WorkspaceId& id)
     {
@@ -34,6 +41,15 @@
         return workspace == configuration.workspaces.end() ? removedShare : workspace->second.share;
     }
 
+    double shortened(double normalised) { return normalised > fractionLimit ? std::round(normalised) : normalised; }
+
+    // A backlog at a daemon that fell silent counts as present for this long: after a partition its workspaces are owed
+    // what they missed, up to this time's worth.
+    constexpr Millis uncertainTime { 60'000 };
+
+    // Age at which another cell's counters no longer count. With many cells each is heard only every few intervals.
+    constexpr Millis remoteLife { 30'000 };
+
     struct WorkspaceStep {
         const WorkspaceId* id { nullptr };
         ServedWorkspace* state { nullptr };
@@ -46,7 +62,7 @@
     };
 
     /// \brief Raises returning workspaces and collects the active ones.
-    std::vector<WorkspaceStep> collectWorkspaces(CellState& cell, const CellView& view, const Grid& grid)
+    std::vector<WorkspaceStep> collectWorkspaces(CellState& cell, const CellView& view, const Grid& grid, Millis now)
     {
         std::map<WorkspaceId, WorkspaceStep> active;
         for (std::size_t d = 0; d < grid.daemons.size(); ++d) {
@@ -70,9 +86,18 @@
             }
         }
         cell.virtualTime = any ? std::max(cell.virtualTime, floor) : cell.virtualTime;
+        std::set<WorkspaceId> uncertain;
+        for (const auto& [daemon, report] : cell.daemons) {
+            if (isFresh(report, now) || report.heardAt + uncertainTime <= now)
+                continue;
+            for (const auto& [id, demand] : report.demand) {
+                if (demand.queued > 0)
+                    uncertain.insert(id);
+            }
+        }
         for (auto& [id, workspace] : cell.workspaces) {
             if (!active.contains(id)) {
-                workspace.active = false;
+                workspace.active = workspace.active && uncertain.contains(id);
                 workspace.carry = 0;
                 workspace.quota = 0;
             }
@@ -93,8 +118,10 @@
 
     /// \returns By workspace, how far it is behind the share-weighted mean of the backlogged ones, here and, damped by
     /// the gain, in the pool's other cells.
-    std::vector<double> lags(const CellState& cell, const std::vector<WorkspaceStep>& steps, double gain)
+    std::vector<double> lags(const CellState& cell, const std::vector<WorkspaceStep>& steps, double gain, Millis now)
     {
+        // Each cell repays its part only; undamped, all cells would favour the same workspace at once.
+        double damped = std::min(gain, 1.0 / (1.0 + static_cast<double>(cell.remote.size())));
         double shares = 0;
         double weighted = 0;
         for (const WorkspaceStep& step : steps) {
@@ -107,8 +134,13 @@
         for (const WorkspaceStep& step : steps) {
             double lag = shares > 0 ? weighted / shares - step.state->normalised : 0;
             for (const auto& [id, remote] : cell.remote) {
-                if (auto found = remote.lag.find(*step.id); found != remote.lag.end())
-                    lag += gain * found->second;
+                if (remote.heardAt + remoteLife <= now)
+                    continue;
+                // A workspace that has no requests there falls behind from when it was first missing.
+                if (auto found = remote.normalised.find(*step.id); found != remote.normalised.end())
+                    lag += damped * (remote.mean - found->second);
+                else if (auto since = remote.absent.find(*step.id); since != remote.absent.end())
+                    lag += damped * (remote.mean - since->second);
             }
             result.push_back(lag);
         }
@@ -249,9 +281,10 @@
         auto [known, added] = daemon.demand.try_emplace(demand.workspace, demand);
         double share = shareOf(view.configuration, demand.workspace);
         auto [workspace, isNew] = cell.workspaces.try_emplace(demand.workspace);
-        if (isNew || now - cell.startedAt < collectionTime) {
+        if ((isNew || now - cell.startedAt < collectionTime) && demand.normalisedService > 0) {
             // A new scheduler goes on from the counters that the daemons heard from the earlier one.
             workspace->second.normalised = std::max(workspace->second.normalised, demand.normalisedService);
+            workspace->second.active = true;
         }
         if (!added) {
             double served = static_cast<double>(demand.served) - static_cast<double>(known->second.served);
@@ -273,8 +306,8 @@
     cell.serviceSinceStep = 0;
     cell.lastStep = now;
     Grid grid = makeGrid(cell, view, now);
-    std::vector<WorkspaceStep> steps = collectWorkspaces(cell, view, grid);
-    std::vector<double> lag = lags(cell, steps, view.options.gain);
+    std::vector<WorkspaceStep> steps = collectWorkspaces(cell, view, grid, now);
+    std::vector<double> lag = lags(cell, steps, view.options.gain, now);
     double shares = 0;
     for (const WorkspaceStep& step : steps)
         shares += step.share;
@@ -331,7 +364,7 @@
     for (const auto& [workspace, quota] : daemon.quotas) {
         allocation.quotas.push_back({ .workspace = workspace,
             .running = quota,
-            .normalisedService = cell.workspaces.at(workspace).normalised });
+            .normalisedService = shortened(cell.workspaces.at(workspace).normalised) });
     }
     daemon.sent.push_back(
         { .sequence = cell.sequence, .expires = now + view.options.allocationLease, .slots = daemon.granted });
@@ -339,11 +372,19 @@
     return allocation;
 }
 
-std::vector<DaemonId> daemonsToNotify(const CellState& cell, const CellView& view, Millis now)
+void spendBudget(CellState& cell, const CellView& view, std::size_t bytes, Millis now)
 {
-    std::vector<DaemonId> result;
+    double rate = view.options.cellBytesPerSecond;
+    cell.budget = std::min(rate * budgetSeconds, cell.budget + rate * (now - cell.budgetAt).seconds());
+    cell.budgetAt = now;
+    cell.budget -= static_cast<double>(bytes);
+}
+
+std::vector<DaemonId> daemonsToNotify(CellState& cell, const CellView& view, Millis now)
+{
+    std::vector<std::pair<std::uint32_t, DaemonId>> waiting;
     if (!view.options.mechanisms.immediateReports)
-        return result;
+        return {};
     for (const auto& [id, daemon] : cell.daemons) {
         if (!isFresh(daemon, now) || now - daemon.lastSent < notifyGap)
             continue;
@@ -353,38 +394,88 @@
         for (const auto& [endpoint, slots] : daemon.granted)
             granted += slots;
         if (backlogged && granted > daemon.lastSentSlots)
-            result.push_back(id);
+            waiting.emplace_back(granted - daemon.lastSentSlots, id);
+    }
+    // The budget goes to the daemons that can start most.
+    std::sort(waiting.rbegin(), waiting.rend());
+    std::vector<DaemonId> result;
+    double left = cell.budget;
+    for (const auto& [slots, id] : waiting) {
+        left -= notificationBytes;
+        if (left < 0)
+            break;
+        result.push_back(id);
     }
     return result;
 }
 
-CellExchange makeExchange(CellState& cell, const CellView& view)
+CellExchange makeExchange(CellState& cell)
 {
     CellExchange exchange {
         .cell = cell.id, .sequence = ++cell.exchangeSequence, .spareSlots = cell.spareSlots, .service = {}
     };
-    (void)view;
     for (const auto& [id, workspace] : cell.workspaces) {
         if (workspace.active) {
             exchange.service.push_back(
-                { .workspace = id, .running = workspace.quota, .normalisedService = workspace.normalised });
+                { .workspace = id, .running = workspace.quota, .normalisedService = shortened(workspace.normalised) });
         }
     }
     return exchange;
 }
 
-void acceptExchange(CellState& cell, const CellExchange& exchange, Millis now)
+void acceptExchange(CellState& cell, const CellExchange& exchange, const DaemonId& sender, Millis now)
 {
     RemoteCell& remote = cell.remote[exchange.cell];
+    if (remote.scheduler == sender && exchange.sequence <= remote.sequence)
+        return;
+    remote.scheduler = sender;
     remote.heardAt = now;
     remote.sequence = exchange.sequence;
     remote.spareSlots = exchange.spareSlots;
-    remote.lag.clear();
-    double mean = 0;
-    for (const WorkspaceQuota& entry : exchange.service)
-        mean += entry.normalisedService / static_cast<double>(exchange.service.size());
+    remote.normalised.clear();
     for (const WorkspaceQuota& entry : exchange.service)
-        remote.lag[entry.workspace] = mean - entry.normalisedService;
+        remote.normalised[entry.workspace] = entry.normalisedService;
+    if (!remote.normalised.empty()) {
+        remote.mean = 0;
+        for (const auto& [id, normalised] : remote.normalised)
+            remote.mean += normalised / static_cast<double>(remote.normalised.size());
+    }
+    for (auto& [id, mean] : remote.absent)
+        mean = std::min(mean, remote.mean);
+    std::erase_if(remote.absent, [&](const auto& entry) {
+        auto workspace = cell.workspaces.find(entry.first);
+        return remote.normalised.contains(entry.first) || workspace == cell.workspaces.end()
+            || !workspace->second.active;
+    });
+    for (const auto& [id, workspace] : cell.workspaces) {
+        if (workspace.active && !remote.normalised.contains(id))
+            remote.absent.emplace(id, remote.mean);
+    }
+}
+
+std::vector<std::pair<DaemonId, CellExchange>> spareNews(const CellState& cell, const CellMap& map, Millis now)
+{
+    std::vector<std::pair<DaemonId, CellExchange>> result;
+    const RemoteCell* best = nullptr;
+    const CellId* bestId = nullptr;
+    for (const auto& [id, remote] : cell.remote) {
+        if (remote.heardAt + remoteLife > now && remote.spareSlots > 0 && map.cells.contains(id)
+            && (!best || remote.spareSlots > best->spareSlots)) {
+            best = &remote;
+            bestId = &id;
+        }
+    }
+    if (!best || cell.spareSlots > 0)
+        return result;
+    const std::vector<DaemonId>& attached = map.cells.at(*bestId).attached;
+    for (const auto& [id, daemon] : cell.daemons) {
+        bool backlogged = std::any_of(
+            daemon.demand.begin(), daemon.demand.end(), [](const auto& entry) { return entry.second.queued > 0; });
+        if (isFresh(daemon, now) && backlogged && !std::binary_search(attached.begin(), attached.end(), id))
+            result.emplace_back(
+                id, CellExchange { .cell = *bestId, .sequence = best->sequence, .spareSlots = best->spareSlots });
+    }
+    return result;
 }
 
 }
--- a/src/core/CellScheduler.h
+++ b/src/core/CellScheduler.h
@@ -46,9 +46,18 @@
 /// \brief What another cell of the pool reported.
 struct RemoteCell {
     std::uint64_t sequence { 0 };
+    DaemonId scheduler;
     Millis heardAt {};
     std::uint32_t spareSlots { 0 };
-    std::map<WorkspaceId, double> lag; ///< Normalised service behind that cell's mean.
+    double mean { 0 }; ///< Of the normalised service of the workspaces that are active there.
+    std::map<WorkspaceId, double> normalised;
+    std::map<WorkspaceId, double> absent; ///< Mean there when a workspace of this cell was first missing there.
+};
+
+/// \brief Slots of an endpoint that load reports show as used by nobody who reports.
+struct ForeignUse {
+    Millis lastReport {};
+    double slots { 0 };
 };
 
 /// \brief State of one cell at a daemon that schedules it.
@@ -65,6 +74,10 @@
     double recentSeconds { 0 }; ///< Time in which they were served, with the same weights.
     double serviceSinceStep { 0 };
     std::uint32_t spareSlots { 0 };
+    std::map<EndpointId, ForeignUse> foreign;
+    Millis unexplainedSince { -1 }; ///< Since when load reports show much more work than the daemons do; negative: not.
+    double budget { 0 }; ///< Bytes that may be sent without having been asked for.
+    Millis budgetAt {};
     std::uint64_t exchangeSequence { 0 };
     Millis lastExchange {};
 };
@@ -89,14 +102,21 @@
 [[nodiscard]] Allocation issueAllocation(
     CellState&, const CellView&, const DaemonId& daemon, std::uint64_t epoch, Millis now);
 
-/// \returns Daemons with a backlog that the last step gave more slots than they know of, and that may be told now.
-[[nodiscard]] std::vector<DaemonId> daemonsToNotify(const CellState&, const CellView&, Millis now);
+/// \returns Daemons with a backlog that the last step gave more slots than they know of, and that may be told now
+/// within the byte budget.
+[[nodiscard]] std::vector<DaemonId> daemonsToNotify(CellState&, const CellView&, Millis now);
+
+/// \brief Counts bytes received or sent by the scheduler against the cell's budget.
+void spendBudget(CellState&, const CellView&, std::size_t bytes, Millis now);
 
 /// \returns This cell's message to the schedulers of the pool's other cells.
-[[nodiscard]] CellExchange makeExchange(CellState&, const CellView&);
+[[nodiscard]] CellExchange makeExchange(CellState&);
 
 /// \brief Takes another cell's message into account.
-void acceptExchange(CellState&, const CellExchange&, Millis now);
+void acceptExchange(CellState&, const CellExchange&, const DaemonId& sender, Millis now);
+
+/// \returns Messages about spare slots of other cells for daemons that have a backlog here and do not use those cells.
+[[nodiscard]] std::vector<std::pair<DaemonId, CellExchange>> spareNews(const CellState&, const CellMap&, Millis now);
 
 /// \brief Weights and caps of max-min fair division.
 struct Claimant {
--- a/src/core/FairQueue.cpp
+++ b/src/core/FairQueue.cpp
@@ -22,7 +22,10 @@
                 return a->normalised < b->normalised;
             }))->normalised;
         }
-        queue.normalised = std::max(queue.normalised, floor);
+        double raised = std::max(0.0, floor - queue.normalised);
+        queue.normalised += raised;
+        for (auto& [cell, use] : queue.cells)
+            use.normalised += raised / static_cast<double>(queue.cells.size());
     }
 
 }
--- a/src/core/Scheduling.cpp
+++ b/src/core/Scheduling.cpp
@@ -1,34 +1,14 @@
 #include "core/Scheduling.h"
 
 #include "core/Admission.h"
-#include "core/CellClient.h"
-#include "core/CellMap.h"
-#include "core/CellScheduler.h"
-#include "core/Dispatch.h"
-#include "core/FairQueue.h"
+#include "core/SchedulingState.h"
 
 #include <algorithm>
-#include <map>
-#include <string>
 #include <tuple>
 #include <utility>
 
 namespace jasminestack {
 
-struct SchedulingState {
-    SchedulingOptions options;
-    FairQueue queues;
-    DispatchState dispatch;
-    CellMap cells;
-    std::vector<CellMember> members;
-    std::tuple<std::uint64_t, std::int64_t, std::string> configurationKey { ~0ULL, 0, "" };
-    std::size_t endpointCount { 0 };
-    Millis refreshedAt { -1'000'000 };
-    bool refreshNeeded { true };
-    std::map<CellId, CellClient> clients;
-    std::map<CellId, CellState> scheduled;
-};
-
 namespace {
 
     // Changes that other controllers make to the endpoint table are noticed after this time at the latest. Rebuilding
@@ -36,20 +16,13 @@
     constexpr Millis refreshInterval { 10 };
     // Load reports older than this do not restrict the fallback allocation.
     constexpr Millis loadLife { 2'000 };
-    // A cell without a report for this long is no longer scheduled here.
-    constexpr Millis cellLife { 5'000 };
-
-    CellView cellView(const SchedulingState& state, const SchedulingView& view, const CellInfo& info)
-    {
-        return {
-            .info = info, .configuration = view.configuration, .endpoints = view.endpoints, .options = state.options
-        };
-    }
-
+    // A daemon that starts or returns from a pause takes only slots that load reports show as free for this long:
+    // others may have been allocated its part, and an answer to its first report takes a few milliseconds.
+    constexpr Millis fallbackCaution { 1'000 };
     std::uint32_t fallbackPart(
         CellClient& client, const CellInfo& info, const EndpointState& endpoint, const DaemonId& self)
     {
-        auto [known, added] = client.fallback.try_emplace(endpoint.id, 0U, 0U);
+        auto [known, added] = client.fallbackParts.try_emplace(endpoint.id, 0U, 0U);
         if (added || known->second.first != endpoint.limit)
             known->second = { endpoint.limit, fallbackSlots(info, endpoint.id, endpoint.limit, self) };
         return known->second.second;
@@ -61,6 +34,8 @@
         auto client = state.clients.find(cell);
         if (client == state.clients.end())
             return 0;
+        if (client->second.extra && client->second.spareUntil <= now)
+            return 0;
         if (state.options.policy == SchedulingPolicy::Fair && client->second.expires > now) {
             auto slots = client->second.slots.find(endpoint.id);
             std::uint32_t most = endpoint.limit + view.configuration.limits.refillMargin;
@@ -68,10 +43,18 @@
         }
         if (client->second.extra)
             return 0;
-        bool overloaded = endpoint.reportedWaiting > 0 && endpoint.lastReport + loadLife > now;
-        if (overloaded)
+        const CellInfo& info = state.cells.cells.at(cell);
+        std::uint32_t part = fallbackPart(client->second, info, endpoint, view.self.id);
+        if (info.schedulers.size() < 2 || state.options.policy != SchedulingPolicy::Fair)
+            return part;
+        bool loadKnown = endpoint.lastReport.count > 0 && endpoint.lastReport + loadLife > now;
+        if (loadKnown && endpoint.reportedWaiting > 0)
             return 0;
-        return fallbackPart(client->second, state.cells.cells.at(cell), endpoint, view.self.id);
+        if (now - client->second.fallbackSince >= fallbackCaution)
+            return part;
+        std::uint32_t load = endpoint.reportedRunning + endpoint.reportedWaiting;
+        std::uint32_t room = loadKnown && load < endpoint.limit ? endpoint.limit - load : 0;
+        return std::min(part, endpoint.inFlight + room);
     }
 
     void applyConfiguration(SchedulingState& state, const SchedulingView& view)
@@ -89,7 +72,7 @@
     }
 
     /// \brief Rebuilds the cell map after a change of members or configuration.
-    void refreshCells(SchedulingState& state, const SchedulingView& view)
+    void refreshCells(SchedulingState& state, const SchedulingView& view, Millis now)
     {
         std::tuple key { view.configuration.version, view.configuration.throughOffset,
             view.configuration.presetInForce };
@@ -102,12 +85,15 @@
         applyConfiguration(state, view);
         for (auto& [id, client] : state.clients) {
             client.extra = true;
-            client.fallback.clear();
+            client.fallbackParts.clear();
         }
         for (const auto& [pool, cells] : state.cells.attachedCells) {
             for (const CellId& cell : cells) {
-                CellClient& client = state.clients[cell];
+                auto [it, added] = state.clients.try_emplace(cell);
+                CellClient& client = it->second;
                 client.cell = cell;
+                if (added)
+                    client.fallbackSince = now;
                 client.extra = false;
             }
         }
@@ -118,7 +104,7 @@
 
     void refresh(SchedulingState& state, const SchedulingView& view, Millis now)
     {
-        refreshCells(state, view);
+        refreshCells(state, view, now);
         if (!state.refreshNeeded && now - state.refreshedAt < refreshInterval
             && state.endpointCount == view.endpoints.endpoints.size())
             return;
@@ -148,60 +134,6 @@
         return { .slots = queue ? std::max<double>(part, queue->quota) : part, .slotFree = dispatch->second.free > 0 };
     }
 
-    void applyOwnAllocation(
-        SchedulingState& state, const SchedulingView& view, CellState& cell, const CellInfo& info, Millis now)
-    {
-        CellClient& client = state.clients[cell.id];
-        Allocation allocation
-            = issueAllocation(cell, cellView(state, view, info), view.self.id, view.self.incarnation, now);
-        if (applyAllocation(client, state.queues, info, view.self.id, allocation, now))
-            state.refreshNeeded = true;
-    }
-
-    CellState& scheduledCell(SchedulingState& state, const CellId& id, Millis now)
-    {
-        auto [cell, added] = state.scheduled.try_emplace(id);
-        Millis heard { -1'000'000 };
-        for (const auto& [daemon, report] : cell->second.daemons)
-            heard = std::max(heard, report.heardAt);
-        // After a pause the reports are out of date and others have scheduled meanwhile.
-        if (added || heard + cellLife <= now) {
-            cell->second = {};
-            cell->second.id = id;
-            cell->second.startedAt = now;
-        }
-        return cell->second;
-    }
-
-    /// \brief Takes a report into account, recomputes the cell and answers it.
-    std::vector<OutboundMessage> schedule(SchedulingState& state, const SchedulingView& view, const DaemonId& sender,
-        std::uint64_t incarnation, const DemandReport& report, Millis now)
-    {
-        std::vector<OutboundMessage> messages;
-        auto info = state.cells.cells.find(report.cell);
-        if (info == state.cells.cells.end())
-            return messages;
-        CellState& cell = scheduledCell(state, report.cell, now);
-        CellView inputs = cellView(state, view, info->second);
-        if (!acceptReport(cell, inputs, sender, incarnation, report, now))
-            return messages;
-        if (now - cell.lastStep >= state.options.minimumReportGap || cell.lastStep.count == 0)
-            stepCell(cell, inputs, now);
-        if (sender == view.self.id)
-            applyOwnAllocation(state, view, cell, info->second, now);
-        else
-            messages.push_back(
-                { .to = sender, .payload = issueAllocation(cell, inputs, sender, view.self.incarnation, now) });
-        for (const DaemonId& daemon : daemonsToNotify(cell, inputs, now)) {
-            if (daemon == view.self.id)
-                applyOwnAllocation(state, view, cell, info->second, now);
-            else
-                messages.push_back(
-                    { .to = daemon, .payload = issueAllocation(cell, inputs, daemon, view.self.incarnation, now) });
-        }
-        return messages;
-    }
-
     /// \brief Marks reports as urgent when slots became idle or a workspace backlogged since the last one.
     void noteTransitions(SchedulingState& state, const PoolId& id)
     {
@@ -331,24 +263,7 @@
     refresh(state, view, now);
     if (state.options.policy != SchedulingPolicy::Fair)
         return messages;
-    for (auto& [id, client] : state.clients) {
-        const CellInfo& info = state.cells.cells.at(id);
-        // A lone daemon owns all slots and needs no allocation.
-        if (client.extra || info.schedulers.size() < 2)
-            continue;
-        checkSilence(client, info, view.self.id, now);
-        if (!reportDue(client, info, state.options, view.self.id, now))
-            continue;
-        std::size_t attached = state.cells.attachedCells.at(id.pool).size();
-        DaemonId scheduler = client.following;
-        DemandReport report = makeReport(client, state.queues, state.dispatch, attached, scheduler, view.self.id, now);
-        if (scheduler != view.self.id) {
-            messages.push_back({ .to = scheduler, .payload = std::move(report) });
-            continue;
-        }
-        std::vector<OutboundMessage> answers = schedule(state, view, view.self.id, view.self.incarnation, report, now);
-        std::move(answers.begin(), answers.end(), std::back_inserter(messages));
-    }
+    tickCells(state, view, messages, now);
     return messages;
 }
 
@@ -358,7 +273,7 @@
     if (state.options.policy != SchedulingPolicy::Fair)
         return {};
     refresh(state, view, now);
-    return schedule(state, view, message.sender, message.incarnation, report, now);
+    return answerReport(state, view, message.sender, message.incarnation, report, now);
 }
 
 void onAllocation(SchedulingState& state, const SchedulingView& view, const PeerMessage& message,
@@ -373,7 +288,14 @@
         state.refreshNeeded = true;
 }
 
-void onCellExchange(SchedulingState&, const SchedulingView&, const PeerMessage&, const CellExchange&, Millis) { }
+void onCellExchange(SchedulingState& state, const SchedulingView& view, const PeerMessage& message,
+    const CellExchange& exchange, Millis now)
+{
+    if (state.options.policy != SchedulingPolicy::Fair)
+        return;
+    refresh(state, view, now);
+    takeExchange(state, exchange, message.sender, now);
+}
 
 std::vector<WorkspaceStatus> workspaceStatus(const SchedulingState& state, const SchedulingView&)
 {
@@ -398,6 +320,9 @@
         CellStatus status { .cell = id,
             .scheduler = followedScheduler(client, state.cells.cells.at(id), now),
             .allocationValid = client.expires > now };
+        auto scheduled = state.scheduled.find(id);
+        status.needsLoadReports
+            = !status.allocationValid || (scheduled != state.scheduled.end() && isScheduled(scheduled->second, now));
         if (auto pool = state.dispatch.pools.find(id.pool); pool != state.dispatch.pools.end()) {
             for (const EndpointSlot& slot : pool->second.slots) {
                 if (pool->second.cells[slot.cell].id != id)
--- a/src/core/Scheduling.h
+++ b/src/core/Scheduling.h
@@ -43,7 +43,7 @@
     double gain { 0.1 }; ///< Weight of other cells' service.
     SchedulingPolicy policy { SchedulingPolicy::Fair };
     SchedulingMechanisms mechanisms;
-    double cellBytesPerSecond { 2'600 }; ///< Reports and allocations of one cell at its scheduler, sent and received.
+    double cellBytesPerSecond { 2'800 }; ///< Reports and allocations of one cell at its scheduler, sent and received.
 };
 
 /// \brief What scheduling reads besides its own state.
@@ -118,6 +118,7 @@
     bool allocationValid { false };
     std::uint32_t slots { 0 }; ///< That this daemon may fill now.
     std::uint32_t inFlight { 0 };
+    bool needsLoadReports { false }; ///< This daemon schedules the cell or has no allocation: poll its endpoints.
 };
 [[nodiscard]] std::vector<CellStatus> cellStatus(const SchedulingState&, const SchedulingView&, Millis now);
 
--- /dev/null
+++ b/src/core/SchedulingCells.cpp
@@ -0,0 +1,196 @@
+#include "core/SchedulingState.h"
+
+#include <algorithm>
+#include <iterator>
+#include <utility>
+
+namespace jasminestack {
+
+namespace {
+
+    // Other cells that are told of the service at each exchange, in turn: with 19 cells and 32 backlogged workspaces
+    // one message is about 0.8 KB, and the daemon's budget is 4 KB/s.
+    constexpr std::size_t exchangeTargets = 2;
+    // A cell without a report for this long is no longer scheduled here.
+    constexpr Millis cellLife { 5'000 };
+
+    CellView cellView(const SchedulingState& state, const SchedulingView& view, const CellInfo& info)
+    {
+        return {
+            .info = info, .configuration = view.configuration, .endpoints = view.endpoints, .options = state.options
+        };
+    }
+
+    void applyOwnAllocation(
+        SchedulingState& state, const SchedulingView& view, CellState& cell, const CellInfo& info, Millis now)
+    {
+        CellClient& client = state.clients[cell.id];
+        Allocation allocation
+            = issueAllocation(cell, cellView(state, view, info), view.self.id, view.self.incarnation, now);
+        if (applyAllocation(client, state.queues, info, view.self.id, allocation, now))
+            state.refreshNeeded = true;
+    }
+
+    Millis lastReportHeard(const CellState& cell)
+    {
+        Millis heard { -1'000'000 };
+        for (const auto& [daemon, report] : cell.daemons)
+            heard = std::max(heard, report.heardAt);
+        return heard;
+    }
+
+    CellState& scheduledCell(SchedulingState& state, const CellId& id, Millis now)
+    {
+        auto [cell, added] = state.scheduled.try_emplace(id);
+        // After a pause the reports are out of date and others have scheduled meanwhile.
+        if (added || lastReportHeard(cell->second) + cellLife <= now) {
+            cell->second = {};
+            cell->second.id = id;
+            cell->second.startedAt = now;
+        }
+        return cell->second;
+    }
+
+    /// \brief Sends the service counters of the cells that this daemon schedules to the pool's other cells.
+    void exchangeCells(
+        SchedulingState& state, const SchedulingView& view, std::vector<OutboundMessage>& messages, Millis now)
+    {
+        std::vector<CellExchange> local;
+        for (auto& [id, cell] : state.scheduled) {
+            if (now - cell.lastExchange < state.options.exchangeInterval || lastReportHeard(cell) + cellLife <= now)
+                continue;
+            cell.lastExchange = now;
+            const CellInfo& own = state.cells.cells.at(id);
+            std::vector<const CellInfo*> others;
+            for (const auto& [other, info] : state.cells.cells) {
+                if (other.pool == id.pool && other != id && info.region == own.region && !info.schedulers.empty())
+                    others.push_back(&info);
+            }
+            if (others.empty())
+                continue;
+            CellExchange exchange = makeExchange(cell);
+            for (std::size_t i = 0; i < std::min(others.size(), exchangeTargets); ++i) {
+                const CellInfo& other = *others[(exchange.sequence * exchangeTargets + i) % others.size()];
+                if (other.schedulers.front() == view.self.id)
+                    local.push_back(exchange);
+                else
+                    messages.push_back({ .to = other.schedulers.front(), .payload = exchange });
+            }
+            for (auto& [daemon, news] : spareNews(cell, state.cells, now)) {
+                if (daemon == view.self.id)
+                    local.push_back(news);
+                else
+                    messages.push_back({ .to = daemon, .payload = std::move(news) });
+            }
+        }
+        for (const CellExchange& exchange : local)
+            takeExchange(state, exchange, view.self.id, now);
+    }
+
+    /// \returns Cells of the pool whose slots this daemon uses, by attachment or because they have spare ones.
+    std::size_t cellsInUse(const SchedulingState& state, const PoolId& pool)
+    {
+        return static_cast<std::size_t>(std::count_if(
+            state.clients.begin(), state.clients.end(), [&](const auto& entry) { return entry.first.pool == pool; }));
+    }
+
+    /// \brief Leaves cells that are used only for their spare slots once there are none or no work is left.
+    void dropExtraCells(SchedulingState& state, Millis now)
+    {
+        std::erase_if(state.clients, [&](const auto& entry) {
+            const CellClient& client = entry.second;
+            if (!client.extra || client.spareUntil > now)
+                return false;
+            auto pool = state.dispatch.pools.find(entry.first.pool);
+            return pool == state.dispatch.pools.end()
+                || std::none_of(pool->second.slots.begin(), pool->second.slots.end(), [&](const EndpointSlot& slot) {
+                       return slot.inFlight > 0 && pool->second.cells[slot.cell].id == entry.first;
+                   });
+        });
+    }
+
+}
+
+bool isScheduled(const CellState& cell, Millis now) noexcept { return lastReportHeard(cell) + cellLife > now; }
+
+std::vector<OutboundMessage> answerReport(SchedulingState& state, const SchedulingView& view, const DaemonId& sender,
+    std::uint64_t incarnation, const DemandReport& report, Millis now)
+{
+    std::vector<OutboundMessage> messages;
+    auto info = state.cells.cells.find(report.cell);
+    if (info == state.cells.cells.end())
+        return messages;
+    CellState& cell = scheduledCell(state, report.cell, now);
+    CellView inputs = cellView(state, view, info->second);
+    if (!acceptReport(cell, inputs, sender, incarnation, report, now))
+        return messages;
+    if (now - cell.lastStep >= state.options.minimumReportGap || cell.lastStep.count == 0)
+        stepCell(cell, inputs, now);
+    auto answer = [&](const DaemonId& daemon) {
+        if (daemon == view.self.id) {
+            applyOwnAllocation(state, view, cell, info->second, now);
+            return;
+        }
+        Allocation allocation = issueAllocation(cell, inputs, daemon, view.self.incarnation, now);
+        spendBudget(cell, inputs, messageBytes(allocation), now);
+        messages.push_back({ .to = daemon, .payload = std::move(allocation) });
+    };
+    if (sender != view.self.id)
+        spendBudget(cell, inputs, messageBytes(report), now);
+    answer(sender);
+    for (const DaemonId& daemon : daemonsToNotify(cell, inputs, now))
+        answer(daemon);
+    return messages;
+}
+
+void takeExchange(SchedulingState& state, const CellExchange& exchange, const DaemonId& sender, Millis now)
+{
+    if (!state.cells.cells.contains(exchange.cell))
+        return;
+    if (!exchange.service.empty() || exchange.spareSlots == 0) {
+        for (auto& [id, cell] : state.scheduled) {
+            if (id.pool == exchange.cell.pool && id != exchange.cell)
+                acceptExchange(cell, exchange, sender, now);
+        }
+    }
+    auto queues = state.queues.pools.find(exchange.cell.pool);
+    bool backlogged = queues != state.queues.pools.end() && !queues->second.backlogged.empty();
+    if (exchange.spareSlots == 0 || !backlogged)
+        return;
+    auto [client, added] = state.clients.try_emplace(exchange.cell);
+    if (added) {
+        client->second.cell = exchange.cell;
+        client->second.extra = true;
+        client->second.urgent = true;
+    }
+    client->second.spareUntil = now + Millis { 3 * state.options.exchangeInterval.count };
+}
+
+void tickCells(SchedulingState& state, const SchedulingView& view, std::vector<OutboundMessage>& messages, Millis now)
+{
+    for (auto& [id, client] : state.clients) {
+        const CellInfo& info = state.cells.cells.at(id);
+        // A lone daemon owns all slots and needs no allocation.
+        if (info.schedulers.size() < 2)
+            continue;
+        checkSilence(client, info, view.self.id, now);
+        auto queues = state.queues.pools.find(id.pool);
+        bool backlogged = queues != state.queues.pools.end() && !queues->second.backlogged.empty();
+        if (!reportDue(client, info, state.options, view.self.id, backlogged, now))
+            continue;
+        std::size_t attached = cellsInUse(state, id.pool);
+        DaemonId scheduler = client.following;
+        DemandReport report = makeReport(client, state.queues, state.dispatch, attached, scheduler, view.self.id, now);
+        if (scheduler != view.self.id) {
+            messages.push_back({ .to = scheduler, .payload = std::move(report) });
+            continue;
+        }
+        std::vector<OutboundMessage> answers
+            = answerReport(state, view, view.self.id, view.self.incarnation, report, now);
+        std::move(answers.begin(), answers.end(), std::back_inserter(messages));
+    }
+    exchangeCells(state, view, messages, now);
+    dropExtraCells(state, now);
+}
+
+}
--- a/src/core/SlotPlacement.cpp
+++ b/src/core/SlotPlacement.cpp
@@ -2,7 +2,9 @@
 
 #include "core/Dispatch.h"
 
+#include <cmath>
 #include <map>
+#include <optional>
 #include <string_view>
 
 namespace jasminestack {
@@ -13,6 +15,11 @@
     constexpr Millis reportLife { 2'500 };
     // Load reports older than this say nothing about slots that unknown daemons use.
     constexpr Millis loadLife { 1'500 };
+    // Part of the slots that must be in use unexplained, and for how long, before daemons that are no members count.
+    constexpr double foreignLoadFraction = 0.2;
+    constexpr Millis foreignLoadTime { 1'000 };
+    // Part of an earlier estimate that remains at the next load report.
+    constexpr double foreignDecay = 0.5;
 
     bool holdsLease(const ReportingDaemon& daemon, Millis now)
     {
@@ -20,8 +27,66 @@
             daemon.sent.begin(), daemon.sent.end(), [&](const SentAllocation& sent) { return sent.expires > now; });
     }
 
-    /// \returns By endpoint, the slots that attached daemons without a fresh report or a lease may use.
-    std::vector<std::uint32_t> unknownUse(const CellState& cell, const CellView& view, const Grid& grid, Millis now)
+    /// \returns By endpoint, the requests that its load report shows and that no daemon has reported; nothing for
+    /// endpoints without a recent load report.
+    std::vector<std::optional<std::uint32_t>> unexplainedLoad(
+        const CellState& cell, const CellView& view, const Grid& grid, Millis now)
+    {
+        const auto& endpoints = view.info.endpoints;
+        std::vector<std::optional<std::uint32_t>> result(endpoints.size());
+        for (std::size_t e = 0; e < endpoints.size(); ++e) {
+            if (grid.limit[e] == 0)
+                continue;
+            const EndpointState& endpoint = view.endpoints.endpoints.at(endpoints[e]);
+            if (endpoint.lastReport.count <= 0 || endpoint.lastReport + loadLife <= now)
+                continue;
+            std::uint32_t known = 0;
+            for (const auto& [id, daemon] : cell.daemons)
+                known += valueOr0(daemon.inFlight, endpoints[e]);
+            std::uint32_t reported = endpoint.reportedRunning + endpoint.reportedWaiting;
+            result[e] = reported > known ? reported - known : 0;
+        }
+        return result;
+    }
+
+    /// \returns Whether other daemons use the cell that are not members here, for example after a partition. Reports
+    /// and load reports are taken at different times, so small and short differences mean nothing.
+    bool hasForeignLoad(
+        CellState& cell, const Grid& grid, const std::vector<std::optional<std::uint32_t>>& unexplained, Millis now)
+    {
+        std::uint32_t slots = 0;
+        std::uint32_t sum = 0;
+        for (std::size_t e = 0; e < unexplained.size(); ++e) {
+            slots += grid.limit[e];
+            sum += unexplained[e].value_or(0);
+        }
+        if (sum < foreignLoadFraction * slots || sum == 0)
+            cell.unexplainedSince = { -1 };
+        else if (cell.unexplainedSince.count < 0)
+            cell.unexplainedSince = now;
+        return cell.unexplainedSince.count >= 0 && now - cell.unexplainedSince >= foreignLoadTime;
+    }
+
+    /// \brief Demand reports and load reports are taken at different times. Where daemons of another scheduler use many
+    /// slots, a high value is given up step by step, so that not both schedulers fill a slot that one of them saw free.
+    void smoothForeignLoad(
+        CellState& cell, const CellView& view, std::vector<std::optional<std::uint32_t>>& unexplained)
+    {
+        for (std::size_t e = 0; e < unexplained.size(); ++e) {
+            if (!unexplained[e])
+                continue;
+            ForeignUse& foreign = cell.foreign[view.info.endpoints[e]];
+            Millis lastReport = view.endpoints.endpoints.at(view.info.endpoints[e]).lastReport;
+            if (foreign.lastReport != lastReport)
+                foreign.slots *= foreignDecay;
+            foreign.lastReport = lastReport;
+            foreign.slots = std::max<double>(foreign.slots, *unexplained[e]);
+            unexplained[e] = static_cast<std::uint32_t>(std::lround(foreign.slots));
+        }
+    }
+
+    /// \returns By endpoint, the slots that daemons without a fresh report or a lease may use.
+    std::vector<std::uint32_t> unknownUse(CellState& cell, const CellView& view, const Grid& grid, Millis now)
     {
         const auto& endpoints = view.info.endpoints;
         std::vector<std::uint32_t> result(endpoints.size(), 0);
@@ -31,27 +96,34 @@
             if (daemon == cell.daemons.end() || (!isFresh(daemon->second, now) && !holdsLease(daemon->second, now)))
                 unknown.push_back(&id);
         }
-        if (unknown.empty())
+        std::vector<std::optional<std::uint32_t>> unexplained = unexplainedLoad(cell, view, grid, now);
+        bool foreign = hasForeignLoad(cell, grid, unexplained, now);
+        if (foreign)
+            smoothForeignLoad(cell, view, unexplained);
+        else
+            cell.foreign.clear();
+        if (!foreign && unknown.empty())
             return result;
+        auto pool = view.configuration.pools.find(cell.id.pool);
+        bool reportsLoad = pool != view.configuration.pools.end() && pool->second.kind == PoolKind::Model;
         bool collecting = now - cell.startedAt < collectionTime;
         for (std::size_t e = 0; e < endpoints.size(); ++e) {
             if (grid.limit[e] == 0)
                 continue;
-            const EndpointState& endpoint = view.endpoints.endpoints.at(endpoints[e]);
-            bool loadKnown = endpoint.lastReport.count > 0 && endpoint.lastReport + loadLife > now;
-            if (loadKnown) {
-                std::uint32_t known = 0;
-                for (const auto& [id, daemon] : cell.daemons)
-                    known += valueOr0(daemon.inFlight, endpoints[e]);
-                std::uint32_t reported = endpoint.reportedRunning + endpoint.reportedWaiting;
-                result[e] = reported > known ? reported - known : 0;
-            }
-            if (!loadKnown || collecting) {
-                std::uint32_t parts = 0;
-                for (const DaemonId* id : unknown)
-                    parts += fallbackSlots(view.info, endpoints[e], grid.limit[e], *id);
-                result[e] = std::max(result[e], parts);
-            }
+            result[e] = unexplained[e].value_or(0);
+            if (unexplained[e] && !collecting)
+                continue;
+            std::uint32_t parts = 0;
+            for (const DaemonId* id : unknown)
+                parts += fallbackSlots(view.info, endpoints[e], grid.limit[e], *id);
+            result[e] = std::max(result[e], parts);
+            if (unexplained[e] || !reportsLoad)
+                continue;
+            // Until the first load report all slots that are not known to be free count as used.
+            std::uint32_t known = 0;
+            for (const auto& [id, daemon] : cell.daemons)
+                known += valueOr0(daemon.inFlight, endpoints[e]);
+            result[e] = std::max(result[e], grid.limit[e] > known ? grid.limit[e] - known : 0);
         }
         return result;
     }
--- /dev/null
+++ b/tests/SchedulingFleet.h
@@ -0,0 +1,453 @@
+#pragma once
+
+#include "core/CellClient.h"
+#include "core/Scheduling.h"
+
+#include <cmath>
+#include <deque>
+#include <functional>
+#include <limits>
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+/// \file
+/// \brief Several instances of the scheduling core in memory, with engines, a delayed message queue and a fake clock.
+
+namespace jasminestack::testing {
+
+struct FleetOptions {
+    unsigned daemons { 8 };
+    unsigned engines { 20 };
+    unsigned slots { 8 };
+    unsigned cellSize { 32 };
+    std::uint64_t seed { 1 };
+    double loss { 0 };
+    double duplicate { 0 };
+    int jitterMs { 2 }; ///< Messages overtake each other within it.
+    double tokensPerSecond { 500 }; ///< Of a slot.
+    SchedulingOptions scheduling;
+};
+
+/// \brief A workspace that keeps `depth` requests queued at each of its daemons while `on`.
+struct Flow {
+    std::string workspace;
+    double share { 1 };
+    std::vector<unsigned> daemons;
+    std::size_t depth { 20 };
+    bool lies { false };
+    bool on { true };
+};
+
+class Fleet {
+public:
+    static constexpr double smallestCost = 40;
+    static constexpr double largestCost = 4'000;
+
+    struct EngineRequest {
+        RequestId id;
+        unsigned daemon { 0 };
+        std::size_t flow { 0 };
+        double cost { 0 };
+        double done { 0 };
+    };
+    struct Engine {
+        std::vector<EngineRequest> running;
+        std::deque<EngineRequest> waiting;
+    };
+    struct Node {
+        SelfState self;
+        MemberTable members;
+        EndpointTable endpoints;
+        SchedulingStatePointer state;
+        std::vector<std::size_t> queued; ///< By flow.
+        bool alive { true };
+        bool paused { false };
+        std::deque<PeerMessage> inbox; ///< Arrived while paused.
+        std::vector<EngineRequest> finished; ///< Ended while paused.
+        double bytes { 0 };
+    };
+    Fleet(FleetOptions options, std::vector<Flow> flows)
+        : m_options(std::move(options))
+        , m_random(m_options.seed)
+        , m_flows(std::move(flows))
+    {
+        PoolConfig pool { .id = PoolId("engines") };
+        for (unsigned e = 0; e < m_options.engines; ++e) {
+            EndpointId id("engine-" + std::to_string(e));
+            pool.endpoints[id] = { .id = id, .slots = m_options.slots };
+            m_engines[id];
+        }
+        configuration.version = 1;
+        configuration.limits.cellSize = m_options.cellSize;
+        configuration.pools[pool.id] = pool;
+        for (const Flow& flow : m_flows) {
+            configuration.workspaces[WorkspaceId(flow.workspace)]
+                = { .id = WorkspaceId(flow.workspace), .share = flow.share, .queueRequests = 1'000'000 };
+        }
+        service.assign(m_flows.size(), 0);
+        longestWait.assign(m_flows.size(), 0);
+        m_started.resize(m_flows.size());
+        nodes.resize(m_options.daemons);
+        for (unsigned d = 0; d < nodes.size(); ++d)
+            restart(d, 1'000 + d);
+        for (unsigned d = 0; d < nodes.size(); ++d)
+            setMember(d, MemberState::Alive);
+    }
+
+    Configuration configuration;
+    std::vector<Node> nodes;
+    std::vector<double> service; ///< Tokens generated, by flow.
+    std::vector<double> longestWait; ///< Milliseconds in the queue, by flow.
+    std::function<bool(unsigned, unsigned)> cut
+        = [](unsigned, unsigned) { return false; }; ///< Whether no message passes.
+    Millis now { 1'000 };
+    std::map<std::size_t, std::pair<double, double>> sent; ///< Messages and bytes by index of their type.
+    std::uint32_t highestLoad { 0 }; ///< Requests at one engine, running and waiting.
+
+    [[nodiscard]] Flow& flow(std::size_t i) { return m_flows[i]; }
+    [[nodiscard]] SchedulingView view(unsigned d)
+    {
+        return { nodes[d].self, configuration, nodes[d].members, nodes[d].endpoints };
+    }
+    [[nodiscard]] double utilisation() const { return m_busy / m_capacity; }
+    [[nodiscard]] double meanLoad() const { return (m_busy + m_waiting) / m_capacity * m_options.slots; }
+
+    /// \brief Adds engines to the configuration and to all views.
+    void addEngines(unsigned count)
+    {
+        PoolConfig& pool = configuration.pools.at(PoolId("engines"));
+        for (unsigned i = 0; i < count; ++i) {
+            EndpointId id("engine-" + std::to_string(m_engines.size()));
+            pool.endpoints[id] = { .id = id, .slots = m_options.slots };
+            m_engines[id];
+            for (Node& node : nodes)
+                node.endpoints.endpoints[id] = { .id = id, .pool = pool.id, .limit = m_options.slots };
+        }
+        ++configuration.version;
+    }
+
+    /// \returns The wait of the longest queue that flow \p f had, if it were served at exactly its share of all slots.
+    [[nodiscard]] double exactWait(std::size_t f) const
+    {
+        double shares = 0;
+        for (const Flow& flow : m_flows)
+            shares += flow.share;
+        double rate = m_capacity / m_seconds * m_options.tokensPerSecond * m_flows[f].share / shares;
+        double longest = 0;
+        const std::vector<double>& costs = m_started[f];
+        for (std::size_t i = m_flows[f].depth; i < costs.size(); ++i) {
+            double ahead = 0;
+            for (std::size_t k = i - m_flows[f].depth; k < i; ++k)
+                ahead += costs[k];
+            longest = std::max(longest, ahead / rate * 1'000);
+        }
+        return longest;
+    }
+
+    /// \brief Forgets measurements so far, but not the service.
+    void resetMeasurements()
+    {
+        m_busy = m_capacity = m_waiting = m_seconds = 0;
+        highestLoad = 0;
+        for (Node& node : nodes)
+            node.bytes = 0;
+    }
+    [[nodiscard]] double busiestBytesPerSecond() const
+    {
+        double most = 0;
+        for (const Node& node : nodes)
+            most = std::max(most, node.bytes / m_seconds);
+        return most;
+    }
+
+    /// \returns Largest difference of service/share since \p since, in units of the largest request at the smallest
+    /// share, over the flows that are on.
+    [[nodiscard]] double gap(const std::vector<double>& since) const
+    {
+        double low = std::numeric_limits<double>::infinity();
+        double high = 0;
+        double smallestShare = low;
+        for (std::size_t i = 0; i < m_flows.size(); ++i) {
+            if (!m_flows[i].on)
+                continue;
+            double normalised = (service[i] - since[i]) / m_flows[i].share;
+            low = std::min(low, normalised);
+            high = std::max(high, normalised);
+            smallestShare = std::min(smallestShare, m_flows[i].share);
+        }
+        return (high - low) * smallestShare / largestCost;
+    }
+
+    /// \brief Runs for \p time; calls \p each after every step.
+    void run(
+        Millis time, const std::function<void()>& each = [] {})
+    {
+        for (Millis end = now + time; now < end;) {
+            now += step;
+            advanceEngines();
+            deliver();
+            for (unsigned d = 0; d < nodes.size(); ++d)
+                stepDaemon(d);
+            measure();
+            each();
+        }
+    }
+
+    /// \brief Starts daemon \p d with nothing in memory.
+    void restart(unsigned d, std::uint64_t incarnation)
+    {
+        Node& node = nodes[d];
+        MemberTable members = std::move(node.members);
+        node = {};
+        node.members = std::move(members);
+        node.self = { .id = DaemonId("daemon-" + std::to_string(d)), .incarnation = incarnation };
+        node.state = makeSchedulingState(m_options.scheduling);
+        node.queued.assign(m_flows.size(), 0);
+        for (const auto& [id, endpoint] : configuration.pools.at(PoolId("engines")).endpoints)
+            node.endpoints.endpoints[id] = { .id = id, .pool = PoolId("engines"), .limit = endpoint.slots };
+    }
+
+    /// \brief Ends daemon \p d; engines cancel its requests, and its callers go to the next daemon.
+    void kill(unsigned d)
+    {
+        nodes[d].alive = false;
+        for (auto& [id, engine] : m_engines) {
+            std::erase_if(engine.running, [&](const EngineRequest& request) { return request.daemon == d; });
+            std::erase_if(engine.waiting, [&](const EngineRequest& request) { return request.daemon == d; });
+        }
+        for (Flow& flow : m_flows) {
+            for (unsigned& daemon : flow.daemons)
+                daemon = daemon == d ? (d + 1) % static_cast<unsigned>(nodes.size()) : daemon;
+        }
+    }
+
+    /// \brief Sets daemon \p d's state in the views of all others (of those for which \p where holds).
+    void setMember(
+        unsigned d, MemberState state, const std::function<bool(unsigned)>& where = [](unsigned) { return true; })
+    {
+        for (unsigned i = 0; i < nodes.size(); ++i) {
+            if (i != d && where(i)) {
+                nodes[i].members.members[nodes[d].self.id].last
+                    = { .id = nodes[d].self.id, .incarnation = nodes[d].self.incarnation, .state = state };
+            }
+        }
+    }
+
+    /// \returns The daemon that most others follow as scheduler of the first cell.
+    [[nodiscard]] unsigned scheduler()
+    {
+        for (unsigned d = 0; d < nodes.size(); ++d) {
+            std::vector<CellStatus> cells = cellStatus(*nodes[d].state, view(d), now);
+            for (unsigned s = 0; !cells.empty() && s < nodes.size(); ++s) {
+                if (nodes[d].alive && nodes[s].self.id == cells.front().scheduler)
+                    return s;
+            }
+        }
+        return 0;
+    }
+
+private:
+    static constexpr Millis step { 5 };
+
+    static unsigned index(const DaemonId& id) { return static_cast<unsigned>(std::stoul(id.value.substr(7))); }
+
+    void send(unsigned from, std::vector<OutboundMessage> messages)
+    {
+        for (OutboundMessage& message : messages) {
+            unsigned to = index(message.to);
+            double bytes = static_cast<double>(std::visit(
+                [](const auto& payload) -> std::size_t {
+                    if constexpr (requires { messageBytes(payload); })
+                        return messageBytes(payload);
+                    else
+                        return 0;
+                },
+                message.payload));
+            nodes[from].bytes += bytes;
+            sent[message.payload.index()].first += 1;
+            sent[message.payload.index()].second += bytes;
+            if (cut(from, to) || m_random.unit() < m_options.loss)
+                continue;
+            nodes[to].bytes += bytes;
+            PeerMessage copy {
+                .sender = nodes[from].self.id, .incarnation = nodes[from].self.incarnation, .payload = message.payload
+            };
+            int copies = m_random.unit() < m_options.duplicate ? 2 : 1;
+            for (int i = 0; i < copies; ++i) {
+                auto delay
+                    = 1 + static_cast<std::int64_t>(m_random.below(static_cast<std::uint64_t>(m_options.jitterMs)));
+                m_messages.emplace((now + Millis { delay }).count, std::pair { to, copy });
+            }
+        }
+    }
+
+    void handle(unsigned d, const PeerMessage& message)
+    {
+        Node& node = nodes[d];
+        if (const auto* report = std::get_if<DemandReport>(&message.payload))
+            send(d, onDemandReport(*node.state, view(d), message, *report, now));
+        else if (const auto* allocation = std::get_if<Allocation>(&message.payload))
+            onAllocation(*node.state, view(d), message, *allocation, now);
+        else if (const auto* exchange = std::get_if<CellExchange>(&message.payload))
+            onCellExchange(*node.state, view(d), message, *exchange, now);
+    }
+
+    void deliver()
+    {
+        while (!m_messages.empty() && m_messages.begin()->first <= now.count) {
+            auto [to, message] = std::move(m_messages.begin()->second);
+            m_messages.erase(m_messages.begin());
+            if (!nodes[to].alive)
+                continue;
+            if (nodes[to].paused)
+                nodes[to].inbox.push_back(std::move(message));
+            else
+                handle(to, message);
+        }
+    }
+
+    void stepDaemon(unsigned d)
+    {
+        Node& node = nodes[d];
+        if (!node.alive || node.paused)
+            return;
+        for (; !node.inbox.empty(); node.inbox.pop_front())
+            handle(d, node.inbox.front());
+        for (const EngineRequest& request : node.finished)
+            recordFinish(*node.state, view(d), request.id, request.cost, true, now);
+        node.finished.clear();
+        for (std::size_t f = 0; f < m_flows.size(); ++f) {
+            const Flow& flow = m_flows[f];
+            if (flow.on && std::find(flow.daemons.begin(), flow.daemons.end(), d) != flow.daemons.end()) {
+                while (node.queued[f] < flow.depth)
+                    arrive(d, f);
+            }
+        }
+        for (const Grant& grant : dispatch(*node.state, view(d), now)) {
+            auto request = m_requests.extract(grant.request).mapped();
+            --node.queued[request.first.flow];
+            m_started[request.first.flow].push_back(request.first.cost);
+            longestWait[request.first.flow]
+                = std::max(longestWait[request.first.flow], static_cast<double>((now - request.second).count));
+            m_engines.at(grant.endpoint).waiting.push_back(request.first);
+        }
+        if (now.count % 50 == 0) {
+            pollLoad(node, d);
+            send(d, tickScheduling(*node.state, view(d), now));
+        }
+    }
+
+    void arrive(unsigned d, std::size_t f)
+    {
+        const Flow& flow = m_flows[f];
+        double cost = smallestCost * std::pow(largestCost / smallestCost, m_random.unit());
+        double hint = flow.lies ? 1 : cost * std::pow(5.0, 2 * m_random.unit() - 1);
+        QueuedRequest request { .id = RequestId(std::to_string(m_next++)),
+            .workspace = WorkspaceId(flow.workspace),
+            .pool = PoolId("engines"),
+            .enqueuedAt = now,
+            .deadline = now + Millis { 100'000'000 },
+            .costHint = hint };
+        m_requests.emplace(
+            request.id, std::pair { EngineRequest { .id = request.id, .daemon = d, .flow = f, .cost = cost }, now });
+        if (enqueue(*nodes[d].state, view(d), request, now))
+            ++nodes[d].queued[f];
+    }
+
+    /// \brief Load reports reach the schedulers and the daemons without a valid allocation, every 500 ms.
+    void pollLoad(Node& node, unsigned d)
+    {
+        if ((now.count + 50 * d) % 500 != 0)
+            return;
+        bool polls = false;
+        for (const CellStatus& cell : cellStatus(*node.state, view(d), now))
+            polls |= cell.needsLoadReports;
+        for (auto& [id, endpoint] : node.endpoints.endpoints) {
+            if (!polls)
+                break;
+            const Engine& engine = m_engines.at(id);
+            endpoint.reportedRunning = static_cast<std::uint32_t>(engine.running.size());
+            endpoint.reportedWaiting = static_cast<std::uint32_t>(engine.waiting.size());
+            endpoint.lastReport = now;
+        }
+    }
+
+    void advanceEngines()
+    {
+        double tokens = m_options.tokensPerSecond * step.seconds();
+        for (auto& [id, engine] : m_engines) {
+            while (engine.running.size() < m_options.slots && !engine.waiting.empty()) {
+                engine.running.push_back(std::move(engine.waiting.front()));
+                engine.waiting.pop_front();
+            }
+            m_busy += static_cast<double>(engine.running.size()) * step.seconds();
+            m_capacity += m_options.slots * step.seconds();
+            for (EngineRequest& request : engine.running) {
+                double part = std::min(tokens, request.cost - request.done);
+                request.done += part;
+                service[request.flow] += part;
+                Node& node = nodes[request.daemon];
+                if (node.alive && !node.paused)
+                    recordProgress(*node.state, request.id, request.done);
+            }
+            std::erase_if(engine.running, [&](const EngineRequest& request) {
+                Node& node = nodes[request.daemon];
+                if (request.done < request.cost)
+                    return false;
+                if (node.paused)
+                    node.finished.push_back(request);
+                else if (node.alive)
+                    recordFinish(*node.state, view(request.daemon), request.id, request.cost, true, now);
+                return true;
+            });
+        }
+        m_seconds += step.seconds();
+    }
+
+    void measure()
+    {
+        for (const auto& [id, engine] : m_engines)
+            highestLoad
+                = std::max(highestLoad, static_cast<std::uint32_t>(engine.running.size() + engine.waiting.size()));
+    }
+
+    FleetOptions m_options;
+    Random m_random;
+    std::vector<Flow> m_flows;
+    std::map<EndpointId, Engine> m_engines;
+    std::multimap<std::int64_t, std::pair<unsigned, PeerMessage>> m_messages;
+    std::map<RequestId, std::pair<EngineRequest, Millis>> m_requests;
+    std::uint64_t m_next { 0 };
+    double m_busy { 0 };
+    double m_capacity { 0 };
+    double m_waiting { 0 };
+    std::vector<std::vector<double>> m_started; ///< Costs of started requests, by flow.
+    double m_seconds { 0 };
+};
+
+/// \brief 16 workspaces with unequal shares: four large ones flood two of the daemons, twelve small ones enter at one
+/// daemon each, and one of them always sends a false hint.
+inline std::vector<Flow> unequalFlows(std::size_t flood = 1)
+{
+    std::vector<Flow> flows;
+    const double large[] = { 10, 8, 6, 4 };
+    const double small[] = { 0.5, 1, 1, 1, 1.5, 1.5, 2, 2, 2, 3, 3, 3 };
+    for (double share : large) {
+        flows.push_back({ .workspace = "kilic-large-" + std::to_string(flows.size()),
+            .share = share,
+            .daemons = { 0, 1 },
+            .depth = 200 * flood });
+    }
+    for (double share : small) {
+        flows.push_back({ .workspace = "kilic-small-" + std::to_string(flows.size()),
+            .share = share,
+            .daemons = { static_cast<unsigned>(flows.size() % 8) },
+            .depth = 20,
+            .lies = flows.size() == 7 });
+    }
+    return flows;
+}
+
+}
