Add membership

SWIM on a ring of hashes: 3 neighbours are probed each second, news are pushed to 3 random members every 100 ms while they are new, neighbours compare table hashes. Dead members are probed by their predecessor on the ring, so a healed partition converges.

--- /dev/null
+++ b/src/core/Membership.cpp
@@ -0,0 +1,582 @@
+#include "core/Membership.h"
+
+#include "base/Hash.h"
+
+#include <algorithm>
+#include <bit>
+#include <optional>
+
+namespace jasminestack {
+
+namespace {
+
+    // Updates in one message; news of a whole availability zone still spreads within a few intervals.
+    constexpr std::size_t maxGossipUpdates = 96;
+    constexpr std::size_t maxPiggyback = 8;
+    // A nonce only has to differ among the probes of the last seconds; small ones take fewer bytes.
+    constexpr std::uint64_t nonceModulus = 65'536;
+
+    MemberUpdate ownUpdate(const MembershipState& state, const SelfState& self)
+    {
+        return { .id = self.id,
+            .address = self.peerAddress,
+            .availabilityZone = self.availabilityZone,
+            .region = self.region,
+            .incarnation = state.incarnation,
+            .state = state.left ? MemberState::Left : MemberState::Alive };
+    }
+
+    std::uint32_t tableHash(MembershipState& state, const MembershipView& view)
+    {
+        if (state.tableHash)
+            return *state.tableHash;
+        std::uint64_t hash = state.left ? 0 : hash64(view.self.id.value, state.incarnation);
+        for (const auto& [id, member] : view.table.members) {
+            if (isRunning(member))
+                hash ^= hash64(id.value, member.last.incarnation);
+        }
+        state.tableHash = static_cast<std::uint32_t>(hash);
+        return *state.tableHash;
+    }
+
+    void noteChange(MembershipState& state, Millis now)
+    {
+        state.lastChange = now;
+        state.tableHash.reset();
+    }
+
+    // With n sends by each member, a share of about exp(-n) of the members misses the news. A missed refutation makes a
+    // running member dead for a while, so the number is well above the logarithm of the fleet's size.
+    unsigned newsSends(const MemberTable& table)
+    {
+        return 10 + static_cast<unsigned>(std::bit_width(table.members.size()));
+    }
+
+    void addNews(MembershipState& state, const MemberTable& table, const MemberUpdate& update)
+    {
+        state.news[update.id] = { .update = update, .remaining = newsSends(table) };
+    }
+
+    // Which of two updates about one member is newer. At the same incarnation the worse state wins, since only the
+    // member itself may take it back, by raising its incarnation.
+    bool overrides(const MemberUpdate& update, const MemberUpdate& known)
+    {
+        if (update.incarnation != known.incarnation)
+            return update.incarnation > known.incarnation;
+        return update.state > known.state;
+    }
+
+    void refute(MembershipState& state, const MembershipView& view, const MemberUpdate& update)
+    {
+        if (update.state == MemberState::Alive && update.incarnation <= state.incarnation)
+            return;
+        if (update.incarnation < state.incarnation || state.left)
+            return;
+        // A number above any that this process has used comes from an earlier life with a faster clock. Peers drop
+        // messages of a lower incarnation as replays, so the messages' own number has to pass it too.
+        if (update.incarnation > state.incarnation)
+            view.self.incarnation = std::max(view.self.incarnation, update.incarnation + 1);
+        state.incarnation = update.incarnation + 1;
+        state.tableHash.reset();
+        addNews(state, view.table, ownUpdate(state, view.self));
+        // Others gave this daemon up, so it was cut off, and the members that it gave up itself may well be running.
+        if (update.state == MemberState::Dead) {
+            for (const auto& [id, member] : view.table.members) {
+                if (member.last.state == MemberState::Dead)
+                    state.unverified.insert(id);
+            }
+        }
+    }
+
+    // Applies an update about another member. After this daemon was cut off itself, its own verdicts of death count
+    // less than a peer's word that the member runs, even at the same incarnation.
+    void learn(MembershipState& state, const MembershipView& view, const MemberUpdate& update, Millis now)
+    {
+        auto it = view.table.members.find(update.id);
+        if (it == view.table.members.end()) {
+            it = view.table.members.emplace(update.id, Member { .last = update, .lastHeard = now }).first;
+        } else {
+            bool revived = update.state == MemberState::Alive && update.incarnation == it->second.last.incarnation
+                && it->second.last.state == MemberState::Dead && state.unverified.contains(update.id);
+            if (!revived && !overrides(update, it->second.last))
+                return;
+            if (update.address != it->second.last.address)
+                state.probes.erase(update.id);
+            it->second.last = update;
+        }
+        state.unverified.erase(update.id);
+        it->second.suspectSince = update.state == MemberState::Alive ? Millis {} : now;
+        if (update.state == MemberState::Alive)
+            state.probes[update.id].missed = 0;
+        if (update.state == MemberState::Suspect)
+            state.suspects.insert(update.id);
+        noteChange(state, now);
+        addNews(state, view.table, update);
+    }
+
+    void learnAll(MembershipState& state, const MembershipView& view, std::span<const MemberUpdate> updates, Millis now)
+    {
+        // Updates about this daemon first: they decide how the others are read.
+        for (const MemberUpdate& update : updates) {
+            if (update.id == view.self.id)
+                refute(state, view, update);
+        }
+        for (const MemberUpdate& update : updates) {
+            if (update.id != view.self.id && !update.id.empty() && !update.address.empty())
+                learn(state, view, update, now);
+        }
+    }
+
+    void setState(
+        MembershipState& state, const MembershipView& view, Member& member, MemberState memberState, Millis now)
+    {
+        member.last.state = memberState;
+        member.suspectSince = now;
+        noteChange(state, now);
+        if (memberState == MemberState::Suspect)
+            state.suspects.insert(member.last.id);
+        // A daemon that hears from nobody is cut off itself; its verdicts then are of no use to the others.
+        if (now - state.lastHeard < state.options.isolation)
+            addNews(state, view.table, member.last);
+    }
+
+    std::vector<MemberUpdate> takeNews(MembershipState& state, std::size_t limit)
+    {
+        std::vector<PendingNews*> pending;
+        pending.reserve(state.news.size());
+        for (auto& [id, news] : state.news)
+            pending.push_back(&news);
+        std::size_t count = std::min(limit, pending.size());
+        std::partial_sort(pending.begin(), pending.begin() + static_cast<std::ptrdiff_t>(count), pending.end(),
+            [](const PendingNews* a, const PendingNews* b) { return a->remaining > b->remaining; });
+        std::vector<MemberUpdate> updates;
+        for (std::size_t i = 0; i < count; ++i) {
+            updates.push_back(pending[i]->update);
+            --pending[i]->remaining;
+        }
+        std::erase_if(state.news, [](const auto& entry) { return entry.second.remaining == 0; });
+        return updates;
+    }
+
+    void addOwn(std::vector<MemberUpdate>& updates, const MembershipState& state, const SelfState& self)
+    {
+        std::erase_if(updates, [&](const MemberUpdate& update) { return update.id == self.id; });
+        updates.push_back(ownUpdate(state, self));
+    }
+
+    // A member that this daemon takes for suspect or dead is told so, since only it can refute that.
+    void addVerdict(std::vector<MemberUpdate>& updates, const Member& member)
+    {
+        if (member.last.state == MemberState::Alive)
+            return;
+        std::erase_if(updates, [&](const MemberUpdate& update) { return update.id == member.last.id; });
+        updates.push_back(member.last);
+    }
+
+    std::uint64_t nextNonce(MembershipState& state)
+    {
+        state.lastNonce = state.lastNonce % (nonceModulus - 1) + 1;
+        return state.lastNonce;
+    }
+
+    AddressedMessage makeProbe(
+        MembershipState& state, const MembershipView& view, const DaemonId& id, const Member& member, Millis now)
+    {
+        ProbeRecord& record = state.probes[id];
+        record.lastProbe = now;
+        Probe probe { .nonce = nextNonce(state),
+            .configuration = view.configuration,
+            .updates = takeNews(state, maxPiggyback),
+            .tableHash = tableHash(state, view),
+            .unanswered = record.missed,
+            .wantTable = state.askTable.erase(id) > 0 };
+        if (!record.answered || record.missed > 0 || !isRunning(member))
+            addOwn(probe.updates, state, view.self);
+        addVerdict(probe.updates, member);
+        state.outstanding[probe.nonce] = { .target = id, .sentAt = now };
+        return { .address = member.last.address, .payload = std::move(probe) };
+    }
+
+    std::vector<std::pair<std::uint64_t, DaemonId>> ring(const MembershipView& view)
+    {
+        std::uint64_t own = hash64(view.self.id.value);
+        std::vector<std::pair<std::uint64_t, DaemonId>> successors;
+        for (const auto& [id, member] : view.table.members) {
+            if (isRunning(member))
+                successors.emplace_back(hash64(id.value) - own, id);
+        }
+        return successors;
+    }
+
+    // The next members on the ring, so many that as many as configured are not suspect: a run of failed neighbours
+    // would otherwise be found only three at a time.
+    void probeNeighbours(
+        MembershipState& state, const MembershipView& view, Millis now, std::vector<AddressedMessage>& out)
+    {
+        auto successors = ring(view);
+        std::size_t count = std::min<std::size_t>(4 * std::size_t { state.options.neighbours }, successors.size());
+        std::partial_sort(
+            successors.begin(), successors.begin() + static_cast<std::ptrdiff_t>(count), successors.end());
+        unsigned alive = 0;
+        for (std::size_t i = 0; i < count && alive < state.options.neighbours; ++i) {
+            const Member& member = view.table.members.at(successors[i].second);
+            alive += member.last.state == MemberState::Alive ? 1 : 0;
+            out.push_back(makeProbe(state, view, successors[i].second, member, now));
+        }
+    }
+
+    // Each dead member is tried by the running member before it on the ring.
+    void probeDead(MembershipState& state, const MembershipView& view, Millis now, std::vector<AddressedMessage>& out)
+    {
+        auto successors = ring(view);
+        std::uint64_t own = hash64(view.self.id.value);
+        std::optional<std::uint64_t> reach;
+        for (const auto& [distance, id] : successors)
+            reach = std::min(reach.value_or(distance), distance);
+        std::vector<std::pair<Millis, DaemonId>> due;
+        for (const auto& [id, member] : view.table.members) {
+            if (member.last.state != MemberState::Dead || (reach && hash64(id.value) - own > *reach))
+                continue;
+            Millis last = state.probes[id].lastProbe;
+            if (now - last >= state.options.deadProbeInterval)
+                due.emplace_back(last, id);
+        }
+        std::sort(due.begin(), due.end());
+        if (due.size() > state.options.deadProbesPerSecond)
+            due.resize(state.options.deadProbesPerSecond);
+        for (const auto& [last, id] : due) {
+            AddressedMessage message = makeProbe(state, view, id, view.table.members.at(id), now);
+            state.outstanding.erase(std::get<Probe>(message.payload).nonce);
+            out.push_back(std::move(message));
+        }
+    }
+
+    // Seeds and listed hosts that are not running members: all at once while alone, else one at a time.
+    void contactAddresses(
+        MembershipState& state, const MembershipView& view, Millis now, std::vector<AddressedMessage>& out)
+    {
+        std::set<std::string_view> known { view.self.peerAddress };
+        bool alone = true;
+        for (const auto& [id, member] : view.table.members) {
+            if (!isRunning(member))
+                continue;
+            known.insert(member.last.address);
+            alone = false;
+        }
+        std::vector<std::string_view> candidates;
+        for (const auto* list : { &state.seeds, &state.listed }) {
+            for (const std::string& address : *list) {
+                if (known.insert(address).second)
+                    candidates.emplace_back(address);
+            }
+        }
+        state.nextContact = now + (alone ? state.options.probeInterval : state.options.contactInterval);
+        std::size_t count = std::min<std::size_t>(candidates.size(), alone ? state.options.fanout : 1);
+        for (std::size_t i = 0; i < count; ++i) {
+            std::string_view address = candidates[state.contactCursor++ % candidates.size()];
+            Probe probe { .nonce = nextNonce(state),
+                .configuration = view.configuration,
+                .updates = {},
+                .tableHash = tableHash(state, view),
+                .wantTable = alone };
+            addOwn(probe.updates, state, view.self);
+            out.push_back({ .address = std::string(address), .payload = std::move(probe) });
+        }
+    }
+
+    void checkOutstanding(
+        MembershipState& state, const MembershipView& view, Millis now, std::vector<AddressedMessage>& out)
+    {
+        std::vector<DaemonId> missed;
+        std::erase_if(state.outstanding, [&](const auto& entry) {
+            if (now - entry.second.sentAt < state.options.ackTimeout)
+                return false;
+            auto it = view.table.members.find(entry.second.target);
+            // Any message since the probe shows that the member runs; only the answer shows that it hears.
+            if (it != view.table.members.end() && isRunning(it->second)) {
+                ++state.probes[entry.second.target].missed;
+                if (it->second.lastHeard < entry.second.sentAt)
+                    missed.push_back(entry.second.target);
+            }
+            return true;
+        });
+        for (const DaemonId& id : missed) {
+            Member& member = view.table.members.at(id);
+            unsigned count = state.probes[id].missed;
+            if (count < state.options.missedProbes)
+                out.push_back(makeProbe(state, view, id, member, now));
+            else if (member.last.state == MemberState::Alive)
+                setState(state, view, member, MemberState::Suspect, now);
+        }
+    }
+
+    void checkIsolation(MembershipState& state, const MembershipView& view, Millis now)
+    {
+        if (now - state.lastHeard < state.options.isolation)
+            return;
+        for (auto& [id, member] : view.table.members) {
+            if (member.last.state == MemberState::Alive)
+                setState(state, view, member, MemberState::Suspect, now);
+        }
+    }
+
+    void expireSuspects(MembershipState& state, const MembershipView& view, Millis now)
+    {
+        for (auto it = state.suspects.begin(); it != state.suspects.end();) {
+            auto member = view.table.members.find(*it);
+            bool suspect = member != view.table.members.end() && member->second.last.state == MemberState::Suspect;
+            if (suspect && now - member->second.suspectSince < state.options.suspicion) {
+                ++it;
+                continue;
+            }
+            it = state.suspects.erase(it);
+            if (suspect)
+                setState(state, view, member->second, MemberState::Dead, now);
+        }
+    }
+
+    void forgetStopped(MembershipState& state, const MembershipView& view, Millis now)
+    {
+        std::erase_if(view.table.members, [&](const auto& entry) {
+            bool forget = !isRunning(entry.second) && now - entry.second.suspectSince >= state.options.forgetAfter;
+            if (forget) {
+                state.probes.erase(entry.first);
+                state.unverified.erase(entry.first);
+            }
+            return forget;
+        });
+    }
+
+    std::vector<AddressedMessage> sendNews(MembershipState& state, const MembershipView& view)
+    {
+        std::vector<const Member*> running;
+        for (const auto& [id, member] : view.table.members) {
+            if (isRunning(member))
+                running.push_back(&member);
+        }
+        std::vector<AddressedMessage> out;
+        std::uint32_t hash = tableHash(state, view);
+        for (unsigned i = 0; i < state.options.fanout && !running.empty(); ++i) {
+            std::size_t at = state.random.below(running.size());
+            ProbeAck news { .nonce = 0,
+                .configuration = view.configuration,
+                .updates = takeNews(state, maxGossipUpdates),
+                .tableHash = hash };
+            addVerdict(news.updates, *running[at]);
+            out.push_back({ .address = running[at]->last.address, .payload = std::move(news) });
+            running.erase(running.begin() + static_cast<std::ptrdiff_t>(at));
+        }
+        return out;
+    }
+
+    // After a pause, silence says nothing about the others, so their suspicion times start again.
+    void afterPause(MembershipState& state, const MembershipView& view, Millis now)
+    {
+        state.outstanding.clear();
+        for (auto& [id, record] : state.probes)
+            record.missed = 0;
+        for (auto& [id, member] : view.table.members) {
+            if (member.last.state == MemberState::Suspect)
+                member.suspectSince = now;
+        }
+        state.nextProbe = now;
+        state.lastHeard = now;
+    }
+
+    void compareTables(
+        MembershipState& state, const MembershipView& view, const DaemonId& peer, std::uint32_t hash, Millis now)
+    {
+        ProbeRecord& record = state.probes[peer];
+        if (hash == tableHash(state, view)) {
+            record.hashDiffersSince = {};
+            return;
+        }
+        if (record.hashDiffersSince == Millis {})
+            record.hashDiffersSince = now;
+        Millis since = std::max(record.hashDiffersSince, state.lastChange);
+        if (now - since >= state.options.tableDifference) {
+            state.askTable.insert(peer);
+            state.comparing.insert(peer);
+            record.hashDiffersSince = now;
+        }
+    }
+
+    // Members on which this daemon and a peer disagree, and which no newer incarnation settles, are probed: a dead one
+    // then misses the probes, a running one refutes.
+    void verifyTable(MembershipState& state, const MembershipView& view, const ProbeAck& ack)
+    {
+        std::set<DaemonId> running;
+        for (const MemberUpdate& update : ack.updates)
+            running.insert(update.id);
+        for (const auto& [id, member] : view.table.members) {
+            if (isRunning(member) != running.contains(id))
+                state.verify.insert(id);
+        }
+    }
+
+    void noteDigest(const MembershipView& view, const DaemonId& sender, const ConfigurationDigest& digest)
+    {
+        if (auto it = view.table.members.find(sender); it != view.table.members.end())
+            it->second.configuration = digest;
+    }
+
+    // Without the dead: while a partition heals, the two sides' verdicts about each other must not spread.
+    std::vector<MemberUpdate> runningMembers(const MembershipView& view)
+    {
+        std::vector<MemberUpdate> updates;
+        for (const auto& [id, member] : view.table.members) {
+            if (isRunning(member))
+                updates.push_back(member.last);
+        }
+        return updates;
+    }
+
+    void probeListed(MembershipState& state, const MembershipView& view, Millis now, std::vector<AddressedMessage>& out)
+    {
+        // A member that was asked for its table need not be a neighbour.
+        for (const DaemonId& id : std::set<DaemonId>(state.askTable)) {
+            if (auto it = view.table.members.find(id); it != view.table.members.end() && isRunning(it->second))
+                out.push_back(makeProbe(state, view, id, it->second, now));
+        }
+        state.askTable.clear();
+        // Two each tick stay within the rate for dead members.
+        for (int i = 0; i < 2 && !state.verify.empty(); ++i) {
+            DaemonId id = *state.verify.begin();
+            state.verify.erase(state.verify.begin());
+            if (auto it = view.table.members.find(id); it != view.table.members.end())
+                out.push_back(makeProbe(state, view, id, it->second, now));
+        }
+    }
+
+}
+
+MembershipState makeMembershipState(
+    const MembershipOptions& options, const SelfState& self, std::vector<std::string> seeds, std::uint64_t randomSeed)
+{
+    return {
+        .options = options, .random = Random(randomSeed), .incarnation = self.incarnation, .seeds = std::move(seeds)
+    };
+}
+
+std::vector<AddressedMessage> tickMembership(MembershipState& state, const MembershipView& view, Millis now)
+{
+    std::vector<AddressedMessage> out;
+    if (state.left)
+        return out;
+    if (state.lastTick != Millis {} && now - state.lastTick > state.options.pause)
+        afterPause(state, view, now);
+    state.lastTick = now;
+    checkOutstanding(state, view, now, out);
+    checkIsolation(state, view, now);
+    expireSuspects(state, view, now);
+    if (now >= state.nextProbe) {
+        state.nextProbe = now + state.options.probeInterval;
+        forgetStopped(state, view, now);
+        probeNeighbours(state, view, now, out);
+        probeDead(state, view, now, out);
+    }
+    probeListed(state, view, now, out);
+    if (now >= state.nextContact)
+        contactAddresses(state, view, now, out);
+    if (now >= state.nextGossip && !state.news.empty()) {
+        state.nextGossip = now + state.options.gossipInterval;
+        auto news = sendNews(state, view);
+        out.insert(out.end(), std::make_move_iterator(news.begin()), std::make_move_iterator(news.end()));
+    }
+    return out;
+}
+
+std::vector<AddressedMessage> onProbe(
+    MembershipState& state, const MembershipView& view, const PeerMessage& message, const Probe& probe, Millis now)
+{
+    bool introduced = std::any_of(probe.updates.begin(), probe.updates.end(),
+        [&](const MemberUpdate& update) { return update.id == message.sender; });
+    std::uint64_t before = state.incarnation;
+    learnAll(state, view, probe.updates, now);
+    auto sender = view.table.members.find(message.sender);
+    if (sender == view.table.members.end() || state.left)
+        return {};
+    noteDigest(view, message.sender, probe.configuration);
+    compareTables(state, view, message.sender, probe.tableHash, now);
+    if (state.incarnation != before)
+        state.askTable.insert(message.sender);
+    ProbeAck ack { .nonce = probe.nonce,
+        .configuration = view.configuration,
+        .updates = takeNews(state, maxPiggyback),
+        .tableHash = tableHash(state, view) };
+    if (probe.wantTable) {
+        ack.updates = runningMembers(view);
+        ack.wholeTable = true;
+    }
+    if (introduced || probe.wantTable || state.incarnation != before)
+        addOwn(ack.updates, state, view.self);
+    addVerdict(ack.updates, sender->second);
+    std::vector<AddressedMessage> out;
+    out.push_back({ .address = sender->second.last.address, .payload = std::move(ack) });
+    return out;
+}
+
+void onProbeAck(
+    MembershipState& state, const MembershipView& view, const PeerMessage& message, const ProbeAck& ack, Millis now)
+{
+    std::uint64_t before = state.incarnation;
+    learnAll(state, view, ack.updates, now);
+    if (!view.table.members.contains(message.sender))
+        return;
+    noteDigest(view, message.sender, ack.configuration);
+    if (state.incarnation != before)
+        state.askTable.insert(message.sender);
+    if (ack.nonce == 0)
+        return;
+    if (ack.wholeTable && state.comparing.erase(message.sender) > 0)
+        verifyTable(state, view, ack);
+    compareTables(state, view, message.sender, ack.tableHash, now);
+    ProbeRecord& record = state.probes[message.sender];
+    record.missed = 0;
+    record.answered = true;
+    std::erase_if(state.outstanding, [&](const auto& entry) { return entry.second.target == message.sender; });
+}
+
+void onMemberHeard(MembershipState& state, MemberTable& table, const DaemonId& sender, Millis now)
+{
+    state.lastHeard = now;
+    if (auto it = table.members.find(sender); it != table.members.end())
+        it->second.lastHeard = now;
+}
+
+void onHostAddresses(MembershipState& state, std::vector<std::string> addresses)
+{
+    state.listed = std::move(addresses);
+}
+
+std::vector<AddressedMessage> leaveMembership(MembershipState& state, const MembershipView& view)
+{
+    state.left = true;
+    state.tableHash.reset();
+    state.news.clear();
+    addNews(state, view.table, ownUpdate(state, view.self));
+    std::vector<AddressedMessage> out;
+    for (int round = 0; round < 2; ++round) {
+        auto news = sendNews(state, view);
+        out.insert(out.end(), std::make_move_iterator(news.begin()), std::make_move_iterator(news.end()));
+    }
+    return out;
+}
+
+std::vector<AddressedMessage> pushDigest(MembershipState& state, const MembershipView& view)
+{
+    return sendNews(state, view);
+}
+
+bool isRunning(const Member& member) noexcept
+{
+    return member.last.state == MemberState::Alive || member.last.state == MemberState::Suspect;
+}
+
+std::string_view addressOf(const MemberTable& table, const DaemonId& id) noexcept
+{
+    auto it = table.members.find(id);
+    return it == table.members.end() ? std::string_view() : std::string_view(it->second.last.address);
+}
+
+}
--- a/src/core/Messages.h
+++ b/src/core/Messages.h
@@ -35,16 +35,21 @@
 
 /// \brief Asks whether a peer is alive; also carries news.
 struct Probe {
-    std::uint64_t nonce { 0 };
+    std::uint64_t nonce { 0 }; ///< Not 0.
     ConfigurationDigest configuration;
     std::vector<MemberUpdate> updates;
+    std::uint32_t tableHash { 0 }; ///< Over the members that the sender takes for running.
+    std::uint32_t unanswered { 0 }; ///< Consecutive probes to this peer before this one that got no answer.
+    bool wantTable { false }; ///< Asks for the whole member table in the answer.
 };
 
-/// \brief Answer to a Probe.
+/// \brief Answer to a Probe, or, with nonce 0, news without a question.
 struct ProbeAck {
     std::uint64_t nonce { 0 };
     ConfigurationDigest configuration;
     std::vector<MemberUpdate> updates;
+    std::uint32_t tableHash { 0 };
+    bool wholeTable { false }; ///< updates lists all members that the sender takes for running.
 };
 
 /// \brief One workspace's demand at one daemon.
--- a/src/net/PeerPayloadCodec.cpp
+++ b/src/net/PeerPayloadCodec.cpp
@@ -172,24 +172,47 @@
         return updates;
     }
 
-    template <typename ProbeLike> void packProbe(Packer& packer, const ProbeLike& probe)
+    void packOne(Packer& packer, const Probe& probe)
     {
-        packer.pack_array(4); // nonce, version, offset, updates
+        packer.pack_array(7);
         packer.pack(probe.nonce);
         packDigest(packer, probe.configuration);
         packUpdates(packer, probe.updates);
+        packer.pack(probe.tableHash);
+        packer.pack(probe.unanswered);
+        packer.pack(static_cast<unsigned>(probe.wantTable));
     }
 
-    template <typename ProbeLike> ProbeLike readProbe(ArrayReader& reader)
+    Probe readProbe(ArrayReader& reader)
     {
-        ProbeLike probe { .nonce = reader.unsignedValue() };
+        Probe probe { .nonce = reader.unsignedValue() };
         probe.configuration = readDigest(reader);
         probe.updates = readUpdates(reader.nested());
+        probe.tableHash = reader.smallValue();
+        probe.unanswered = reader.smallValue();
+        probe.wantTable = reader.unsignedValue() != 0;
         return probe;
     }
 
-    void packOne(Packer& packer, const Probe& probe) { packProbe(packer, probe); }
-    void packOne(Packer& packer, const ProbeAck& ack) { packProbe(packer, ack); }
+    void packOne(Packer& packer, const ProbeAck& ack)
+    {
+        packer.pack_array(6);
+        packer.pack(ack.nonce);
+        packDigest(packer, ack.configuration);
+        packUpdates(packer, ack.updates);
+        packer.pack(ack.tableHash);
+        packer.pack(static_cast<unsigned>(ack.wholeTable));
+    }
+
+    ProbeAck readProbeAck(ArrayReader& reader)
+    {
+        ProbeAck ack { .nonce = reader.unsignedValue() };
+        ack.configuration = readDigest(reader);
+        ack.updates = readUpdates(reader.nested());
+        ack.tableHash = reader.smallValue();
+        ack.wholeTable = reader.unsignedValue() != 0;
+        return ack;
+    }
 
     void packOne(Packer& packer, const DemandReport& report)
     {
@@ -355,9 +378,9 @@
     {
         switch (type) {
         case 0:
-            return readProbe<Probe>(reader);
+            return readProbe(reader);
         case 1:
-            return readProbe<ProbeAck>(reader);
+            return readProbeAck(reader);
         case 2:
             return readDemandReport(reader);
         case 3:
--- a/tests/PeerCodecTests.cpp
+++ b/tests/PeerCodecTests.cpp
@@ -64,10 +64,16 @@
                          .region = "marmara",
                          .incarnation = 5,
                          .state = MemberState::Suspect },
-            { .id = DaemonId("a-2"), .address = "127.0.0.1:25002", .incarnation = 6, .state = MemberState::Left } } });
+            { .id = DaemonId("a-2"), .address = "127.0.0.1:25002", .incarnation = 6, .state = MemberState::Left } },
+        .tableHash = 0xfedcba98,
+        .unanswered = 2,
+        .wantTable = true });
     REQUIRE(probe.nonce == 7);
     REQUIRE(probe.configuration.version == 12);
     REQUIRE(probe.configuration.throughOffset == 99);
+    REQUIRE(probe.tableHash == 0xfedcba98);
+    REQUIRE(probe.unanswered == 2);
+    REQUIRE(probe.wantTable);
     REQUIRE(probe.updates.size() == 2);
     REQUIRE(probe.updates[0].availabilityZone == "gebze");
     REQUIRE(probe.updates[0].region == "marmara");
@@ -77,7 +83,11 @@
     REQUIRE(probe.updates[1].region.empty());
     REQUIRE(probe.updates[1].incarnation == 6);
 
-    REQUIRE(roundTrip(ProbeAck { .nonce = 1, .configuration = {} }).configuration.throughOffset == -1);
+    auto ack = roundTrip(ProbeAck { .nonce = 1, .configuration = {}, .tableHash = 77, .wholeTable = true });
+    REQUIRE(ack.nonce == 1);
+    REQUIRE(ack.configuration.throughOffset == -1);
+    REQUIRE(ack.tableHash == 77);
+    REQUIRE(ack.wholeTable);
 
     auto report = roundTrip(largeReport());
     REQUIRE(report.cell == CellId { .pool = PoolId("workshop"), .index = 0 });
