Relay chunks with two system calls instead of seven

Change: the endpoint client uses plain sockets and one receive buffer; the caller server frames chunks itself and writes those of one turn of the event loop directly, and falls back to the buffered event when the socket is full. A request of which the socket took no byte now counts as not sent. X-Workspace tells endpoints the caller's workspace.

--- a/src/daemon/FlowRequest.cpp
+++ b/src/daemon/FlowRequest.cpp
@@ -29,7 +29,7 @@
     {
         return equalHeaderNames(name, "Authorization") || equalHeaderNames(name, "X-Request-Id")
             || equalHeaderNames(name, "traceparent") || equalHeaderNames(name, "X-Deadline-Ms")
-            || equalHeaderNames(name, "X-Cost-Hint");
+            || equalHeaderNames(name, "X-Cost-Hint") || equalHeaderNames(name, "X-Workspace");
     }
 
 }
@@ -148,6 +148,7 @@
     };
     const Span& hop = m_hop ? *m_hop : m_span;
     request.headers.emplace_back("X-Request-Id", m_attemptId);
+    request.headers.emplace_back("X-Workspace", m_resolved.workspace.value);
     request.headers.emplace_back("traceparent", formatTraceparent(hop.context));
     if (resume) {
         request.method = "GET";
@@ -314,7 +315,7 @@
 {
     m_exchange = 0;
     AttemptEnd attempt {
-        .complete = end.complete, .bytesMayHaveLeft = end.bytesMayHaveLeft || m_sent, .httpStatus = m_head.status
+        .complete = end.complete, .bytesMayHaveLeft = end.bytesMayHaveLeft || m_resuming, .httpStatus = m_head.status
     };
     if (m_relay == Relay::Events) {
         // A stream is whole with its end marker only, whatever the framing says.
--- a/src/net/CallerServer.cpp
+++ b/src/net/CallerServer.cpp
@@ -4,10 +4,12 @@
 #include "net/HttpResponseParser.h"
 
 #include <algorithm>
+#include <charconv>
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
 #include <event2/event.h>
 #include <event2/http.h>
+#include <event2/http_struct.h>
 #include <event2/keyvalq_struct.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
@@ -79,14 +81,22 @@
     std::uint16_t port { 0 };
     bool closeAfterAnswers { false };
     std::unordered_set<Exchange*> exchanges;
+    std::vector<Exchange*> unflushed; ///< Exchanges with chunks of this turn of the event loop.
+    event* flushEvent { nullptr };
 
     State(event_base& eventBase, CallerHandler& theHandler, const CallerServerOptions& theOptions)
         : base(eventBase)
         , handler(theHandler)
         , options(theOptions)
     {
+        flushEvent = event_new(&base, -1, 0, onFlush, this);
     }
 
+    ~State() { event_free(flushEvent); }
+    State(const State&) = delete;
+    State& operator=(const State&) = delete;
+
+    static void onFlush(evutil_socket_t, short, void* argument);
     static void onMessage(evhttp_request* message, void* argument);
 };
 
@@ -120,7 +130,11 @@
         evhttp_connection_set_closecb(m_connection, nullptr, nullptr);
         if (m_watch)
             event_free(m_watch);
+        if (m_outputWatch)
+            evbuffer_remove_cb_entry(output(), m_outputWatch);
         evbuffer_free(m_chunk);
+        if (m_unflushed)
+            std::replace(m_owner.unflushed.begin(), m_owner.unflushed.end(), this, static_cast<Exchange*>(nullptr));
         m_owner.exchanges.erase(this);
     }
     Exchange(const Exchange&) = delete;
@@ -140,12 +154,50 @@
     {
         addHeaders(head);
         evhttp_send_reply_start(m_message, head.status, nullptr);
+        m_outputWatch = evbuffer_add_cb(output(), onOutputChanged, this);
     }
 
+    // Chunks are framed and written here instead of by evhttp, which registers and unregisters the socket for writing
+    // around each of them. All chunks of one turn of the event loop leave with one system call.
     void sendChunk(std::string_view bytes) override
     {
-        evbuffer_add(m_chunk, bytes.data(), bytes.size());
-        evhttp_send_reply_chunk_with_cb(m_message, m_chunk, onWritten, this);
+        if (bytes.empty())
+            return;
+        if (!m_message->chunked) {
+            evbuffer_add(m_chunk, bytes.data(), bytes.size());
+            evhttp_send_reply_chunk(m_message, m_chunk);
+            return;
+        }
+        if (!m_blocked)
+            bufferevent_disable(evhttp_connection_get_bufferevent(m_connection), EV_WRITE);
+        char size[2 * sizeof(std::size_t) + 2];
+        char* end = std::to_chars(size, size + sizeof(size) - 2, bytes.size(), 16).ptr;
+        *end++ = '\r';
+        *end++ = '\n';
+        evbuffer_add(output(), size, static_cast<std::size_t>(end - size));
+        evbuffer_add(output(), bytes.data(), bytes.size());
+        evbuffer_add(output(), "\r\n", 2);
+        if (m_unflushed || m_blocked)
+            return;
+        if (m_owner.unflushed.empty())
+            event_active(m_owner.flushEvent, EV_TIMEOUT, 0);
+        m_owner.unflushed.push_back(this);
+        m_unflushed = true;
+    }
+
+    void flush()
+    {
+        m_unflushed = false;
+        if (m_answered)
+            return;
+        evbuffer_unfreeze(output(), 1);
+        evbuffer_write(output(), m_descriptor);
+        evbuffer_freeze(output(), 1);
+        if (evbuffer_get_length(output()) == 0)
+            return;
+        // The socket is full, or failed; the buffered event waits for it, applies the time limit and reports errors.
+        m_blocked = true;
+        bufferevent_enable(evhttp_connection_get_bufferevent(m_connection), EV_WRITE);
     }
 
     void endStream() override
@@ -161,12 +213,14 @@
         evhttp_connection_free(connection);
     }
 
-    [[nodiscard]] std::size_t bufferedBytes() const override
+    [[nodiscard]] std::size_t bufferedBytes() const override { return evbuffer_get_length(output()); }
+
+private:
+    [[nodiscard]] evbuffer* output() const
     {
-        return evbuffer_get_length(bufferevent_get_output(evhttp_connection_get_bufferevent(m_connection)));
+        return bufferevent_get_output(evhttp_connection_get_bufferevent(m_connection));
     }
 
-private:
     void addHeaders(const CallerHead& head)
     {
         evkeyvalq* headers = evhttp_request_get_output_headers(m_message);
@@ -214,9 +268,12 @@
         exchange->gone();
     }
 
-    static void onWritten(evhttp_connection*, void* argument)
+    static void onOutputChanged(evbuffer* output, const evbuffer_cb_info*, void* argument)
     {
         auto* exchange = static_cast<Exchange*>(argument);
+        if (evbuffer_get_length(output) != 0)
+            return;
+        exchange->m_blocked = false;
         if (exchange->m_listener)
             exchange->m_listener->onCallerDrained();
     }
@@ -244,9 +301,23 @@
     event* m_watch { nullptr };
     CallerListener* m_listener { nullptr };
     evutil_socket_t m_descriptor { -1 };
+    evbuffer_cb_entry* m_outputWatch { nullptr };
     bool m_answered { false };
+    bool m_unflushed { false };
+    bool m_blocked { false }; ///< The socket takes no more bytes; the buffered event writes the rest.
 };
 
+void CallerServer::State::onFlush(evutil_socket_t, short, void* argument)
+{
+    auto& state = *static_cast<State*>(argument);
+    while (!state.unflushed.empty()) {
+        Exchange* exchange = state.unflushed.back();
+        state.unflushed.pop_back();
+        if (exchange)
+            exchange->flush();
+    }
+}
+
 void CallerServer::State::onMessage(evhttp_request* message, void* argument)
 {
     auto& state = *static_cast<State*>(argument);
--- a/src/net/EndpointClient.cpp
+++ b/src/net/EndpointClient.cpp
@@ -5,12 +5,12 @@
 
 #include <algorithm>
 #include <arpa/inet.h>
-#include <event2/buffer.h>
-#include <event2/bufferevent.h>
+#include <cerrno>
 #include <event2/event.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <sys/socket.h>
+#include <unistd.h>
 #include <unordered_map>
 #include <utility>
 #include <vector>
@@ -21,40 +21,71 @@
 
     constexpr std::size_t scratchBytes = 64U << 10U;
 
-    // Received bytes that libevent may hold for one connection before it stops reading from the socket.
-    constexpr std::size_t receiveLimit = 64U << 10U;
-
     timeval toTimeval(Millis span) noexcept
     {
         auto ms = std::max<std::int64_t>(span.count, 0);
         return { .tv_sec = ms / 1000, .tv_usec = (ms % 1000) * 1000 };
     }
 
-    void appendRequest(evbuffer* output, const EndpointRequest& request)
+    std::string formatRequest(const EndpointRequest& request)
     {
-        std::string head;
-        head.reserve(512);
-        head.append(request.method).append(" ").append(request.target).append(" HTTP/1.1\r\nHost: ");
-        head.append(request.address).append("\r\n");
+        std::string text;
+        text.reserve(512 + request.body.size());
+        text.append(request.method).append(" ").append(request.target).append(" HTTP/1.1\r\nHost: ");
+        text.append(request.address).append("\r\n");
         for (const auto& [name, value] : request.headers)
-            head.append(name).append(": ").append(value).append("\r\n");
+            text.append(name).append(": ").append(value).append("\r\n");
         if (!request.body.empty() || (request.method != "GET" && request.method != "HEAD"))
-            head.append("Content-Length: ").append(std::to_string(request.body.size())).append("\r\n");
-        head.append("\r\n");
-        evbuffer_add(output, head.data(), head.size());
-        evbuffer_add(output, request.body.data(), request.body.size());
+            text.append("Content-Length: ").append(std::to_string(request.body.size())).append("\r\n");
+        return text.append("\r\n").append(request.body);
     }
 
+    struct EventDeleter {
+        void operator()(event* item) const noexcept { event_free(item); }
+    };
+    using EventPointer = std::unique_ptr<event, EventDeleter>;
+
+    // Owns a socket. Plain sockets are used instead of bufferevents, which need three system calls for each read and
+    // would copy every chunk once more.
+    class Descriptor {
+    public:
+        Descriptor() = default;
+        explicit Descriptor(int value) noexcept
+            : m_value(value)
+        {
+        }
+        Descriptor(Descriptor&& other) noexcept
+            : m_value(std::exchange(other.m_value, -1))
+        {
+        }
+        Descriptor& operator=(Descriptor&& other) noexcept
+        {
+            std::swap(m_value, other.m_value);
+            return *this;
+        }
+        ~Descriptor()
+        {
+            if (m_value >= 0)
+                close(m_value);
+        }
+        [[nodiscard]] int value() const noexcept { return m_value; }
+
+    private:
+        int m_value { -1 };
+    };
+
 }
 
 struct EndpointClient::State {
     enum class Phase : std::uint8_t { Waiting, Connecting, FirstByte, Body };
 
+    // Members are destroyed in reverse order: events before the socket that they watch.
     struct IdleConnection {
         State* owner { nullptr };
-        bufferevent* stream { nullptr };
         std::string address;
         Millis since {};
+        Descriptor socket;
+        EventPointer watch;
     };
 
     struct Exchange {
@@ -62,8 +93,12 @@
         ExchangeId id { 0 };
         EndpointRequest request;
         EndpointListener* listener { nullptr };
-        bufferevent* stream { nullptr };
-        event* timer { nullptr };
+        Descriptor socket;
+        EventPointer readable;
+        EventPointer writable;
+        EventPointer timer;
+        std::string output; ///< The request as it is sent.
+        std::size_t written { 0 };
         HttpResponseParser parser;
         Phase phase { Phase::Waiting };
         Millis lastActivity {};
@@ -78,117 +113,88 @@
     std::unordered_map<ExchangeId, std::unique_ptr<Exchange>> exchanges;
     std::vector<std::unique_ptr<IdleConnection>> idle; ///< Longest idle first.
     ExchangeId lastId { 0 };
-    event* sweep { nullptr };
+    EventPointer sweep;
     std::vector<char> scratch;
 
     State(event_base& eventBase, const Clock& theClock, const EndpointClientOptions& theOptions)
         : base(eventBase)
         , clock(theClock)
         , options(theOptions)
+        , sweep(event_new(&eventBase, -1, EV_PERSIST, onSweep, this))
         , scratch(scratchBytes)
     {
-        sweep = event_new(&base, -1, EV_PERSIST, onSweep, this);
         timeval interval { .tv_sec = 0, .tv_usec = 250'000 };
-        event_add(sweep, &interval);
-    }
-
-    ~State()
-    {
-        for (auto& [id, exchange] : exchanges)
-            release(*exchange);
-        for (auto& connection : idle)
-            bufferevent_free(connection->stream);
-        event_free(sweep);
-    }
-
-    static void release(Exchange& exchange)
-    {
-        if (exchange.stream)
-            bufferevent_free(std::exchange(exchange.stream, nullptr));
-        if (exchange.timer)
-            event_free(std::exchange(exchange.timer, nullptr));
+        event_add(sweep.get(), &interval);
     }
 
     [[nodiscard]] bool alive(ExchangeId id) const { return exchanges.contains(id); }
 
-    bufferevent* takeIdle(const std::string& address, bool fresh)
+    Descriptor takeIdle(const std::string& address, bool fresh)
     {
         // The most recently used connection is the least likely to have been closed by the endpoint.
         auto found = std::find_if(
             idle.rbegin(), idle.rend(), [&](const auto& connection) { return connection->address == address; });
         if (found == idle.rend())
-            return nullptr;
+            return {};
         Millis limit = fresh ? options.freshLimit : options.idleLimit;
         if (clock.now() - (*found)->since >= limit)
-            return nullptr;
-        bufferevent* stream = (*found)->stream;
+            return {};
+        (*found)->watch.reset();
+        Descriptor socket = std::move((*found)->socket);
         idle.erase(std::next(found).base());
-        return stream;
+        return socket;
     }
 
-    void keepIdle(bufferevent* stream, const std::string& address)
+    void keepIdle(Descriptor socket, const std::string& address)
     {
         auto sameAddress = std::count_if(
             idle.begin(), idle.end(), [&](const auto& connection) { return connection->address == address; });
-        if (static_cast<std::size_t>(sameAddress) >= options.idlePerAddress) {
-            bufferevent_free(stream);
+        if (static_cast<std::size_t>(sameAddress) >= options.idlePerAddress)
             return;
-        }
-        auto connection = std::make_unique<IdleConnection>(
-            IdleConnection { .owner = this, .stream = stream, .address = address, .since = clock.now() });
-        bufferevent_setcb(stream, onIdleRead, nullptr, onIdleEvent, connection.get());
-        bufferevent_enable(stream, EV_READ | EV_WRITE);
+        auto connection = std::make_unique<IdleConnection>();
+        connection->owner = this;
+        connection->address = address;
+        connection->since = clock.now();
+        connection->socket = std::move(socket);
+        connection->watch.reset(
+            event_new(&base, connection->socket.value(), EV_READ, onIdleReadable, connection.get()));
+        event_add(connection->watch.get(), nullptr);
         idle.push_back(std::move(connection));
     }
 
     void closeIdle(std::string_view address)
     {
-        std::erase_if(idle, [&](const auto& connection) {
-            if (connection->address != address)
-                return false;
-            bufferevent_free(connection->stream);
-            return true;
-        });
-    }
-
-    void dropIdle(IdleConnection& connection)
-    {
-        auto found
-            = std::find_if(idle.begin(), idle.end(), [&](const auto& item) { return item.get() == &connection; });
-        bufferevent_free(connection.stream);
-        idle.erase(found);
+        std::erase_if(idle, [&](const auto& connection) { return connection->address == address; });
     }
 
-    static void onIdleRead(bufferevent*, void* argument)
+    // Closed by the endpoint, or bytes without a request, after which the connection cannot be trusted.
+    static void onIdleReadable(evutil_socket_t, short, void* argument)
     {
-        // Bytes without a request belong to no exchange; the connection cannot be trusted any more.
         auto& connection = *static_cast<IdleConnection*>(argument);
-        connection.owner->dropIdle(connection);
-    }
-
-    static void onIdleEvent(bufferevent*, short, void* argument)
-    {
-        auto& connection = *static_cast<IdleConnection*>(argument);
-        connection.owner->dropIdle(connection);
+        std::erase_if(connection.owner->idle, [&](const auto& item) { return item.get() == &connection; });
     }
 
     static void onSweep(evutil_socket_t, short, void* argument)
     {
         auto& state = *static_cast<State*>(argument);
         Millis now = state.clock.now();
-        std::erase_if(state.idle, [&](const auto& connection) {
-            if (now - connection->since < state.options.idleLimit)
-                return false;
-            bufferevent_free(connection->stream);
-            return true;
-        });
+        std::erase_if(
+            state.idle, [&](const auto& connection) { return now - connection->since >= state.options.idleLimit; });
+    }
+
+    void useSocket(Exchange& exchange, Descriptor socket)
+    {
+        exchange.socket = std::move(socket);
+        int descriptor = exchange.socket.value();
+        exchange.readable.reset(event_new(&base, descriptor, EV_READ | EV_PERSIST, onReadable, &exchange));
+        exchange.writable.reset(event_new(&base, descriptor, EV_WRITE, onWritable, &exchange));
     }
 
     void begin(Exchange& exchange)
     {
-        if (bufferevent* reused = takeIdle(exchange.request.address, exchange.request.freshConnection)) {
-            exchange.stream = reused;
-            bufferevent_setcb(reused, onRead, nullptr, onEvent, &exchange);
+        if (Descriptor reused = takeIdle(exchange.request.address, exchange.request.freshConnection);
+            reused.value() >= 0) {
+            useSocket(exchange, std::move(reused));
             sendRequest(exchange);
             return;
         }
@@ -200,42 +206,71 @@
             return;
         }
         target.sin_port = htons(address.value().second);
-        exchange.stream = bufferevent_socket_new(&base, -1, BEV_OPT_CLOSE_ON_FREE);
+        Descriptor socket(::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0));
+        int on = 1;
+        setsockopt(socket.value(), IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
+        if (socket.value() < 0
+            || (connect(socket.value(), reinterpret_cast<sockaddr*>(&target), sizeof(target)) != 0
+                && errno != EINPROGRESS)) {
+            finish(exchange, ErrorKind::EndpointUnavailable);
+            return;
+        }
+        useSocket(exchange, std::move(socket));
         exchange.phase = Phase::Connecting;
-        bufferevent_setcb(exchange.stream, onRead, nullptr, onEvent, &exchange);
-        bufferevent_setwatermark(exchange.stream, EV_READ, 0, receiveLimit);
         timeval limit = toTimeval(exchange.request.connectTimeout);
-        evtimer_add(exchange.timer, &limit);
-        if (bufferevent_socket_connect(exchange.stream, reinterpret_cast<sockaddr*>(&target), sizeof(target)) != 0)
-            finish(exchange, ErrorKind::EndpointUnavailable);
+        evtimer_add(exchange.timer.get(), &limit);
+        event_add(exchange.writable.get(), nullptr);
     }
 
     void sendRequest(Exchange& exchange)
     {
-        int on = 1;
-        setsockopt(bufferevent_getfd(exchange.stream), IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
         exchange.phase = Phase::FirstByte;
-        exchange.bytesMayHaveLeft = true;
         exchange.lastActivity = clock.now();
-        appendRequest(bufferevent_get_output(exchange.stream), exchange.request);
+        exchange.output = formatRequest(exchange.request);
         exchange.request.body = {};
         timeval limit = toTimeval(exchange.request.firstByteTimeout);
-        evtimer_add(exchange.timer, &limit);
-        short events = exchange.paused ? EV_WRITE : EV_READ | EV_WRITE;
-        bufferevent_enable(exchange.stream, events);
-        exchange.listener->onSent();
+        evtimer_add(exchange.timer.get(), &limit);
+        if (!exchange.paused)
+            event_add(exchange.readable.get(), nullptr);
+        ExchangeId id = exchange.id;
+        write(exchange);
+        if (alive(id))
+            exchange.listener->onSent();
+    }
+
+    void write(Exchange& exchange)
+    {
+        std::string_view rest = std::string_view(exchange.output).substr(exchange.written);
+        ssize_t sent = send(exchange.socket.value(), rest.data(), rest.size(), MSG_NOSIGNAL);
+        if (sent > 0) {
+            exchange.bytesMayHaveLeft = true;
+            exchange.written += static_cast<std::size_t>(sent);
+        } else if (sent < 0 && errno != EAGAIN && errno != EINTR) {
+            finish(exchange, exchange.bytesMayHaveLeft ? ErrorKind::EndpointLost : ErrorKind::EndpointUnavailable);
+            return;
+        }
+        if (exchange.written < exchange.output.size())
+            event_add(exchange.writable.get(), nullptr);
+        else
+            exchange.output = {};
     }
 
     void finish(Exchange& exchange, ErrorKind error, bool complete = false)
     {
         EndpointEnd end { .complete = complete, .bytesMayHaveLeft = exchange.bytesMayHaveLeft, .error = error };
         EndpointListener& listener = *exchange.listener;
+        std::string address = std::move(exchange.request.address);
         if (!complete)
-            closeIdle(exchange.request.address);
-        if (complete && exchange.parser.reusable() && evbuffer_get_length(bufferevent_get_output(exchange.stream)) == 0)
-            keepIdle(std::exchange(exchange.stream, nullptr), exchange.request.address);
-        release(exchange);
+            closeIdle(address);
+        Descriptor kept;
+        if (complete && exchange.parser.reusable() && exchange.output.empty()) {
+            exchange.readable.reset();
+            exchange.writable.reset();
+            kept = std::move(exchange.socket);
+        }
         exchanges.erase(exchange.id);
+        if (kept.value() >= 0)
+            keepIdle(std::move(kept), address);
         listener.onEnd(end);
     }
 
@@ -265,41 +300,25 @@
         return true;
     }
 
-    static void onRead(bufferevent* stream, void* argument)
+    static void onReadable(evutil_socket_t descriptor, short, void* argument)
     {
         auto& exchange = *static_cast<Exchange*>(argument);
         State& state = *exchange.owner;
-        evbuffer* input = bufferevent_get_input(stream);
-        exchange.lastActivity = state.clock.now();
-        if (exchange.phase == Phase::FirstByte) {
-            exchange.phase = Phase::Body;
-            timeval limit = toTimeval(exchange.request.idleTimeout);
-            evtimer_add(exchange.timer, &limit);
-        }
-        while (!exchange.paused) {
-            int length = evbuffer_remove(input, state.scratch.data(), state.scratch.size());
-            if (length <= 0)
-                return;
+        ssize_t length = recv(descriptor, state.scratch.data(), state.scratch.size(), 0);
+        if (length > 0) {
+            exchange.lastActivity = state.clock.now();
+            if (exchange.phase == Phase::FirstByte) {
+                exchange.phase = Phase::Body;
+                timeval limit = toTimeval(exchange.request.idleTimeout);
+                evtimer_add(exchange.timer.get(), &limit);
+            }
             std::span<char> data(state.scratch.data(), static_cast<std::size_t>(length));
-            if (!state.deliver(exchange, exchange.parser.feed(data)))
-                return;
-        }
-    }
-
-    static void onEvent(bufferevent*, short what, void* argument)
-    {
-        auto& exchange = *static_cast<Exchange*>(argument);
-        State& state = *exchange.owner;
-        if (what & BEV_EVENT_CONNECTED) {
-            state.sendRequest(exchange);
+            static_cast<void>(state.deliver(exchange, exchange.parser.feed(data)));
             return;
         }
-        if (exchange.phase == Phase::Connecting) {
-            state.finish(exchange, ErrorKind::EndpointUnavailable);
+        if (length < 0 && (errno == EAGAIN || errno == EINTR))
             return;
-        }
-        if (what & BEV_EVENT_EOF) {
-            // The read callback has already consumed what came before the close.
+        if (length == 0) {
             exchange.parser.endOfInput();
             if (exchange.parser.complete()) {
                 state.finish(exchange, ErrorKind::Internal, true);
@@ -309,6 +328,22 @@
         state.finish(exchange, exchange.headDelivered ? ErrorKind::AnswerTruncated : ErrorKind::EndpointLost);
     }
 
+    static void onWritable(evutil_socket_t descriptor, short, void* argument)
+    {
+        auto& exchange = *static_cast<Exchange*>(argument);
+        State& state = *exchange.owner;
+        if (exchange.phase != Phase::Connecting) {
+            state.write(exchange);
+            return;
+        }
+        int error = 0;
+        socklen_t length = sizeof(error);
+        if (getsockopt(descriptor, SOL_SOCKET, SO_ERROR, &error, &length) != 0 || error != 0)
+            state.finish(exchange, ErrorKind::EndpointUnavailable);
+        else
+            state.sendRequest(exchange);
+    }
+
     static void onTimer(evutil_socket_t, short, void* argument)
     {
         auto& exchange = *static_cast<Exchange*>(argument);
@@ -333,7 +368,7 @@
             return;
         }
         timeval rest = toTimeval(allowed - silent);
-        evtimer_add(exchange.timer, &rest);
+        evtimer_add(exchange.timer.get(), &rest);
     }
 };
 
@@ -353,22 +388,15 @@
     exchange->request = request;
     exchange->listener = &listener;
     exchange->parser = HttpResponseParser(request.method == "HEAD");
-    exchange->timer = evtimer_new(&state.base, State::onTimer, exchange.get());
+    exchange->timer.reset(evtimer_new(&state.base, State::onTimer, exchange.get()));
     // The exchange begins as an event of its own, so that no listener is called inside this function.
-    event_active(exchange->timer, EV_TIMEOUT, 0);
+    event_active(exchange->timer.get(), EV_TIMEOUT, 0);
     ExchangeId id = exchange->id;
     state.exchanges.emplace(id, std::move(exchange));
     return id;
 }
 
-void EndpointClient::cancel(ExchangeId id)
-{
-    auto found = m_state->exchanges.find(id);
-    if (found == m_state->exchanges.end())
-        return;
-    State::release(*found->second);
-    m_state->exchanges.erase(found);
-}
+void EndpointClient::cancel(ExchangeId id) { m_state->exchanges.erase(id); }
 
 void EndpointClient::setPaused(ExchangeId id, bool paused)
 {
@@ -378,15 +406,12 @@
     State::Exchange& exchange = *found->second;
     exchange.paused = paused;
     exchange.lastActivity = m_state->clock.now();
-    if (!exchange.stream || exchange.phase < State::Phase::FirstByte)
+    if (exchange.phase < State::Phase::FirstByte)
         return;
-    if (paused) {
-        bufferevent_disable(exchange.stream, EV_READ);
-    } else {
-        bufferevent_enable(exchange.stream, EV_READ);
-        // Delivers bytes that were received before the pause; deferred, so that no listener is called in here.
-        bufferevent_trigger(exchange.stream, EV_READ, BEV_TRIG_IGNORE_WATERMARKS | BEV_TRIG_DEFER_CALLBACKS);
-    }
+    if (paused)
+        event_del(exchange.readable.get());
+    else
+        event_add(exchange.readable.get(), nullptr);
 }
 
 void EndpointClient::closeIdle(std::string_view address) { m_state->closeIdle(address); }
