Run calls with idempotency keys under claims

Cause: a booking resent through another daemon ran twice in scripts/demo. Change: ClaimService tails and appends the claim streams; the request path claims a key before it queues the call, replays the stored answer to repeats, withdraws a claim that provably did not run, and flushes answers to the log before it exits.

--- a/src/base/Error.cpp
+++ b/src/base/Error.cpp
@@ -28,6 +28,7 @@
         ErrorAnswer { ErrorKind::IdempotencyKeyInvalid, "idempotency_key_invalid", 400, false },
         ErrorAnswer { ErrorKind::IdempotencyKeyReused, "idempotency_key_reused", 422, false },
         ErrorAnswer { ErrorKind::IdempotencyInProgress, "idempotency_in_progress", 409, true },
+        ErrorAnswer { ErrorKind::AnswerNotKept, "answer_not_kept", 409, false },
         ErrorAnswer { ErrorKind::ClaimsUnavailable, "claims_unavailable", 503, true },
         ErrorAnswer { ErrorKind::EndpointUnavailable, "endpoint_unavailable", 503, true },
         ErrorAnswer { ErrorKind::EndpointRefused, "endpoint_refused", 502, true },
--- a/src/base/Error.h
+++ b/src/base/Error.h
@@ -39,6 +39,7 @@
     IdempotencyKeyInvalid,
     IdempotencyKeyReused,
     IdempotencyInProgress,
+    AnswerNotKept,
     ClaimsUnavailable,
     EndpointUnavailable,
     EndpointRefused,
--- a/src/core/Claims.cpp
+++ b/src/core/Claims.cpp
@@ -286,7 +286,7 @@
         return withdraw(state, request, now);
     Json record { { "kind", "done" }, { "key", request.key }, { "claim", request.claim },
         { "status", status == RunStatus::Ran ? answer.httpStatus : 0 }, { "contentType", answer.contentType } };
-    if (status == RunStatus::Ran && answer.body.size() <= state.options.maxStoredBody)
+    if (status == RunStatus::Ran && answer.bodyKept && answer.body.size() <= state.options.maxStoredBody)
         record["body"] = absl::Base64Escape(answer.body);
     emitUnconfirmed(
         state, "done", request.claim, { .stream = streamOfKey(state, request.key), .record = dump(record) }, now);
--- a/src/daemon/Daemon.cpp
+++ b/src/daemon/Daemon.cpp
@@ -7,6 +7,7 @@
 #include "core/Retry.h"
 #include "core/Scheduling.h"
 #include "daemon/AdminRoutes.h"
+#include "daemon/ClaimService.h"
 #include "daemon/ConfigurationService.h"
 #include "daemon/RequestFlow.h"
 #include "net/CallerServer.h"
@@ -32,6 +33,9 @@
     // Spans wait at most this long before they are handed over.
     constexpr Millis traceFlushInterval { 1'000 };
 
+    // A stopping daemon waits this long for the log to take the answers of calls with idempotency keys.
+    constexpr Millis claimFlushLimit { 5'000 };
+
     struct EventBaseDeleter {
         void operator()(event_base* base) const noexcept { event_base_free(base); }
     };
@@ -88,6 +92,7 @@
     Metrics metrics;
     Tracer tracer;
     EndpointClient transport;
+    ClaimService claims;
     RequestFlow flow;
     CallerServer server;
     std::unique_ptr<AdminServer> admin;
@@ -96,6 +101,7 @@
     Phase phase { Phase::Running };
     Millis stopRequested {};
     Millis lastFlush {};
+    Millis idleSince {}; ///< When the last request of a stopping daemon ended.
     std::uint64_t appliedVersion { 0 };
     bool forced { false };
 
@@ -115,6 +121,8 @@
               .gain = settings.scheduling.gain }))
         , tracer({ .instanceId = settings.daemon.id.value }, clock, random, traceSink(settings.tracing.otlpFile))
         , transport(*base, clock)
+        , claims(log, clock, random, metrics, settings.daemon.id.value,
+              { .claims = { .streams = settings.log.claimStreams, .window = settings.log.claimWindow } })
         , flow(FlowContext { .clock = clock,
                    .random = random,
                    .configuration = [this]() -> const Configuration& { return currentConfiguration(); },
@@ -126,7 +134,8 @@
                    .metrics = metrics,
                    .tracer = tracer,
                    .retryBudget = retryBudget,
-                   .crashGuard = crashGuard },
+                   .crashGuard = crashGuard,
+                   .claims = &claims },
               flowOptions(settings))
         , server(*base, flow, serverOptions(settings))
     {
@@ -194,8 +203,10 @@
     void runTick()
     {
         Millis now = clock.now();
-        if (!configuration)
+        if (!configuration) {
             configurationService.tick();
+            claims.tick();
+        }
         adoptConfiguration();
         updateReadiness();
         flow.tick();
@@ -238,6 +249,10 @@
         if (passed >= settings.shutdown.drain)
             flow.refuseQueued();
         if (phase == Phase::Draining && flow.active() == 0 && server.openExchanges() == 0) {
+            if (idleSince == Millis {})
+                idleSince = now;
+            if (!claims.settled() && now - idleSince < claimFlushLimit)
+                return;
             logEvent(LogLevel::Info, "shutdown_finished", { { "took_ms", passed.count } });
             event_base_loopbreak(base.get());
         }
@@ -258,8 +273,10 @@
         return listening.error();
     if (auto started = m_state->startAdmin(); !started)
         return started.error();
-    if (!m_state->configuration)
+    if (!m_state->configuration) {
         m_state->configurationService.start();
+        m_state->claims.start();
+    }
     m_state->adoptConfiguration();
     m_state->updateReadiness();
     return ok();
--- a/src/daemon/FlowRequest.h
+++ b/src/daemon/FlowRequest.h
@@ -58,8 +58,8 @@
 
     [[nodiscard]] const PoolId& pool() const noexcept { return m_resolved.pool; }
 
-    /// \brief Queues the request.
-    void enqueue();
+    /// \brief Takes the first step: claims the idempotency key if the call needs one, else queues the request.
+    void begin();
 
     /// \brief The request has a slot at \p endpoint.
     void granted(const EndpointState& endpoint);
@@ -67,6 +67,9 @@
     /// \brief Ends a request that is not running.
     void refuse(Error error);
 
+    /// \returns Whether the request waits for the decision about its idempotency key.
+    [[nodiscard]] bool claiming() const noexcept { return m_stage == Stage::Claiming; }
+
     /// \brief Ends a running request whose caller's deadline has passed before the answer began.
     void checkDeadline(Millis now);
 
@@ -78,7 +81,7 @@
     void onEnd(const EndpointEnd&) override;
 
 private:
-    enum class Stage : std::uint8_t { Queued, Running, Ended };
+    enum class Stage : std::uint8_t { Claiming, Queued, Running, Ended };
     enum class Relay : std::uint8_t {
         Undecided, ///< No head yet.
         Events, ///< A model engine's server-sent events.
@@ -86,6 +89,10 @@
         Passing, ///< Passed on as it comes, because it is too long to collect or a plain service's events.
     };
 
+    void onClaimDecision(const ClaimDecision&);
+    void replay(const StoredAnswer&);
+    void settleClaim();
+    void enqueue();
     void startAttempt(bool resume);
     [[nodiscard]] EndpointRequest buildRequest(bool resume) const;
     void relayEvents(std::string_view chunk);
@@ -130,6 +137,8 @@
     SseScanner m_events;
     std::uint64_t m_answerBytes { 0 };
     std::uint64_t m_reportedTokens { 0 };
+    std::string m_claim; ///< Claim of the idempotency key; empty if there is none.
+    RunStatus m_finalStatus { RunStatus::NotRun };
     bool m_slotHeld { false };
     bool m_sent { false }; ///< The current attempt's request has been written, at least in part.
     bool m_resuming { false }; ///< The current exchange continues a stream.
--- a/src/daemon/RequestFlow.cpp
+++ b/src/daemon/RequestFlow.cpp
@@ -217,7 +217,7 @@
     FlowRequest& started = *flow;
     state.requests.emplace(id, std::move(flow));
     creditRetryBudget(state.flowContext.retryBudget, started.pool(), configuration.limits.retryRatio);
-    started.enqueue();
+    started.begin();
 }
 
 void RequestFlow::dispatchGrants() { m_state->dispatchGrants(); }
@@ -242,8 +242,13 @@
 
 void RequestFlow::refuseQueued()
 {
-    m_state->refuseIds(drainQueued(m_state->flowContext.scheduling),
-        { .kind = ErrorKind::ShuttingDown, .message = "this daemon is shutting down; the request was not run" });
+    std::vector<RequestId> ids = drainQueued(m_state->flowContext.scheduling);
+    for (const auto& [id, request] : m_state->requests) {
+        if (request->claiming())
+            ids.push_back(id);
+    }
+    m_state->refuseIds(
+        ids, { .kind = ErrorKind::ShuttingDown, .message = "this daemon is shutting down; the request was not run" });
 }
 
 std::size_t RequestFlow::active() const noexcept { return m_state->requests.size(); }
--- a/src/daemon/RequestFlow.h
+++ b/src/daemon/RequestFlow.h
@@ -6,6 +6,7 @@
 #include "core/CrashGuard.h"
 #include "core/Retry.h"
 #include "core/Scheduling.h"
+#include "daemon/ClaimService.h"
 #include "net/CallerServer.h"
 #include "net/Interfaces.h"
 #include "observe/Metrics.h"
@@ -43,6 +44,7 @@
     RetryBudget& retryBudget;
     CrashGuardState& crashGuard;
     std::function<void(const CrashMark&)> sendCrashMark {}; ///< Tells all peers.
+    ClaimService* claims { nullptr }; ///< Without it calls with an idempotency key are refused.
 };
 
 /// \brief Takes callers' requests through queue, endpoint and answer: one state machine for each request.
