Connect daemons: peer service, endpoint monitor and their hooks

FleetLinks wires both into the daemon, which tells its peers when it stops and waits 100 ms for these messages to be written.

The loopback harness switches load polling off, because its endpoint plays one connection at a time.

--- a/src/config/Settings.h
+++ b/src/config/Settings.h
@@ -74,7 +74,7 @@
         Millis connectTimeout { 1'000 };
         Millis firstByteTimeout { 30'000 };
         Millis idleTimeout { 10'000 };
-        Millis loadInterval { 500 };
+        Millis loadInterval { 500 }; ///< 0: load reports are not polled.
     } endpoints;
 
     struct Shutdown {
--- a/src/daemon/Daemon.cpp
+++ b/src/daemon/Daemon.cpp
@@ -8,6 +8,7 @@
 #include "core/Scheduling.h"
 #include "daemon/AdminRoutes.h"
 #include "daemon/ConfigurationService.h"
+#include "daemon/FleetLinks.h"
 #include "daemon/RequestFlow.h"
 #include "net/CallerServer.h"
 #include "net/EndpointClient.h"
@@ -29,6 +30,9 @@
 
     constexpr timeval tickInterval { .tv_sec = 0, .tv_usec = 50'000 };
 
+    // The process ends this long after it told its peers, so that the messages are written before the sockets close.
+    constexpr Millis leaveTime { 100 };
+
     // Spans wait at most this long before they are handed over.
     constexpr Millis traceFlushInterval { 1'000 };
 
@@ -69,7 +73,7 @@
 }
 
 struct Daemon::State {
-    enum class Phase : std::uint8_t { Running, Grace, Draining };
+    enum class Phase : std::uint8_t { Running, Grace, Draining, Leaving };
 
     Settings settings;
     std::function<const Configuration&()> configuration; ///< Replaces the log's configuration if not empty.
@@ -91,10 +95,12 @@
     RequestFlow flow;
     CallerServer server;
     std::unique_ptr<AdminServer> admin;
+    FleetLinks links;
     EventPointer tick;
     std::array<EventPointer, 2> signals;
     Phase phase { Phase::Running };
     Millis stopRequested {};
+    Millis leftAt {};
     Millis lastFlush {};
     std::uint64_t appliedVersion { 0 };
     bool forced { false };
@@ -126,9 +132,23 @@
                    .metrics = metrics,
                    .tracer = tracer,
                    .retryBudget = retryBudget,
-                   .crashGuard = crashGuard },
+                   .crashGuard = crashGuard,
+                   .sendCrashMark = [this](const CrashMark& mark) { links.sendCrashMark(mark); } },
               flowOptions(settings))
         , server(*base, flow, serverOptions(settings))
+        , links({ .base = *base,
+              .settings = settings,
+              .clock = clock,
+              .http = http,
+              .self = self,
+              .members = members,
+              .endpoints = endpoints,
+              .configurationService = configurationService,
+              .scheduling = *scheduling,
+              .crashGuard = crashGuard,
+              .metrics = metrics,
+              .configuration = [this]() -> const Configuration& { return currentConfiguration(); },
+              .slotsChanged = [this] { flow.dispatchGrants(); } })
     {
         tick.reset(event_new(base.get(), -1, EV_PERSIST, onTick, this));
         event_add(tick.get(), &tickInterval);
@@ -199,8 +219,7 @@
         adoptConfiguration();
         updateReadiness();
         flow.tick();
-        static_cast<void>(
-            tickScheduling(*scheduling, { self, currentConfiguration(), members, endpoints }, clock.now()));
+        links.tick();
         metrics.set(Gauge::OpenStreams, {}, static_cast<double>(flow.openStreams()));
         if (now - lastFlush >= traceFlushInterval) {
             lastFlush = now;
@@ -238,9 +257,13 @@
         if (passed >= settings.shutdown.drain)
             flow.refuseQueued();
         if (phase == Phase::Draining && flow.active() == 0 && server.openExchanges() == 0) {
+            phase = Phase::Leaving;
+            leftAt = now;
+            links.leave();
             logEvent(LogLevel::Info, "shutdown_finished", { { "took_ms", passed.count } });
-            event_base_loopbreak(base.get());
         }
+        if (phase == Phase::Leaving && now - leftAt >= leaveTime)
+            event_base_loopbreak(base.get());
     }
 };
 
@@ -258,6 +281,8 @@
         return listening.error();
     if (auto started = m_state->startAdmin(); !started)
         return started.error();
+    if (auto linked = m_state->links.start(); !linked)
+        return linked.error();
     if (!m_state->configuration)
         m_state->configurationService.start();
     m_state->adoptConfiguration();
--- a/tests/LoopbackHarness.h
+++ b/tests/LoopbackHarness.h
@@ -205,6 +205,8 @@
 
         settings.daemon.id = DaemonId { "daemon-1" };
         settings.callers.address = "127.0.0.1:0";
+        // The test's endpoint answers one connection at a time and expects only the requests under test.
+        settings.endpoints.loadInterval = {};
         daemon = std::make_unique<Daemon>(settings, [this]() -> const Configuration& { return configuration; });
         auto started = daemon->start();
         if (!started)
