--- a/src/daemon/Daemon.cpp
+++ b/src/daemon/Daemon.cpp
@@ -9,6 +9,7 @@
 #include "daemon/AdminRoutes.h"
 #include "daemon/ClaimService.h"
 #include "daemon/ConfigurationService.h"
+#include "daemon/FleetLinks.h"
 #include "daemon/RequestFlow.h"
 #include "net/CallerServer.h"
 #include "net/EndpointClient.h"
@@ -30,6 +31,9 @@
 
     constexpr timeval tickInterval { .tv_sec = 0, .tv_usec = 50'000 };
 
+    // The process ends this long after it told its peers, so that the messages are written before the sockets close.
+    constexpr Millis leaveTime { 100 };
+
     // Spans wait at most this long before they are handed over.
     constexpr Millis traceFlushInterval { 1'000 };
 
@@ -73,7 +77,7 @@
 }
 
 struct Daemon::State {
-    enum class Phase : std::uint8_t { Running, Grace, Draining };
+    enum class Phase : std::uint8_t { Running, Grace, Draining, Leaving };
 
     Settings settings;
     std::function<const Configuration&()> configuration; ///< Replaces the log's configuration if not empty.
@@ -96,10 +100,12 @@
     RequestFlow flow;
     CallerServer server;
     std::unique_ptr<AdminServer> admin;
+    FleetLinks links;
     EventPointer tick;
     std::array<EventPointer, 2> signals;
     Phase phase { Phase::Running };
     Millis stopRequested {};
+    Millis leftAt {};
     Millis lastFlush {};
     Millis idleSince {}; ///< When the last request of a stopping daemon ended.
     std::uint64_t appliedVersion { 0 };
@@ -135,9 +141,23 @@
                    .tracer = tracer,
                    .retryBudget = retryBudget,
                    .crashGuard = crashGuard,
+                   .sendCrashMark = [this](const CrashMark& mark) { links.sendCrashMark(mark); },
                    .claims = &claims },
               flowOptions(settings))
         , server(*base, flow, serverOptions(settings))
+        , links({ .base = *base,
+              .settings = settings,
+              .clock = clock,
+              .http = http,
+              .self = self,
+              .members = members,
+              .endpoints = endpoints,
+              .configurationService = configurationService,
+              .scheduling = *scheduling,
+              .crashGuard = crashGuard,
+              .metrics = metrics,
+              .configuration = [this]() -> const Configuration& { return currentConfiguration(); },
+              .slotsChanged = [this] { flow.dispatchGrants(); } })
     {
         tick.reset(event_new(base.get(), -1, EV_PERSIST, onTick, this));
         event_add(tick.get(), &tickInterval);
@@ -210,8 +230,7 @@
         adoptConfiguration();
         updateReadiness();
         flow.tick();
-        static_cast<void>(
-            tickScheduling(*scheduling, { self, currentConfiguration(), members, endpoints }, clock.now()));
+        links.tick();
         metrics.set(Gauge::OpenStreams, {}, static_cast<double>(flow.openStreams()));
         if (now - lastFlush >= traceFlushInterval) {
             lastFlush = now;
@@ -253,9 +272,13 @@
                 idleSince = now;
             if (!claims.settled() && now - idleSince < claimFlushLimit)
                 return;
+            phase = Phase::Leaving;
+            leftAt = now;
+            links.leave();
             logEvent(LogLevel::Info, "shutdown_finished", { { "took_ms", passed.count } });
-            event_base_loopbreak(base.get());
         }
+        if (phase == Phase::Leaving && now - leftAt >= leaveTime)
+            event_base_loopbreak(base.get());
     }
 };
 
@@ -273,6 +296,8 @@
         return listening.error();
     if (auto started = m_state->startAdmin(); !started)
         return started.error();
+    if (auto linked = m_state->links.start(); !linked)
+        return linked.error();
     if (!m_state->configuration) {
         m_state->configurationService.start();
         m_state->claims.start();
