Carry the new scheduling fields in peer messages

Cause: the codec was written before allocations named the report they answer; without it a late allocation counted as a new lease and a scheduler never learned that slots had been given up.

Change: packs allocationSequence, reportSequence and, in reports to a new scheduler, the normalised service. The distance of a workspace is taken over all cells of a pool, damped by the number of cells.

--- a/src/core/CellScheduler.cpp
+++ b/src/core/CellScheduler.cpp
@@ -49,6 +49,8 @@
 
     // Age at which another cell's counters no longer count. With many cells each is heard only every few intervals.
     constexpr Millis remoteLife { 30'000 };
+    // Gain at which the cells together repay a distance in one correction horizon.
+    constexpr double nominalGain = 0.1;
 
     struct WorkspaceStep {
         const WorkspaceId* id { nullptr };
@@ -116,12 +118,16 @@
         return steps;
     }
 
-    /// \returns By workspace, how far it is behind the share-weighted mean of the backlogged ones, here and, damped by
-    /// the gain, in the pool's other cells.
+    /// \returns By workspace, how far it is behind the share-weighted mean of the backlogged ones: in this cell if it
+    /// is the only one, else in all cells of the pool, damped.
     std::vector<double> lags(const CellState& cell, const std::vector<WorkspaceStep>& steps, double gain, Millis now)
     {
-        // Each cell repays its part only; undamped, all cells would favour the same workspace at once.
-        double damped = std::min(gain, 1.0 / (1.0 + static_cast<double>(cell.remote.size())));
+        auto cells = 1.0
+            + static_cast<double>(std::count_if(cell.remote.begin(), cell.remote.end(),
+                [&](const auto& entry) { return entry.second.heardAt + remoteLife > now; }));
+        bool alone = cells < 2 || gain <= 0;
+        // Each cell repays its part of the whole distance; undamped, all would favour the same workspace at once.
+        double damped = alone ? 1.0 : std::min(1.0, gain / nominalGain / cells);
         double shares = 0;
         double weighted = 0;
         for (const WorkspaceStep& step : steps) {
@@ -134,15 +140,15 @@
         for (const WorkspaceStep& step : steps) {
             double lag = shares > 0 ? weighted / shares - step.state->normalised : 0;
             for (const auto& [id, remote] : cell.remote) {
-                if (remote.heardAt + remoteLife <= now)
+                if (alone || remote.heardAt + remoteLife <= now)
                     continue;
                 // A workspace that has no requests there falls behind from when it was first missing.
                 if (auto found = remote.normalised.find(*step.id); found != remote.normalised.end())
-                    lag += damped * (remote.mean - found->second);
+                    lag += remote.mean - found->second;
                 else if (auto since = remote.absent.find(*step.id); since != remote.absent.end())
-                    lag += damped * (remote.mean - since->second);
+                    lag += remote.mean - since->second;
             }
-            result.push_back(lag);
+            result.push_back(damped * lag);
         }
         return result;
     }
--- a/src/net/PeerPayloadCodec.cpp
+++ b/src/net/PeerPayloadCodec.cpp
@@ -216,9 +216,10 @@
 
     void packOne(Packer& packer, const DemandReport& report)
     {
-        packer.pack_array(5);
+        packer.pack_array(7);
         packCell(packer, report.cell);
         packer.pack(report.sequence);
+        packer.pack(report.allocationSequence);
         packer.pack_array(static_cast<std::uint32_t>(report.demand.size()) * 6);
         TextPacker workspaces(packer);
         for (const WorkspaceDemand& demand : report.demand) {
@@ -234,12 +235,21 @@
             endpoints.pack(use.endpoint.value);
             packer.pack(use.inFlight);
         }
+        // Only reports to a new scheduler carry normalised service.
+        bool known = std::any_of(report.demand.begin(), report.demand.end(),
+            [](const WorkspaceDemand& demand) { return demand.normalisedService != 0; });
+        packer.pack_array(known ? static_cast<std::uint32_t>(report.demand.size()) : 0);
+        for (const WorkspaceDemand& demand : report.demand) {
+            if (known)
+                packNumber(packer, demand.normalisedService);
+        }
     }
 
     DemandReport readDemandReport(ArrayReader& reader)
     {
         DemandReport report { .cell = readCell(reader) };
         report.sequence = reader.unsignedValue();
+        report.allocationSequence = reader.unsignedValue();
         TextReader workspaces;
         for (ArrayReader list = reader.nested(); !list.atEnd();) {
             WorkspaceDemand& demand = report.demand.emplace_back();
@@ -255,6 +265,9 @@
             use.endpoint = EndpointId(endpoints.read(list));
             use.inFlight = list.smallValue();
         }
+        ArrayReader normalised = reader.nested();
+        for (auto demand = report.demand.begin(); demand != report.demand.end() && !normalised.atEnd(); ++demand)
+            demand->normalisedService = normalised.number();
         return report;
     }
 
@@ -262,10 +275,11 @@
     // compares, and they stay small while the values grow without bound.
     void packOne(Packer& packer, const Allocation& allocation)
     {
-        packer.pack_array(8);
+        packer.pack_array(9);
         packCell(packer, allocation.cell);
         packer.pack(allocation.epoch);
         packer.pack(allocation.sequence);
+        packer.pack(allocation.reportSequence);
         packer.pack(allocation.validFor.count);
         packer.pack_array(static_cast<std::uint32_t>(allocation.slots.size()) * 3);
         TextPacker endpoints(packer);
@@ -291,6 +305,7 @@
         Allocation allocation { .cell = readCell(reader) };
         allocation.epoch = reader.unsignedValue();
         allocation.sequence = reader.unsignedValue();
+        allocation.reportSequence = reader.unsignedValue();
         allocation.validFor = { reader.signedValue() };
         TextReader endpoints;
         for (ArrayReader list = reader.nested(); !list.atEnd();) {
--- a/tests/PeerCodecTests.cpp
+++ b/tests/PeerCodecTests.cpp
@@ -17,7 +17,9 @@
 
 DemandReport largeReport()
 {
-    DemandReport report { .cell = { .pool = PoolId("workshop"), .index = 0 }, .sequence = 70'000 };
+    DemandReport report {
+        .cell = { .pool = PoolId("workshop"), .index = 0 }, .sequence = 70'000, .allocationSequence = 90'000
+    };
     for (unsigned i = 0; i < 16; ++i) {
         report.demand.push_back({ .workspace = WorkspaceId(numbered("kilic-small-", i)),
             .queued = 40 + i,
@@ -94,18 +96,26 @@
     REQUIRE(report.demand.size() == 16);
     REQUIRE(report.demand[15].workspace == WorkspaceId("kilic-small-15"));
     REQUIRE(report.demand[15].served == 40'000'015);
+    REQUIRE(report.allocationSequence == 90'000);
+    REQUIRE(report.demand[3].normalisedService == 0);
+    DemandReport toNewScheduler = largeReport();
+    toNewScheduler.demand[3].normalisedService = 3.5;
+    REQUIRE(roundTrip(toNewScheduler).demand[3].normalisedService == 3.5);
+    REQUIRE(roundTrip(toNewScheduler).demand[4].normalisedService == 0);
     REQUIRE(report.demand[3].oldestAge == Millis { 12'003 });
     REQUIRE(report.use[19].endpoint == EndpointId("gebze-engine-19"));
 
     auto allocation = roundTrip(Allocation { .cell = { .pool = PoolId("p"), .index = 3 },
         .epoch = 9,
         .sequence = 4,
+        .reportSequence = 70'000,
         .validFor = { 2'500 },
         .slots = { { .endpoint = EndpointId("e1"), .slots = 4 } },
         .quotas = { { .workspace = WorkspaceId("w1"), .running = 2, .normalisedService = 1.0e12 },
             { .workspace = WorkspaceId("w2"), .running = 3, .normalisedService = 1.0e12 + 12.5 } } });
     REQUIRE(allocation.cell.index == 3);
     REQUIRE(allocation.validFor == Millis { 2'500 });
+    REQUIRE(allocation.reportSequence == 70'000);
     REQUIRE(allocation.slots[0].slots == 4);
     REQUIRE(allocation.quotas[1].normalisedService == Approx(1.0e12 + 12.5).epsilon(1e-15));
     REQUIRE(allocation.quotas[1].running == 3);
