Conserve slots when reports and allocations are late

Cause: a property test found that a report sent before the end of a lease and delivered after it hid requests that were started in between, so their slots were granted twice.

Change: an allocation counts as held until a report shows that a later one was applied, not until its lease ends; a silent daemon's slots stay held until load reports or the members' list say otherwise.

--- a/src/core/CellScheduler.h
+++ b/src/core/CellScheduler.h
@@ -128,6 +128,6 @@
 [[nodiscard]] std::vector<double> waterFill(const std::vector<Claimant>&, double capacity);
 
 /// \returns Upper bound of slots of \p endpoint in use by \p daemon: in flight or granted and not yet known as reduced.
-[[nodiscard]] std::uint32_t heldSlots(const ReportingDaemon&, const EndpointId& endpoint, Millis now);
+[[nodiscard]] std::uint32_t heldSlots(const ReportingDaemon&, const EndpointId& endpoint);
 
 }
--- a/src/core/SlotPlacement.cpp
+++ b/src/core/SlotPlacement.cpp
@@ -20,6 +20,8 @@
     constexpr Millis foreignLoadTime { 1'000 };
     // Part of an earlier estimate that remains at the next load report.
     constexpr double foreignDecay = 0.5;
+    // Messages that are later than this count as lost.
+    constexpr Millis longestDelay { 10'000 };
 
     bool holdsLease(const ReportingDaemon& daemon, Millis now)
     {
@@ -27,6 +29,17 @@
             daemon.sent.begin(), daemon.sent.end(), [&](const SentAllocation& sent) { return sent.expires > now; });
     }
 
+    /// \returns Requests at an endpoint by the last reports of the daemons that are not silent.
+    std::uint32_t knownInFlight(const CellState& cell, const EndpointId& endpoint, Millis now)
+    {
+        std::uint32_t known = 0;
+        for (const auto& [id, daemon] : cell.daemons) {
+            if (isFresh(daemon, now) || holdsLease(daemon, now))
+                known += valueOr0(daemon.inFlight, endpoint);
+        }
+        return known;
+    }
+
     /// \returns By endpoint, the requests that its load report shows and that no daemon has reported; nothing for
     /// endpoints without a recent load report.
     std::vector<std::optional<std::uint32_t>> unexplainedLoad(
@@ -40,9 +53,7 @@
             const EndpointState& endpoint = view.endpoints.endpoints.at(endpoints[e]);
             if (endpoint.lastReport.count <= 0 || endpoint.lastReport + loadLife <= now)
                 continue;
-            std::uint32_t known = 0;
-            for (const auto& [id, daemon] : cell.daemons)
-                known += valueOr0(daemon.inFlight, endpoints[e]);
+            std::uint32_t known = knownInFlight(cell, endpoints[e], now);
             std::uint32_t reported = endpoint.reportedRunning + endpoint.reportedWaiting;
             result[e] = reported > known ? reported - known : 0;
         }
@@ -114,15 +125,16 @@
             if (unexplained[e] && !collecting)
                 continue;
             std::uint32_t parts = 0;
-            for (const DaemonId* id : unknown)
-                parts += fallbackSlots(view.info, endpoints[e], grid.limit[e], *id);
+            for (const DaemonId* id : unknown) {
+                auto daemon = cell.daemons.find(*id);
+                std::uint32_t held = daemon == cell.daemons.end() ? 0 : heldSlots(daemon->second, endpoints[e]);
+                parts += std::max(held, fallbackSlots(view.info, endpoints[e], grid.limit[e], *id));
+            }
             result[e] = std::max(result[e], parts);
             if (unexplained[e] || !reportsLoad)
                 continue;
             // Until the first load report all slots that are not known to be free count as used.
-            std::uint32_t known = 0;
-            for (const auto& [id, daemon] : cell.daemons)
-                known += valueOr0(daemon.inFlight, endpoints[e]);
+            std::uint32_t known = knownInFlight(cell, endpoints[e], now);
             result[e] = std::max(result[e], grid.limit[e] > known ? grid.limit[e] - known : 0);
         }
         return result;
@@ -257,13 +269,11 @@
 
 bool isFresh(const ReportingDaemon& daemon, Millis now) noexcept { return daemon.heardAt + reportLife > now; }
 
-std::uint32_t heldSlots(const ReportingDaemon& daemon, const EndpointId& endpoint, Millis now)
+std::uint32_t heldSlots(const ReportingDaemon& daemon, const EndpointId& endpoint)
 {
     std::uint32_t held = std::max(valueOr0(daemon.inFlight, endpoint), valueOr0(daemon.granted, endpoint));
-    for (const SentAllocation& sent : daemon.sent) {
-        if (sent.expires > now)
-            held = std::max(held, valueOr0(sent.slots, endpoint));
-    }
+    for (const SentAllocation& sent : daemon.sent)
+        held = std::max(held, valueOr0(sent.slots, endpoint));
     return held;
 }
 
@@ -279,17 +289,17 @@
             grid.limit[e] = endpoint->second.limit;
     }
     for (auto& [id, daemon] : cell.daemons) {
-        std::erase_if(daemon.sent, [&](const SentAllocation& sent) { return sent.expires <= now; });
         if (isFresh(daemon, now)) {
+            // A report that was sent before the end of a lease may arrive after it and hide what was started in
+            // between, so an allocation counts until a report shows that a later one was applied.
+            std::erase_if(daemon.sent, [&](const SentAllocation& sent) { return sent.expires + longestDelay <= now; });
             grid.daemons.emplace_back(&id, &daemon);
             continue;
         }
         daemon.granted.clear();
         daemon.quotas.clear();
-        if (!holdsLease(daemon, now))
-            daemon.inFlight.clear();
-        for (std::size_t e = 0; e < endpoints.size(); ++e)
-            grid.heldOutside[e] += heldSlots(daemon, endpoints[e], now);
+        for (std::size_t e = 0; e < endpoints.size() && holdsLease(daemon, now); ++e)
+            grid.heldOutside[e] += heldSlots(daemon, endpoints[e]);
     }
     grid.unknown = unknownUse(cell, view, grid, now);
     grid.granted.assign(grid.daemons.size() * endpoints.size(), 0);
