--- a/src/cli/Cli.cpp
+++ b/src/cli/Cli.cpp
@@ -138,15 +138,16 @@
         return true;
     }
 
+    // Commands that only read need no token, but accept the flag, so that scripts can give all commands the same ones.
     std::vector<std::string_view> withReadFlags(std::vector<std::string_view> flags)
     {
-        flags.insert(flags.end(), { "admin", "timeout-ms", "json" });
+        flags.insert(flags.end(), { "admin", "token-file", "timeout-ms", "json" });
         return flags;
     }
 
     std::vector<std::string_view> withChangeFlags(std::vector<std::string_view> flags)
     {
-        flags.insert(flags.end(), { "token-file", "author" });
+        flags.emplace_back("author");
         return withReadFlags(std::move(flags));
     }
 
