--- a/src/cli/ConfigCommands.cpp
+++ b/src/cli/ConfigCommands.cpp
@@ -64,6 +64,20 @@
         return exit_code::success;
     }
 
+    // Keeps table rows on one line of a wide terminal; --json shows the whole text.
+    std::string shorten(std::string text)
+    {
+        constexpr std::size_t limit = 80;
+        if (text.size() > limit) {
+            std::size_t end = limit;
+            while (end > 0 && (static_cast<unsigned char>(text[end]) & 0xC0U) == 0x80U)
+                --end;
+            text.resize(end);
+            text += "...";
+        }
+        return text;
+    }
+
     std::string formatTime(std::int64_t milliseconds)
     {
         const auto seconds = static_cast<std::time_t>(milliseconds / 1000);
@@ -156,7 +170,7 @@
             formatTime(change.value("time", std::int64_t { 0 })), change.value("author", ""),
             std::to_string(change.value("base", std::uint64_t { 0 })), outcome,
             std::to_string(change.value("version", std::uint64_t { 0 })), change.value("id", ""),
-            outcome == "invalid" ? change.value("reason", "") : change.value("patch", "") });
+            shorten(outcome == "invalid" ? change.value("reason", "") : change.value("patch", "")) });
     }
     printTable(std::cout, { "OFFSET", "TIME", "AUTHOR", "BASE", "OUTCOME", "VERSION", "ID", "PATCH OR REASON" }, rows);
     return exit_code::success;
