Add the operators' and callers' guides

Cause: operators and callers need settings, commands, errors and faults in one place. Change: docs/operators-guide.md and docs/callers-guide.md; a test requires that each error kind that is answered over HTTP is described.

--- a/tests/ExamplesTests.cpp
+++ b/tests/ExamplesTests.cpp
@@ -1,4 +1,5 @@
 #include "SourceTree.h"
+#include "base/Error.h"
 #include "config/Configuration.h"
 #include "config/DocumentCheck.h"
 #include "config/Settings.h"
@@ -53,3 +54,18 @@
         }
     }
 }
+
+// Guards against error kinds that callers or operators meet without a word about what to do.
+TEST_CASE("the guides describe every error kind that is answered over HTTP", "[examples]")
+{
+    const std::string guides = readWholeFile(sourceRoot() / "docs" / "callers-guide.md")
+        + readWholeFile(sourceRoot() / "docs" / "operators-guide.md");
+    for (const ErrorAnswer& answer : errorTable()) {
+        // These are never sent: the caller has gone, messages between daemons, and errors of files.
+        if (answer.kind == ErrorKind::CallerGone || answer.kind == ErrorKind::PeerMessageRejected
+            || answer.kind == ErrorKind::SettingsInvalid)
+            continue;
+        INFO(answer.name);
+        REQUIRE(guides.find("`" + std::string(answer.name) + "`") != std::string::npos);
+    }
+}
