--- a/bench/faults.py
+++ b/bench/faults.py
@@ -240,12 +240,17 @@
             time.sleep((seconds - 12) / 4)
         result = fleet.finish_load(load)
         runs = fleet.journal()
+        state = fleet.state()
         for name, at, sign in signs:
             late = [run["arrived"] - at for run in runs if run["endpoint"] == name and run["arrived"] > at]
+            # A request that the leaving engine refused was sent to it all the same.
+            if state[name]["lastRefused"] > at:
+                late.append(state[name]["lastRefused"] - at)
             delay = max(late, default=0.0) / 1000.0
             delays.append(delay)
-            details.append({"engine": name, "sign": sign, "lastNewWorkAfterS": delay, "newWork": len(late)})
-        details.append({"answers": measure.answers(result), "state": {n: fleet.state()[n]["refused"] for n, _, _ in signs}})
+            details.append({"engine": name, "sign": sign, "lastNewWorkAfterS": delay, "newWork": len(late),
+                "refused": state[name]["refused"]})
+        details.append({"answers": measure.answers(result)})
     return [check("last_new_work_s", max(delays), 2.0, "s")], details
 
 
--- a/standins/ModelEngine.cpp
+++ b/standins/ModelEngine.cpp
@@ -1,3 +1,4 @@
+#include "EngineAnswer.h"
 #include "EngineOptions.h"
 #include "Standin.h"
 
@@ -87,7 +88,8 @@
         {
             return { { "running", m_running }, { "waiting", m_waiting.size() }, { "crashes", m_crashes },
                 { "prefixHits", m_prefixHits }, { "prefixMisses", m_prefixMisses }, { "orders", m_orders },
-                { "refused", m_refused }, { "connections", m_server.openConnections() } };
+                { "refused", m_refused }, { "lastRefused", m_lastRefused },
+                { "connections", m_server.openConnections() } };
         }
 
         StandinServer& server() override { return m_server; }
@@ -115,6 +117,7 @@
         {
             if (m_options.leaving) {
                 ++m_refused;
+                m_lastRefused = monotonicMs();
                 exchange->addHeader("X-Not-Run", "1");
                 return exchange->reply(503, R"({"error":{"message":"the engine is leaving"}})");
             }
@@ -205,7 +208,7 @@
                 return;
             if (!run->streaming) {
                 run->next = run->tokens;
-                answerWhole(*run);
+                run->exchange->reply(200, wholeAnswer(contentOf(*run)));
                 return finish(run, "done");
             }
             if (run->exchange->unsent() > maxUnsentBytes) {
@@ -218,51 +221,24 @@
                 last = std::min(run->first + static_cast<std::uint64_t>(std::max(decoded, 0.0)), run->tokens);
             }
             while (run->next < last) {
-                run->exchange->chunk(tokenEvent(*run, run->next));
+                run->exchange->chunk(tokenEvent(contentOf(*run), run->next));
                 ++run->next;
             }
             if (run->next < run->tokens)
                 return schedule(*run);
-            json usage = { { "id", run->id }, { "choices", json::array() }, { "usage", usageOf(*run) } };
-            run->exchange->chunk("id: " + std::to_string(run->next) + "\ndata: " + usage.dump() + "\n\n");
-            run->exchange->chunk("data: [DONE]\n\n");
+            run->exchange->chunk(finalEvents(contentOf(*run)));
             run->exchange->endStream();
             finish(run, "done");
         }
 
-        std::string tokenText(const Run& run, std::uint64_t index) const
+        [[nodiscard]] AnswerContent contentOf(const Run& run) const
         {
-            std::string text = run.marker + ":" + std::to_string(index) + " ";
-            text.append(static_cast<std::size_t>(m_options.tokenBytes), '.');
-            return text;
-        }
-
-        std::string tokenEvent(const Run& run, std::uint64_t index) const
-        {
-            std::string event = "id: " + std::to_string(index) + "\ndata: {\"id\":";
-            event += json(run.id).dump();
-            event += R"(,"object":"chat.completion.chunk","choices":[{"index":0,"delta":{"content":)";
-            event += json(tokenText(run, index)).dump();
-            event += "}}]}\n\n";
-            return event;
-        }
-
-        static json usageOf(const Run& run)
-        {
-            return { { "prompt_tokens", run.promptTokens }, { "completion_tokens", run.tokens },
-                { "total_tokens", run.promptTokens + run.tokens } };
-        }
-
-        void answerWhole(Run& run) const
-        {
-            std::string text;
-            for (std::uint64_t i = run.first; i < run.tokens; ++i)
-                text += tokenText(run, i);
-            json message = { { "role", "assistant" }, { "content", std::move(text) } };
-            json choice = { { "index", 0 }, { "message", std::move(message) }, { "finish_reason", "stop" } };
-            json answer = { { "id", run.id }, { "object", "chat.completion" },
-                { "choices", json::array({ std::move(choice) }) }, { "usage", usageOf(run) } };
-            run.exchange->reply(200, answer.dump());
+            return { .id = run.id,
+                .marker = run.marker,
+                .promptTokens = run.promptTokens,
+                .first = run.first,
+                .tokens = run.tokens,
+                .tokenBytes = m_options.tokenBytes };
         }
 
         void finish(const RunPointer& run, const char* outcome)
@@ -485,6 +461,7 @@
         std::uint64_t m_crashes { 0 };
         std::uint64_t m_orders { 0 };
         std::uint64_t m_refused { 0 };
+        double m_lastRefused { 0 };
         std::int64_t m_fence { -1 };
         double m_nextPurge { 0 };
     };
