--- a/bench/scenarios.py
+++ b/bench/scenarios.py
@@ -6,6 +6,9 @@
 TOKENS = {"shape": "lognormal", "mean": 40, "sigma": 0.8, "min": 4, "max": 160}
 PROMPT_TOKENS = 32
 LARGEST_COST = 160 + PROMPT_TOKENS / 4
+# Outstanding requests as a multiple of the slots that a workspace's share gives. Demand must not follow the shares, since
+# then serving in order of arrival would be fair as well.
+DEPTHS = [2, 2, 3, 8, 3, 2, 10, 3, 5, 4, 2, 8, 3, 4, 10, 3]
 
 
 def group(fleet, workspace, targets, **options):
@@ -22,13 +25,13 @@
     return [(index * index) % count] if index % 2 else [index % count, (index // 2) % count]
 
 
-def saturated(fleet, seconds, seed=1, depth=2.5, flood=None, intermittent=True):
+def saturated(fleet, seconds, seed=1, flood=None, intermittent=True):
     """All workspaces keep a backlog; a few give false hints, two come and go."""
     total = sum(fleet.shares.values())
     capacity = len(fleet.engines) * fleet.slots
     groups = []
     for index, (workspace, share) in enumerate(fleet.shares.items()):
-        connections = max(12, int(depth * capacity * share / total))
+        connections = max(8, int(DEPTHS[index % len(DEPTHS)] * capacity * share / total))
         if workspace == flood:
             connections *= 10
         hint = ["noisy", "none", "exact", "noisy"][index % 4]
