--- a/src/daemon/FlowRequest.cpp
+++ b/src/daemon/FlowRequest.cpp
@@ -11,8 +11,6 @@
     // A charge for tokens in progress every so many tokens is exact enough for scheduling and saves a lookup for each.
     constexpr std::uint64_t tokensPerCharge = 16;
 
-    constexpr std::size_t maxKeyLength = 255;
-
     bool isSuccess(int status) noexcept { return status >= 200 && status < 300; }
 
     bool isEventStream(const EndpointHead& head) noexcept
@@ -56,115 +54,6 @@
 
 FlowRequest::~FlowRequest() = default;
 
-void FlowRequest::begin()
-{
-    std::string_view key = m_request.header("Idempotency-Key");
-    if (m_resolved.idempotent || (key.empty() && !m_resolved.keyRequired)) {
-        enqueue();
-        return;
-    }
-    ClaimService* claims = m_owner.context().claims;
-    if (key.empty() || key.size() > maxKeyLength) {
-        refuse({ .kind = ErrorKind::IdempotencyKeyInvalid,
-            .message = "this call needs an Idempotency-Key header of 1 to 255 characters" });
-        return;
-    }
-    if (!claims) {
-        refuse({ .kind = ErrorKind::ClaimsUnavailable, .message = "idempotency keys cannot be claimed now" });
-        return;
-    }
-    m_stage = Stage::Claiming;
-    startHop("claim");
-    m_claim = claims->begin({ .workspace = m_resolved.workspace.value,
-                                .key = key,
-                                .contentHash = m_resolved.contentHash,
-                                .deadline = m_deadline },
-        [this](const ClaimDecision& decision) { onClaimDecision(decision); });
-}
-
-void FlowRequest::onClaimDecision(const ClaimDecision& decision)
-{
-    m_stage = Stage::Queued;
-    endHop(decision.verdict != ClaimVerdict::Run);
-    if (decision.verdict == ClaimVerdict::Run) {
-        enqueue();
-        return;
-    }
-    m_claim.clear();
-    switch (decision.verdict) {
-    case ClaimVerdict::Run:
-        break;
-    case ClaimVerdict::Replay:
-        replay(decision.answer);
-        break;
-    case ClaimVerdict::InProgress:
-        endWithError({ .kind = ErrorKind::IdempotencyInProgress,
-                         .message = "another call with this key had not finished by the deadline" },
-            RunStatus::Unknown);
-        break;
-    case ClaimVerdict::Unknown:
-        endWithError(
-            { .kind = ErrorKind::EndpointLost, .message = "the call with this key ended without a complete answer" },
-            RunStatus::Unknown);
-        break;
-    case ClaimVerdict::Unavailable:
-        endWithError(
-            { .kind = ErrorKind::ClaimsUnavailable,
-                .message = "the idempotency key could not be claimed by the deadline; this attempt was not run" },
-            RunStatus::NotRun);
-        break;
-    case ClaimVerdict::KeyReused:
-        endWithError(
-            { .kind = ErrorKind::IdempotencyKeyReused, .message = "this key was used for a call with other content" },
-            RunStatus::NotRun);
-        break;
-    case ClaimVerdict::KeyExpired:
-        endWithError({ .kind = ErrorKind::IdempotencyKeyExpired,
-                         .message = "the time in this key is outside the window in which keys are honoured" },
-            RunStatus::NotRun);
-        break;
-    }
-}
-
-void FlowRequest::replay(const StoredAnswer& answer)
-{
-    if (!answer.bodyKept) {
-        endWithError({ .kind = ErrorKind::AnswerNotKept,
-                         .message = "the call with this key has run; its answer was too long to be kept" },
-            RunStatus::Ran);
-        return;
-    }
-    m_finalStatus = RunStatus::Ran;
-    if (CallerExchange* caller = std::exchange(m_caller, nullptr)) {
-        CallerHead head { .status = answer.httpStatus,
-            .headers = { { "X-Request-Id", m_id.value }, { "Idempotency-Replayed", "true" } } };
-        if (!answer.contentType.empty())
-            head.headers.emplace_back("Content-Type", answer.contentType);
-        caller->sendWhole(head, answer.body);
-    }
-    finish("replayed");
-}
-
-void FlowRequest::settleClaim()
-{
-    if (m_claim.empty())
-        return;
-    ClaimService& claims = *m_owner.context().claims;
-    if (m_stage == Stage::Claiming) {
-        claims.abandon(m_claim);
-        return;
-    }
-    StoredAnswer answer;
-    if (m_finalStatus == RunStatus::Ran) {
-        answer
-            = { .httpStatus = m_head.status, .contentType = std::string(findHeader(m_head.headers, "Content-Type")) };
-        // An answer that was passed on as it came is not kept; its length is above any limit.
-        answer.bodyKept = m_relay == Relay::Whole;
-        answer.body = std::move(m_body);
-    }
-    claims.finish(m_claim, m_finalStatus, std::move(answer));
-}
-
 void FlowRequest::enqueue()
 {
     m_stage = Stage::Queued;
@@ -370,9 +259,8 @@
     FlowContext& context = m_owner.context();
     context.metrics.observe(
         Histogram::FirstByteSeconds, { m_resolved.pool.value }, (context.clock.now() - m_acceptedAt).seconds());
-    if (m_caller) {
+    if (m_caller)
         m_caller->startStream(callerHead());
-    }
     m_streamOpen = true;
     m_owner.streamOpened();
 }
@@ -457,63 +345,6 @@
     answerWhole();
 }
 
-void FlowRequest::attemptFailed(ErrorKind kind, const AttemptEnd& end)
-{
-    FlowContext& context = m_owner.context();
-    endHop(true);
-    context.metrics.add(Counter::EndpointErrors, { m_endpoint.value, answerFor(kind).name });
-    reportOutcome(kind == ErrorKind::EndpointRefused ? ExchangeOutcome::Refused : ExchangeOutcome::Lost);
-
-    m_history.bytesSentToCaller = m_answerBegun;
-    recordAttempt(m_history, end);
-    bool isModel = m_resolved.kind == PoolKind::Model;
-    RetryRules rules { .idempotent = m_resolved.idempotent,
-        .resumable = m_relay == Relay::Events && m_resumable,
-        .maxRetries = context.configuration().limits.retryAttempts };
-    // The deadline is for the start of the answer; a stream that has begun may go on after it.
-    Millis timeLeft = m_answerBegun ? Millis { 1 } : m_deadline - context.clock.now();
-    RetryDecision decision = m_caller
-        ? decideRetry(context.retryBudget, m_resolved.pool, rules, m_history, end, timeLeft)
-        : RetryDecision::GiveUp;
-    if (decision == RetryDecision::Resume) {
-        context.metrics.add(Counter::Resumes, { m_resolved.pool.value });
-        m_events.reconnect();
-        startAttempt(true);
-        return;
-    }
-    if (end.bytesMayHaveLeft && !end.refusedBeforeRunning) {
-        reportLoss(kind);
-        if (isModel)
-            m_owner.cancelStream(m_address, m_attemptId);
-    }
-    if (decision == RetryDecision::Repeat) {
-        context.metrics.add(Counter::Retries, { m_resolved.pool.value });
-        repeatElsewhere();
-        return;
-    }
-    std::string message = "endpoint " + m_endpoint.value + " failed: " + std::string(answerFor(kind).name);
-    if (m_relay == Relay::Events && m_answerBegun)
-        message += " after " + std::to_string(m_events.tokens()) + " tokens";
-    endWithError({ .kind = kind, .message = std::move(message) }, runStatus(m_history));
-}
-
-void FlowRequest::repeatElsewhere()
-{
-    m_avoid.push_back(m_endpoint);
-    releaseSlot(false);
-    m_events = {};
-    m_resumable = true;
-    enqueue();
-}
-
-void FlowRequest::reportLoss(ErrorKind kind)
-{
-    // A broken connection can be a crash. Silence and wrong answers are not attributed to the request's content.
-    if (kind == ErrorKind::EndpointLost || kind == ErrorKind::AnswerTruncated
-        || (kind == ErrorKind::EndpointUnavailable && m_resuming))
-        m_owner.contentLost(m_resolved.contentHash, m_endpoint);
-}
-
 void FlowRequest::answerWhole()
 {
     reportOutcome(ExchangeOutcome::Completed);
@@ -524,9 +355,8 @@
     context.metrics.observe(Histogram::FirstByteSeconds, { m_resolved.pool.value }, taken.seconds());
     releaseSlot(true);
     m_finalStatus = RunStatus::Ran;
-    if (m_caller) {
+    if (m_caller)
         std::exchange(m_caller, nullptr)->sendWhole(callerHead(), m_body);
-    }
     finish("ok");
 }
 
--- a/src/net/CallerServer.cpp
+++ b/src/net/CallerServer.cpp
@@ -13,8 +13,10 @@
 #include <event2/keyvalq_struct.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <optional>
 #include <poll.h>
 #include <sys/socket.h>
+#include <unordered_map>
 #include <unordered_set>
 
 namespace jasminestack {
@@ -73,7 +75,14 @@
 struct CallerServer::State {
     class Exchange;
 
+    struct Receiving {
+        State* owner { nullptr };
+        bufferevent* stream { nullptr };
+        std::optional<Millis> since;
+    };
+
     event_base& base;
+    SystemClock clock;
     CallerHandler& handler;
     CallerServerOptions options;
     evhttp* server { nullptr };
@@ -81,6 +90,9 @@
     std::uint16_t port { 0 };
     bool closeAfterAnswers { false };
     std::unordered_set<Exchange*> exchanges;
+    /// When the request that a connection is receiving began. An entry is kept after its connection has closed, until
+    /// another one gets the same address, since evhttp does not tell; there are as many as connections at one time.
+    std::unordered_map<bufferevent*, std::unique_ptr<Receiving>> receiving;
     std::vector<Exchange*> unflushed; ///< Exchanges with chunks of this turn of the event loop.
     event* flushEvent { nullptr };
 
@@ -96,6 +108,31 @@
     State(const State&) = delete;
     State& operator=(const State&) = delete;
 
+    // Creates the buffered event of a new connection.
+    static bufferevent* onConnection(event_base* base, void* argument)
+    {
+        auto& state = *static_cast<State*>(argument);
+        bufferevent* stream = bufferevent_socket_new(base, -1, BEV_OPT_CLOSE_ON_FREE);
+        auto& entry = state.receiving[stream];
+        entry = std::make_unique<Receiving>(Receiving { .owner = &state, .stream = stream });
+        evbuffer_add_cb(bufferevent_get_input(stream), onInput, entry.get());
+        return stream;
+    }
+
+    // evhttp's time limit starts again with each byte. This one is for the whole request, so that a caller who sends
+    // it slowly does not hold a connection forever.
+    static void onInput(evbuffer*, const evbuffer_cb_info* info, void* argument)
+    {
+        auto& receiving = *static_cast<Receiving*>(argument);
+        if (info->n_added == 0)
+            return;
+        Millis now = receiving.owner->clock.now();
+        if (!receiving.since)
+            receiving.since = now;
+        else if (now - *receiving.since > receiving.owner->options.readTimeout)
+            shutdown(bufferevent_getfd(receiving.stream), SHUT_RDWR);
+    }
+
     static void onFlush(evutil_socket_t, short, void* argument);
     static void onMessage(evhttp_request* message, void* argument);
 };
@@ -321,6 +358,9 @@
 void CallerServer::State::onMessage(evhttp_request* message, void* argument)
 {
     auto& state = *static_cast<State*>(argument);
+    auto receiving = state.receiving.find(evhttp_connection_get_bufferevent(evhttp_request_get_connection(message)));
+    if (receiving != state.receiving.end())
+        receiving->second->since.reset();
     // The exchange deletes itself when its answer is written or its connection ends.
     auto* exchange = new Exchange(state, message);
     state.handler.onRequest(takeRequest(message), *exchange);
@@ -363,6 +403,7 @@
     timeval timeout = toTimeval(state.options.readTimeout);
     evhttp_set_timeout_tv(state.server, &timeout);
     evhttp_set_gencb(state.server, State::onMessage, &state);
+    evhttp_set_bevcb(state.server, State::onConnection, &state);
     state.listener = evhttp_bind_socket_with_handle(state.server, host.c_str(), port);
     if (!state.listener)
         return Error { .kind = ErrorKind::SettingsInvalid, .message = "cannot listen on " + state.options.address };
--- a/tests/FlowHarness.h
+++ b/tests/FlowHarness.h
@@ -130,7 +130,8 @@
     std::list<FakeCaller> callers;
     RequestFlow flow;
 
-    explicit FlowHarness(const FlowOptions& options = {})
+    /// \param claims Used after the construction only.
+    explicit FlowHarness(const FlowOptions& options = {}, ClaimService* claims = nullptr)
         : configuration(makeConfiguration())
         , flow({ .clock = clock,
                    .random = random,
@@ -144,7 +145,8 @@
                    .tracer = tracer,
                    .retryBudget = retryBudget,
                    .crashGuard = crashGuard,
-                   .sendCrashMark = [this](const CrashMark& mark) { marks.push_back(mark); } },
+                   .sendCrashMark = [this](const CrashMark& mark) { marks.push_back(mark); },
+                   .claims = claims },
               options)
     {
         self.id = DaemonId { "daemon-1" };
--- a/tests/LoopbackTests.cpp
+++ b/tests/LoopbackTests.cpp
@@ -208,3 +208,26 @@
     daemon.thread.join();
     CHECK(daemon.exitCode == 1);
 }
+
+// Guards against callers that hold connections forever by sending a byte now and then.
+TEST_CASE("a request that arrives too slowly ends its connection", "[loopback]")
+{
+    Settings settings;
+    settings.callers.readTimeout = Millis { 200 };
+    LoopbackDaemon daemon(settings);
+    Socket caller = daemon.caller();
+    caller.write("GET /v1/models HTTP/1.1\r\nX-Slow: ");
+    bool closed = false;
+    for (int i = 0; i < 400 && !closed; ++i) {
+        closed = caller.writeSome("x", 0) == 0;
+        std::this_thread::sleep_for(std::chrono::milliseconds(50));
+    }
+    CHECK(closed);
+    // A request on a connection that was idle between two requests is not affected.
+    Socket other = daemon.caller();
+    for (int i = 0; i < 3; ++i) {
+        other.write(LoopbackDaemon::request("GET", "/v1/models"));
+        static_cast<void>(other.readUntil("care-9b"));
+        std::this_thread::sleep_for(std::chrono::milliseconds(120));
+    }
+}
