--- a/src/daemon/FlowRequest.cpp
+++ b/src/daemon/FlowRequest.cpp
@@ -240,6 +240,7 @@
     if (m_events.tokens() >= m_reportedTokens + tokensPerCharge) {
         m_reportedTokens = m_events.tokens();
         recordProgress(m_owner.context().scheduling, m_id, costSoFar());
+        countTokens();
     }
 }
 
@@ -446,9 +447,7 @@
     if (m_streamOpen)
         m_owner.streamClosed();
     context.metrics.add(Counter::Requests, { m_resolved.workspace.value, outcome });
-    if (m_events.tokens() > 0)
-        context.metrics.add(
-            Counter::TokensRelayed, { m_resolved.workspace.value }, static_cast<double>(m_events.tokens()));
+    countTokens();
     context.metrics.observe(
         Histogram::TotalSeconds, { m_resolved.pool.value }, (context.clock.now() - m_acceptedAt).seconds());
     m_span.attributes.emplace_back("outcome", outcome);
@@ -457,6 +456,14 @@
     m_owner.workChanged();
 }
 
+void FlowRequest::countTokens()
+{
+    std::uint64_t added = m_events.tokens() - std::exchange(m_countedTokens, m_events.tokens());
+    if (added > 0)
+        m_owner.context().metrics.add(
+            Counter::TokensRelayed, { m_resolved.workspace.value }, static_cast<double>(added));
+}
+
 void FlowRequest::startHop(std::string_view name)
 {
     endHop(false);
--- a/src/daemon/FlowRequest.h
+++ b/src/daemon/FlowRequest.h
@@ -110,6 +110,7 @@
     [[nodiscard]] CallerHead callerHead() const;
     void finish(std::string_view outcome);
     void dropExchange();
+    void countTokens();
     void startHop(std::string_view name);
     void endHop(bool failed);
     [[nodiscard]] double costSoFar() const;
@@ -137,6 +138,7 @@
     SseScanner m_events;
     std::uint64_t m_answerBytes { 0 };
     std::uint64_t m_reportedTokens { 0 };
+    std::uint64_t m_countedTokens { 0 }; ///< Already in the metric.
     std::string m_claim; ///< Claim of the idempotency key; empty if there is none.
     RunStatus m_finalStatus { RunStatus::NotRun };
     bool m_slotHeld { false };
--- a/src/daemon/FlowRetry.cpp
+++ b/src/daemon/FlowRetry.cpp
@@ -51,6 +51,7 @@
     releaseSlot(false);
     m_events = {};
     m_reportedTokens = 0;
+    m_countedTokens = 0;
     m_resumable = true;
     enqueue();
 }
