Derive the checkpoint interval from the claim window

The interval was a constant of 30 minutes and did not follow the settings. The claim window is below the log's retention, so half of it keeps the rule that the checkpoint is renewed before half of the retention has passed.

--- a/src/daemon/Daemon.cpp
+++ b/src/daemon/Daemon.cpp
@@ -116,7 +116,8 @@
         , configuration(std::move(theConfiguration))
         , http(*base)
         , log(http, settings.log.address)
-        , configurationService(log, clock)
+        // The log retains records for longer than the claim window, so half of that is before half of the retention.
+        , configurationService(log, clock, { .checkpointInterval = { settings.log.claimWindow.count / 2 } })
         , self { .id = settings.daemon.id,
             .incarnation = static_cast<std::uint64_t>(clock.wallTime().count),
             .peerAddress = settings.peers.address,
