Poll load by cell instead of by pool

With several cells in a pool, a valid allocation of one cell stopped the polling of the cells that this daemon schedules itself. The monitor now asks for each endpoint whether its cell is scheduled here or used without a valid allocation.

--- a/src/daemon/EndpointMonitor.cpp
+++ b/src/daemon/EndpointMonitor.cpp
@@ -61,17 +61,8 @@
 
 void EndpointMonitor::pollLoads()
 {
-    std::vector<CellStatus> cells = m_context.cells();
-    for (const auto& entry : m_context.endpoints.endpoints) {
-        const EndpointState& endpoint = entry.second;
-        if (endpoint.removed || m_polling.contains(endpoint.id))
-            continue;
-        const CellId* cell = m_context.cellOf ? m_context.cellOf(endpoint.id) : nullptr;
-        bool served = std::any_of(cells.begin(), cells.end(), [&](const CellStatus& status) {
-            bool covers = cell ? status.cell == *cell : status.cell.pool == endpoint.pool;
-            return covers && status.scheduler != m_context.self.id && status.allocationValid;
-        });
-        if (!served)
+    for (const auto& [id, endpoint] : m_context.endpoints.endpoints) {
+        if (!endpoint.removed && !m_polling.contains(id) && m_context.isPolled(id))
             pollEndpoint(endpoint);
     }
 }
--- a/src/daemon/EndpointMonitor.h
+++ b/src/daemon/EndpointMonitor.h
@@ -1,7 +1,6 @@
 #pragma once
 
 #include "core/EndpointHealth.h"
-#include "core/Scheduling.h"
 #include "net/HttpClient.h"
 #include "net/Interfaces.h"
 
@@ -23,8 +22,8 @@
 
 /// \brief Fetches load reports and the host list, and feeds EndpointHealth. Call tick() every 50 ms.
 ///
-/// One daemon polls each endpoint of a cell: the cell's scheduling daemon. A daemon without a valid allocation of the
-/// cell polls for itself, since it then has to limit itself.
+/// One daemon polls the endpoints of a cell: the cell's scheduling daemon. A daemon that uses the cell without a valid
+/// allocation polls for itself, since it then has to limit itself.
 class EndpointMonitor {
 public:
     /// Sends a GET of the path and reports the answer's body; a seam for tests.
@@ -37,8 +36,7 @@
         EndpointTable& endpoints;
         HostListClient& hostList;
         Fetch fetch;
-        std::function<std::vector<CellStatus>()> cells; ///< As this daemon sees them.
-        std::function<const CellId*(const EndpointId&)> cellOf {}; ///< If empty, a pool has one cell.
+        std::function<bool(const EndpointId&)> isPolled; ///< Whether this daemon polls the endpoint's load now.
         std::function<void(const EndpointNews&)> announce; ///< Tells all peers.
         std::function<void(std::vector<std::string>)> peerAddresses; ///< Of the daemons in the host list.
     };
--- a/src/daemon/FleetLinks.cpp
+++ b/src/daemon/FleetLinks.cpp
@@ -2,6 +2,7 @@
 
 #include "base/Random.h"
 #include "core/EndpointHealth.h"
+#include "core/SchedulingState.h"
 
 #include <algorithm>
 
@@ -18,6 +19,18 @@
         };
     }
 
+    bool pollsEndpoint(const SchedulingState& state, const EndpointId& id, Millis now)
+    {
+        auto cell = state.cells.cellOf.find(id);
+        if (cell == state.cells.cellOf.end())
+            return true;
+        auto scheduled = state.scheduled.find(cell->second);
+        if (scheduled != state.scheduled.end() && isScheduled(scheduled->second, now))
+            return true;
+        auto client = state.clients.find(cell->second);
+        return client != state.clients.end() && client->second.expires <= now;
+    }
+
     bool isAnyPort(std::string_view address) { return address.ends_with(":0"); }
 
 }
@@ -25,15 +38,17 @@
 FleetLinks::FleetLinks(FleetLinksContext context)
     : m_context(std::move(context))
     , m_hostList(m_context.http, m_context.settings.hostList.address)
-    , m_monitor({ .clock = m_context.clock,
-                    .self = m_context.self,
-                    .endpoints = m_context.endpoints,
-                    .hostList = m_hostList,
-                    .fetch = fetchOver(m_context.http),
-                    .cells = [this] { return cellStatus(m_context.scheduling, view(), m_context.clock.now()); },
-                    .announce = [this](const EndpointNews& news) { m_peers->broadcast(news); },
-                    .peerAddresses
-                    = [this](std::vector<std::string> addresses) { m_peers->setHostAddresses(std::move(addresses)); } },
+    , m_monitor(
+          { .clock = m_context.clock,
+              .self = m_context.self,
+              .endpoints = m_context.endpoints,
+              .hostList = m_hostList,
+              .fetch = fetchOver(m_context.http),
+              .isPolled
+              = [this](const EndpointId& id) { return pollsEndpoint(m_context.scheduling, id, m_context.clock.now()); },
+              .announce = [this](const EndpointNews& news) { m_peers->broadcast(news); },
+              .peerAddresses
+              = [this](std::vector<std::string> addresses) { m_peers->setHostAddresses(std::move(addresses)); } },
           { .loadInterval = m_context.settings.endpoints.loadInterval })
 {
 }
--- a/tests/EndpointMonitorTests.cpp
+++ b/tests/EndpointMonitorTests.cpp
@@ -28,7 +28,7 @@
     SelfState self { .id = DaemonId("d1") };
     EndpointTable endpoints;
     FakeHostList hosts;
-    std::vector<CellStatus> cells;
+    std::set<EndpointId> polled { EndpointId("e1"), EndpointId("e2") };
     std::vector<std::pair<std::string, std::function<void(Result<HttpResponse>)>>> polls;
     std::vector<EndpointId> announced;
     std::vector<std::string> peers;
@@ -38,7 +38,7 @@
                                   .hostList = hosts,
                                   .fetch = [this](const std::string& address, const std::string&, Millis,
                                                auto callback) { polls.emplace_back(address, std::move(callback)); },
-                                  .cells = [this] { return cells; },
+                                  .isPolled = [this](const EndpointId& id) { return polled.contains(id); },
                                   .announce = [this](const EndpointNews& news) { announced.push_back(news.endpoint); },
                                   .peerAddresses = [this](std::vector<std::string> list) { peers = std::move(list); } },
         {} };
@@ -68,26 +68,20 @@
     }
 };
 
-CellStatus cell(const char* scheduler, bool valid)
-{
-    return { .cell = { .pool = PoolId("p") }, .scheduler = DaemonId(scheduler), .allocationValid = valid };
-}
-
 }
 
-// Guards against every daemon polling every endpoint, and against none polling it when the scheduler is lost.
-TEST_CASE("the scheduling daemon polls load, others only without an allocation", "[monitor]")
+// Guards against load on endpoints that another daemon polls, and against polls that pile up.
+TEST_CASE("load is polled every 500 ms where this daemon has to", "[monitor]")
 {
     Fixture f;
-    f.cells = { cell("d2", true) };
+    f.polled.clear();
     f.pass(2'000);
     CHECK(f.polls.empty());
-    f.cells = { cell("d2", false) };
+    f.polled = { EndpointId("e1"), EndpointId("e2") };
     f.pass(500);
     CHECK(f.polls.size() == 2);
     f.answerPolls(R"({"slots":4,"running":1,"waiting":0,"leaving":false})");
     CHECK(f.endpoints.endpoints[EndpointId("e1")].reportedRunning == 1);
-    f.cells = { cell("d1", true) };
     f.pass(500);
     CHECK(f.polls.size() == 2);
     // An endpoint that does not answer is not asked again before its poll has ended.
