--- a/tests/PeerServiceTests.cpp
+++ b/tests/PeerServiceTests.cpp
@@ -193,6 +193,22 @@
     CHECK(took <= 3'000);
 }
 
+// Guards against a daemon that takes an invented configuration into force when it has neither log nor peers, and
+// against one that does not recover when the log returns.
+TEST_CASE("a cold daemon without log and peers waits for either", "[peerservice]")
+{
+    Fleet fleet(1);
+    TestDaemon& daemon = *fleet.daemons[0];
+    daemon.log.put("config", change(0, 3));
+    daemon.log.down = true;
+    fleet.pass(30'000);
+    CHECK(daemon.configuration.current().version == 0);
+    CHECK(daemon.configuration.digest().throughOffset == -1);
+    CHECK_FALSE(daemon.configuration.logReachable());
+    daemon.log.down = false;
+    CHECK(fleet.until(1'500, [&] { return fleet.allAt(1); }) <= 1'500);
+}
+
 // Guards against a daemon with an old copy that sets others back, or stays behind because its log's answers hang.
 TEST_CASE("a peer with an old copy catches up and sets nobody back", "[peerservice]")
 {
