Balance a pool's cells by the service in all of them

Cause: a cell's counters contain lifts, so a workspace that another cell raised after idleness lost what it was owed, and the damped remote part could not make up for a cell that a workspace does not reach.

Change: cells exchange service without lifts; the distance is taken over all cells since the workspace became active. The no-growth rule at a scheduler's start applies to endpoints that have reported load before, so that it cannot shrink a cell whose endpoints report none.

--- a/src/core/CellScheduler.cpp
+++ b/src/core/CellScheduler.cpp
@@ -142,11 +142,12 @@
             for (const auto& [id, remote] : cell.remote) {
                 if (alone || remote.heardAt + remoteLife <= now)
                     continue;
-                // A workspace that has no requests there falls behind from when it was first missing.
-                if (auto found = remote.normalised.find(*step.id); found != remote.normalised.end())
-                    lag += remote.mean - found->second;
-                else if (auto since = remote.absent.find(*step.id); since != remote.absent.end())
-                    lag += remote.mean - since->second;
+                // A workspace without requests there falls behind from when it became active here.
+                if (auto since = remote.since.find(*step.id); since != remote.since.end()) {
+                    auto gained = remote.gained.find(*step.id);
+                    double there = gained == remote.gained.end() ? 0 : gained->second;
+                    lag += (remote.pace - since->second.first) - (there - since->second.second);
+                }
             }
             result.push_back(damped * lag);
         }
@@ -295,6 +296,7 @@
         if (!added) {
             double served = static_cast<double>(demand.served) - static_cast<double>(known->second.served);
             workspace->second.normalised += served / share;
+            workspace->second.gained += served / share;
             cell.serviceSinceStep += served;
             known->second = demand;
         }
@@ -423,39 +425,51 @@
     for (const auto& [id, workspace] : cell.workspaces) {
         if (workspace.active) {
             exchange.service.push_back(
-                { .workspace = id, .running = workspace.quota, .normalisedService = shortened(workspace.normalised) });
+                { .workspace = id, .running = workspace.quota, .normalisedService = shortened(workspace.gained) });
         }
     }
     return exchange;
 }
 
-void acceptExchange(CellState& cell, const CellExchange& exchange, const DaemonId& sender, Millis now)
+void acceptExchange(CellState& cell, const Configuration& configuration, const CellExchange& exchange,
+    const DaemonId& sender, Millis now)
 {
     RemoteCell& remote = cell.remote[exchange.cell];
-    if (remote.scheduler == sender && exchange.sequence <= remote.sequence)
+    bool sameSender = remote.scheduler == sender;
+    if (sameSender && exchange.sequence <= remote.sequence)
         return;
     remote.scheduler = sender;
     remote.heardAt = now;
     remote.sequence = exchange.sequence;
     remote.spareSlots = exchange.spareSlots;
-    remote.normalised.clear();
-    for (const WorkspaceQuota& entry : exchange.service)
-        remote.normalised[entry.workspace] = entry.normalisedService;
-    if (!remote.normalised.empty()) {
-        remote.mean = 0;
-        for (const auto& [id, normalised] : remote.normalised)
-            remote.mean += normalised / static_cast<double>(remote.normalised.size());
+    double shares = 0;
+    double weighted = 0;
+    for (const WorkspaceQuota& entry : exchange.service) {
+        auto [known, added] = remote.gained.try_emplace(entry.workspace, entry.normalisedService);
+        double gained = entry.normalisedService - known->second;
+        known->second = entry.normalisedService;
+        if (added)
+            continue;
+        if (!sameSender) {
+            // A new scheduler counts from another origin.
+            if (auto since = remote.since.find(entry.workspace); since != remote.since.end())
+                since->second.second += gained;
+            continue;
+        }
+        double share = shareOf(configuration, entry.workspace);
+        shares += share;
+        weighted += share * gained;
     }
-    for (auto& [id, mean] : remote.absent)
-        mean = std::min(mean, remote.mean);
-    std::erase_if(remote.absent, [&](const auto& entry) {
+    remote.pace += shares > 0 ? weighted / shares : 0;
+    std::erase_if(remote.since, [&](const auto& entry) {
         auto workspace = cell.workspaces.find(entry.first);
-        return remote.normalised.contains(entry.first) || workspace == cell.workspaces.end()
-            || !workspace->second.active;
+        return workspace == cell.workspaces.end() || !workspace->second.active;
     });
     for (const auto& [id, workspace] : cell.workspaces) {
-        if (workspace.active && !remote.normalised.contains(id))
-            remote.absent.emplace(id, remote.mean);
+        if (!workspace.active)
+            continue;
+        auto gained = remote.gained.find(id);
+        remote.since.try_emplace(id, remote.pace, gained == remote.gained.end() ? 0.0 : gained->second);
     }
 }
 
--- a/src/core/CellScheduler.h
+++ b/src/core/CellScheduler.h
@@ -38,6 +38,7 @@
 /// \brief A workspace as the scheduler knows it.
 struct ServedWorkspace {
     double normalised { 0 }; ///< Service in the cell divided by the share in force when it was given.
+    double gained { 0 }; ///< The same without lifts, for other cells.
     bool active { false };
     double carry { 0 }; ///< Slots that it is owed from earlier steps.
     std::uint32_t quota { 0 };
@@ -49,9 +50,9 @@
     DaemonId scheduler;
     Millis heardAt {};
     std::uint32_t spareSlots { 0 };
-    double mean { 0 }; ///< Of the normalised service of the workspaces that are active there.
-    std::map<WorkspaceId, double> normalised;
-    std::map<WorkspaceId, double> absent; ///< Mean there when a workspace of this cell was first missing there.
+    double pace { 0 }; ///< Share-weighted mean service per share that its workspaces have gained since first heard.
+    std::map<WorkspaceId, double> gained; ///< Service per share there, without lifts.
+    std::map<WorkspaceId, std::pair<double, double>> since; ///< pace and gained when the workspace became active here.
 };
 
 /// \brief Slots of an endpoint that load reports show as used by nobody who reports.
@@ -113,7 +114,7 @@
 [[nodiscard]] CellExchange makeExchange(CellState&);
 
 /// \brief Takes another cell's message into account.
-void acceptExchange(CellState&, const CellExchange&, const DaemonId& sender, Millis now);
+void acceptExchange(CellState&, const Configuration&, const CellExchange&, const DaemonId& sender, Millis now);
 
 /// \returns Messages about spare slots of other cells for daemons that have a backlog here and do not use those cells.
 [[nodiscard]] std::vector<std::pair<DaemonId, CellExchange>> spareNews(const CellState&, const CellMap&, Millis now);
@@ -129,5 +130,4 @@
 
 /// \returns Upper bound of slots of \p endpoint in use by \p daemon: in flight or granted and not yet known as reduced.
 [[nodiscard]] std::uint32_t heldSlots(const ReportingDaemon&, const EndpointId& endpoint);
-
 }
--- a/src/core/Scheduling.cpp
+++ b/src/core/Scheduling.cpp
@@ -294,7 +294,7 @@
     if (state.options.policy != SchedulingPolicy::Fair)
         return;
     refresh(state, view, now);
-    takeExchange(state, exchange, message.sender, now);
+    takeExchange(state, view, exchange, message.sender, now);
 }
 
 std::vector<WorkspaceStatus> workspaceStatus(const SchedulingState& state, const SchedulingView&)
--- a/src/core/SchedulingCells.cpp
+++ b/src/core/SchedulingCells.cpp
@@ -84,7 +84,7 @@
             }
         }
         for (const CellExchange& exchange : local)
-            takeExchange(state, exchange, view.self.id, now);
+            takeExchange(state, view, exchange, view.self.id, now);
     }
 
     /// \returns Cells of the pool whose slots this daemon uses, by attachment or because they have spare ones.
@@ -143,14 +143,15 @@
     return messages;
 }
 
-void takeExchange(SchedulingState& state, const CellExchange& exchange, const DaemonId& sender, Millis now)
+void takeExchange(SchedulingState& state, const SchedulingView& view, const CellExchange& exchange,
+    const DaemonId& sender, Millis now)
 {
     if (!state.cells.cells.contains(exchange.cell))
         return;
     if (!exchange.service.empty() || exchange.spareSlots == 0) {
         for (auto& [id, cell] : state.scheduled) {
             if (id.pool == exchange.cell.pool && id != exchange.cell)
-                acceptExchange(cell, exchange, sender, now);
+                acceptExchange(cell, view.configuration, exchange, sender, now);
         }
     }
     auto queues = state.queues.pools.find(exchange.cell.pool);
--- a/src/core/SlotPlacement.cpp
+++ b/src/core/SlotPlacement.cpp
@@ -115,8 +115,6 @@
             cell.foreign.clear();
         if (!foreign && unknown.empty())
             return result;
-        auto pool = view.configuration.pools.find(cell.id.pool);
-        bool reportsLoad = pool != view.configuration.pools.end() && pool->second.kind == PoolKind::Model;
         bool collecting = now - cell.startedAt < collectionTime;
         for (std::size_t e = 0; e < endpoints.size(); ++e) {
             if (grid.limit[e] == 0)
@@ -131,9 +129,9 @@
                 parts += std::max(held, fallbackSlots(view.info, endpoints[e], grid.limit[e], *id));
             }
             result[e] = std::max(result[e], parts);
-            if (unexplained[e] || !reportsLoad)
+            if (unexplained[e] || view.endpoints.endpoints.at(endpoints[e]).lastReport.count == 0)
                 continue;
-            // Until the first load report all slots that are not known to be free count as used.
+            // Until the next load report all slots that are not known to be free count as used.
             std::uint32_t known = knownInFlight(cell, endpoints[e], now);
             result[e] = std::max(result[e], grid.limit[e] > known ? grid.limit[e] - known : 0);
         }
--- a/tests/FairnessTests.cpp
+++ b/tests/FairnessTests.cpp
@@ -163,7 +163,10 @@
     CHECK(run.gap <= gapAfter10Seconds);
 }
 
-FleetOptions cells(std::uint64_t seed) { return { .engines = 24, .cellSize = 4, .seed = seed }; }
+FleetOptions cells(std::uint64_t seed, unsigned engines, unsigned cellSize)
+{
+    return { .engines = engines, .cellSize = cellSize, .seed = seed };
+}
 
 }
 
@@ -237,6 +240,44 @@
     CHECK(gap <= gapAfter10Seconds);
 }
 
+// Guards against cells that each are fair while the pool is not: the large workspaces' daemons use both cells, and the
+// cells differ in size.
+TEST_CASE("two cells share uneven demand", "[fairness]")
+{
+    for (std::uint64_t seed : { 1, 2 }) {
+        Measured m = measure(cells(seed, 20, 16), unequalFlows());
+        CHECK(m.gap <= gapFromStart);
+        CHECK(m.gapAfter10 <= gapAfter10Seconds);
+        CHECK(m.utilisation >= busy);
+        CHECK(m.load <= 9);
+    }
+}
+
+// Guards against endpoints that two cells allocate at once after a change of the cell map, and against unused new
+// cells.
+TEST_CASE("a cell joins", "[fairness]")
+{
+    Fleet fleet(cells(1, 20, 16), unequalFlows());
+    fleet.run({ 30'000 });
+    fleet.addEngines(16);
+    fleet.run({ 10'000 });
+    fleet.resetMeasurements();
+    std::vector<double> since = fleet.service;
+    double gap = 0;
+    fleet.run({ 60'000 }, [&] { gap = std::max(gap, fleet.gap(since)); });
+    CHECK(gap <= gapFromStart);
+    CHECK(fleet.utilisation() >= busy);
+    CHECK(fleet.highestLoad <= 9);
+}
+
+// See KNOWN-RED.txt. Guards against traffic that grows with the cells of a daemon, and against a gap between workspaces
+// whose daemons use different cells.
+TEST_CASE("several cells keep the control traffic and the gap of one", "[fairness][!mayfail]")
+{
+    CHECK(measure(cells(1, 20, 16), unequalFlows()).bytes <= controlBytes);
+    CHECK(measure(cells(1, 24, 4), unequalFlows()).gap <= gapFromStart);
+}
+
 // Prints the figures of docs/fairness.md; not part of the checks.
 TEST_CASE("measurements", "[.measure]")
 {
@@ -253,12 +294,14 @@
     std::vector<Flow> tiny = unequalFlows();
     tiny[smallest].share = 0.1;
     print("fair, share 0.1", measure({ .seed = 4 }, tiny));
-    print("six cells", measure(cells(1), unequalFlows()));
-    FleetOptions alone = cells(1);
-    alone.scheduling.gain = 0;
-    print("six cells, gain 0", measure(alone, unequalFlows()));
-    alone.scheduling.gain = 1;
-    print("six cells, gain 1", measure(alone, unequalFlows()));
+    for (double gain : { 0.0, 0.1, 1.0 }) {
+        for (unsigned cellSize : { 16, 4 }) {
+            FleetOptions several = cells(1, cellSize == 4 ? 24 : 20, cellSize);
+            several.scheduling.gain = gain;
+            std::string name = std::string(cellSize == 4 ? "six" : "two") + " cells, gain " + std::to_string(gain);
+            print(name.c_str(), measure(several, unequalFlows()));
+        }
+    }
     FleetOptions other;
     other.scheduling.policy = SchedulingPolicy::Static;
     print("static", measure(other, unequalFlows()));
