--- a/standins/LoadCaller.cpp
+++ b/standins/LoadCaller.cpp
@@ -141,6 +141,7 @@
 void LoadCaller::sendAttempt()
 {
     ++m_attempts;
+    m_resending = false;
     m_marker = m_booking;
     std::string headers = m_group.idempotencyKey ? "Idempotency-Key: " + m_key + "\r\n" : "";
     json body = { { "booking", m_booking }, { "slot", "lathe-3" } };
@@ -250,6 +251,9 @@
         json answer = json::parse(m_body, nullptr, false);
         bool right = answer.is_object() && answer.value("booking", "") == m_booking;
         group.wrong += right ? 0 : 1;
+        if (!right && m_context.statistics.events.size() < maxEvents)
+            m_context.statistics.events.emplace_back(
+                now, "wrong answer to " + m_booking + ": " + m_body.substr(0, 300));
         recordBooking(right ? "ok" : "wrong_answer", "ran", "");
         group.addCost(1, since);
     }
@@ -274,6 +278,7 @@
         recordBooking(error.kind, error.runStatus, error.request);
         if (m_attempts <= m_group.resends && !m_context.stopped) {
             rotate();
+            m_resending = true;
             m_afterPause = [this] { sendAttempt(); };
             m_pause.start(std::clamp(error.retryAfterMs, resendPauseMs, maximumPauseMs));
             return;
--- a/standins/LoadCaller.h
+++ b/standins/LoadCaller.h
@@ -30,7 +30,8 @@
     /// \brief Sends one given booking and nothing after it.
     void sendBooking(const std::string& booking, const std::string& key);
 
-    [[nodiscard]] bool busy() const noexcept { return m_busy; }
+    /// \returns Whether a request waits for its answer or for its resend.
+    [[nodiscard]] bool busy() const noexcept { return m_busy || m_resending; }
     /// \brief Sets the function that is called when a request and its resends have ended, in place of next().
     void onIdle(std::function<void()> function) { m_onIdle = std::move(function); }
 
@@ -72,6 +73,7 @@
     std::unique_ptr<LoadCaller> m_follower; ///< Sends duplicates of bookings.
     AnswerCheck m_check;
     bool m_busy { false };
+    bool m_resending { false };
     std::string m_marker;
     unsigned m_tokens { 0 };
     bool m_streaming { false };
