--- a/src/config/ConfigurationFold.cpp
+++ b/src/config/ConfigurationFold.cpp
@@ -9,6 +9,10 @@
 
     using nlohmann::json;
 
+    // A cold reader with more records than this before it looks for the newest checkpoint first, since folding a change
+    // takes a few milliseconds at the design size and scanning a record takes microseconds.
+    constexpr std::int64_t coldScanRecords = 32;
+
     // Parses with the checks of parseJson(): nesting deeper than its limit would overflow the stack in merge_patch(),
     // and duplicate names would read differently with another parser.
     std::optional<json> parseChecked(std::string_view text)
@@ -49,20 +53,61 @@
         return result;
     }
 
-    Result<Configuration> validate(const std::string& document)
+    // Builds nodes without positions; parsing the dumped text instead took half of the time of a change at the design
+    // size.
+    JsonNode nodeOf(const json& value)
     {
-        JsonProblems problems;
-        Configuration configuration;
-        if (document.size() > maximumDocumentBytes) {
-            problems.push_back({ 0, 0, "",
-                "the document has " + std::to_string(document.size()) + " bytes, the limit is "
-                    + std::to_string(maximumDocumentBytes) });
+        JsonNode node;
+        switch (value.type()) {
+        case json::value_t::boolean:
+            node.type = JsonType::Boolean;
+            node.boolean = value.get<bool>();
+            break;
+        case json::value_t::number_integer:
+        case json::value_t::number_unsigned:
+            node.number = value.get<double>();
+            node.type = JsonType::Integer;
+            if (value.is_number_unsigned() && value.get<std::uint64_t>() > static_cast<std::uint64_t>(INT64_MAX))
+                node.type = JsonType::Float;
+            else
+                node.integer = value.get<std::int64_t>();
+            break;
+        case json::value_t::number_float:
+            node.type = JsonType::Float;
+            node.number = value.get<double>();
+            break;
+        case json::value_t::string:
+            node.type = JsonType::String;
+            node.text = value.get_ref<const std::string&>();
+            break;
+        case json::value_t::array:
+            node.type = JsonType::Array;
+            node.items.reserve(value.size());
+            for (const json& item : value)
+                node.items.push_back(nodeOf(item));
+            break;
+        case json::value_t::object:
+            node.type = JsonType::Object;
+            node.members.reserve(value.size());
+            for (const auto& [name, item] : value.items())
+                node.members.push_back({ .name = name, .value = nodeOf(item) });
+            break;
+        default:
+            break;
         }
-        if (problems.empty()) {
-            const JsonNode root = parseJson(document, problems);
-            if (problems.empty())
-                configuration = readConfiguration(root, problems);
+        return node;
+    }
+
+    // \param text The document as text, for its size.
+    Result<Configuration> validate(const json& document, const std::string& text)
+    {
+        if (text.size() > maximumDocumentBytes) {
+            return Error { .kind = ErrorKind::ConfigurationInvalid,
+                .message = "the document has " + std::to_string(text.size()) + " bytes, the limit is "
+                    + std::to_string(maximumDocumentBytes) };
         }
+        JsonProblems problems;
+        Configuration configuration = readConfiguration(nodeOf(document), problems);
         if (!problems.empty())
             return Error { .kind = ErrorKind::ConfigurationInvalid, .message = describe(problems) };
         return configuration;
@@ -147,7 +192,7 @@
             json patched = *m_document;
             patched.merge_patch(patch);
             std::string text = patched.dump();
-            auto configuration = validate(text);
+            auto configuration = validate(patched, text);
             if (!configuration) {
                 result.outcome = ChangeOutcome::Invalid;
                 result.reason = excerpt(configuration.error().message);
@@ -169,7 +214,6 @@
     {
         state.version = version;
         state.throughOffset = throughOffset;
-        state.seeking = false;
         state.historyFrom = throughOffset + 1;
         if (version > 0)
             setDocument(state, std::move(document), std::move(configuration));
@@ -193,13 +237,15 @@
             || *version < state.version)
             return false;
         std::string text = document->dump();
-        auto configuration = validate(text);
+        auto configuration = validate(*document, text);
         if (!configuration)
             return false;
         moveTo(state, *version, throughOffset, std::move(text), std::move(configuration).value());
         return true;
     }
 
+    // Scans for checkpoints to the end of the stream, so that the newest one is adopted and few records are left to
+    // fold.
     void seek(FoldState& state, const LogBatch& batch)
     {
         if (!state.seeking || state.seekOffset < batch.first) {
@@ -210,10 +256,13 @@
             if (record.offset < state.seekOffset)
                 continue;
             if (record.offset > state.seekOffset)
-                return;
+                break;
             ++state.seekOffset;
-            if (adoptCheckpoint(state, record, batch.first))
-                return;
+            (void)adoptCheckpoint(state, record, batch.first);
+        }
+        if (state.seekOffset >= batch.next && batch.first <= state.throughOffset + 1) {
+            state.seeking = false;
+            state.scanned = true;
         }
     }
 
@@ -240,12 +289,13 @@
 std::vector<ChangeResult> foldBatch(FoldState& state, const LogBatch& batch)
 {
     std::vector<ChangeResult> results;
-    if (batch.first > state.throughOffset + 1) {
+    const bool isExpired = batch.first > state.throughOffset + 1;
+    const bool isCold = !state.configuration && !state.scanned && batch.next - state.throughOffset > coldScanRecords;
+    if (isExpired || isCold || state.seeking) {
         seek(state, batch);
         if (state.seeking)
             return results;
     }
-    state.seeking = false;
     Folder folder(state);
     for (const LogRecord& record : batch.records) {
         if (record.offset <= state.throughOffset)
@@ -269,10 +319,11 @@
     if (!parsed || !parsed->is_object())
         return Error { .kind = ErrorKind::ConfigurationInvalid, .message = "a peer's document is not a JSON object" };
     std::string text = parsed->dump();
-    auto configuration = validate(text);
+    auto configuration = validate(*parsed, text);
     if (!configuration)
         return configuration.error();
     moveTo(state, version, throughOffset, std::move(text), std::move(configuration).value());
+    state.seeking = false;
     return true;
 }
 
@@ -317,7 +368,7 @@
         return ok();
     json patched = json::parse(state.document, nullptr, false);
     patched.merge_patch(*parsed);
-    const auto configuration = validate(patched.dump());
+    const auto configuration = validate(patched, patched.dump());
     if (!configuration)
         return configuration.error();
     return ok();
--- a/src/config/ConfigurationFold.h
+++ b/src/config/ConfigurationFold.h
@@ -49,8 +49,10 @@
     std::string document { "{}" }; ///< JSON text with sorted names.
     /// Null until a first change was accepted. Its throughOffset is that of the last accepted change.
     std::shared_ptr<const Configuration> configuration;
-    bool seeking { false }; ///< Records after throughOffset are no longer retained; a checkpoint or peer is needed.
+    /// Scans for a checkpoint: at a cold start, or because records after throughOffset are no longer retained.
+    bool seeking { false };
     std::int64_t seekOffset { 0 }; ///< While seeking, the next offset to look for a checkpoint at.
+    bool scanned { false }; ///< A scan has reached the end of the stream.
     std::deque<ChangeResult> history; ///< Results of the last change records, oldest first, at most historyLimit.
     std::int64_t historyFrom { 0 }; ///< Every change record from here through throughOffset has been in the history.
 };
@@ -66,9 +68,9 @@
 
 /// \brief Folds the records of \p batch that follow the state; read them from nextOffset().
 ///
-/// If the records after the state are no longer retained, the state starts to seek: it stays in force while records are
-/// scanned for a checkpoint that may be adopted, and nextOffset() then goes back to the record after that checkpoint's
-/// state.
+/// A cold reader of a long stream, and a reader whose next records are no longer retained, first scan the stream to its
+/// end and adopt the newest checkpoint that may be adopted; nextOffset() then goes back to the record after that
+/// checkpoint's state. Meanwhile the state stays in force.
 /// \returns The results of the change records folded, in log order.
 std::vector<ChangeResult> foldBatch(FoldState&, const LogBatch& batch);
 
--- a/src/config/JsonReader.cpp
+++ b/src/config/JsonReader.cpp
@@ -61,7 +61,7 @@
     if (!m_node)
         return;
     for (const JsonMember& member : m_node->members) {
-        if (!m_known.contains(member.name))
+        if (std::find(m_known.begin(), m_known.end(), member.name) == m_known.end())
             m_problems.push_back({ member.line, member.column, joinPath(m_path, member.name), "unknown field" });
     }
 }
@@ -83,7 +83,7 @@
 {
     if (!m_node)
         return nullptr;
-    m_known.emplace(name);
+    m_known.push_back(name);
     const JsonNode* value = m_node->find(name);
     if (!value && presence == Presence::Required)
         report(*m_node, joinPath(m_path, name), "required field is missing");
--- a/src/config/JsonReader.h
+++ b/src/config/JsonReader.h
@@ -6,7 +6,6 @@
 #include <concepts>
 #include <functional>
 #include <limits>
-#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -81,7 +80,7 @@
     const JsonNode* m_node;
     std::string m_path;
     JsonProblems& m_problems;
-    std::set<std::string, std::less<>> m_known;
+    std::vector<std::string_view> m_known; ///< Names asked for; they are literals.
 };
 
 /// \returns Whether \p text is 1 to 64 letters, digits, '.', '_' or '-'.
--- a/src/daemon/ConfigurationService.cpp
+++ b/src/daemon/ConfigurationService.cpp
@@ -110,7 +110,7 @@
             { { "id", result.id }, { "author", result.author }, { "outcome", toString(result.outcome) },
                 { "version", result.version }, { "offset", result.offset } });
     }
-    if (m_fold.seeking && !wasSeeking)
+    if (m_fold.seeking && !wasSeeking && batch.first > m_fold.throughOffset + 1)
         logEvent(LogLevel::Warning, "configuration_records_expired",
             { { "through_offset", m_fold.throughOffset }, { "first_retained", batch.first } });
     afterAdvance(before);
--- a/src/daemon/ConfigurationService.h
+++ b/src/daemon/ConfigurationService.h
@@ -16,7 +16,7 @@
 
 struct ConfigurationServiceOptions {
     Millis readWait { 4'000 }; ///< How long the log may hold back a read that has nothing to answer.
-    unsigned maxRecords { 256 };
+    unsigned maxRecords { 64 }; ///< A batch of changes at the design size then holds the event loop for 0.3 s at most.
     Millis retryMinimum { 100 }; ///< Wait after a failed read; doubles up to retryMaximum.
     Millis retryMaximum { 1'000 };
     Millis publishTimeout { 10'000 }; ///< After it the outcome of a publication is reported as unknown.
--- a/tests/ConfigurationFoldTests.cpp
+++ b/tests/ConfigurationFoldTests.cpp
@@ -262,6 +262,27 @@
     REQUIRE(state.version == 4);
 }
 
+// Guards against a cold start that folds days of changes one by one before the daemon takes its first request.
+TEST_CASE("a cold reader of a long stream starts from the newest checkpoint", "[fold]")
+{
+    FakeLog log;
+    FoldState writer;
+    for (std::uint64_t i = 0; i < 100; ++i) {
+        log.append(change("id-" + std::to_string(i), i, R"({"limits":{"cellSize":)" + std::to_string(i + 1) + "}}"));
+        (void)foldBatch(writer, log.read(nextOffset(writer), 10));
+        if (i == 30 || i == 80)
+            log.append(makeCheckpoint(writer));
+    }
+    FoldState cold;
+    unsigned reads = 0;
+    for (; nextOffset(cold) < log.next(); ++reads)
+        (void)foldBatch(cold, log.read(nextOffset(cold), 20));
+    (void)foldBatch(writer, log.read(nextOffset(writer), 10));
+    REQUIRE(sameState(cold, writer));
+    REQUIRE(cold.history.size() == 19);
+    REQUIRE(reads == 6 + 1); // 102 records are scanned, the last 20 folded.
+}
+
 // Guards against resending a change whose answer was lost.
 TEST_CASE("the result of a record is found by its id", "[fold]")
 {
