--- a/tests/SchedulingTests.cpp
+++ b/tests/SchedulingTests.cpp
@@ -1,4 +1,5 @@
 #include "core/Admission.h"
+#include "core/FairQueue.h"
 #include "core/Scheduling.h"
 
 #include <catch2/catch.hpp>
@@ -217,3 +218,14 @@
     REQUIRE(drainQueued(*lone.state).size() == 2);
     REQUIRE(drainQueued(*lone.state).empty());
 }
+
+// Guards against a false hint that charges its workspace for many requests before its costs are known, and against a
+// correction that takes more than one completed request to show.
+TEST_CASE("a false hint is bounded at first and corrected by the first completed request", "[scheduling]")
+{
+    WorkspaceQueue queue;
+    QueuedRequest request { .costHint = 5'000 };
+    REQUIRE(estimateCost(queue, request) <= 500);
+    learnCost(queue, 5'000, 150);
+    REQUIRE(estimateCost(queue, request) == Approx(150));
+}
