Bound hints by five average requests instead of learning them faster

Cause: with the correction learned from the first requests, "the fleet survives a paused scheduler and its return" gave a gap of 5.2 largest requests (target 4): the mean of a few ratios of costs that spread over 100x is a bad estimate. Change: the correction is a moving average from 1 again, and a hint times correction counts for at most five average requests, which also bounds a false hint while the correction is still learned.

--- a/src/core/FairQueue.cpp
+++ b/src/core/FairQueue.cpp
@@ -13,9 +13,9 @@
     constexpr double maximumCorrection = 100.0;
     // Charged for a request without hint before any request of its workspace has completed.
     constexpr double initialCost = 100.0;
-    // Before a workspace's hints can be checked against costs, a false one must not charge it for many requests at
-    // once: a hint of 5,000 for requests of at most 168 left its workspace 13 largest requests behind after 8 s.
-    constexpr double unlearnedHintLimit = 5 * initialCost;
+    // A hint counts for at most this many average requests, since hints are off by up to 5x: while the correction was
+    // still being learned, a hint of 5,000 for requests of at most 168 left its workspace 13 largest requests behind.
+    constexpr double hintLimit = 5.0;
 
     void raise(const PoolQueues& pool, WorkspaceQueue& queue)
     {
@@ -107,22 +107,17 @@
 
 double estimateCost(const WorkspaceQueue& queue, const QueuedRequest& request) noexcept
 {
-    if (request.costHint > 0 && queue.hintsLearned > 0)
-        return request.costHint * queue.hintCorrection;
+    double average = queue.averageCost > 0 ? queue.averageCost : initialCost;
     if (request.costHint > 0)
-        return std::min(request.costHint, unlearnedHintLimit);
-    return queue.averageCost > 0 ? queue.averageCost : initialCost;
+        return std::min(request.costHint * queue.hintCorrection, hintLimit * average);
+    return average;
 }
 
 void learnCost(WorkspaceQueue& queue, double hint, double cost) noexcept
 {
     if (hint > 0) {
         double ratio = std::clamp(cost / hint, minimumCorrection, maximumCorrection);
-        // The mean of the first ratios, then a moving average: moving from 1 by 5% a request, a hint that is off by 30x
-        // took some 20 s to be corrected.
-        ++queue.hintsLearned;
-        double weight = std::max(learningRate, 1.0 / queue.hintsLearned);
-        queue.hintCorrection += weight * (ratio - queue.hintCorrection);
+        queue.hintCorrection += learningRate * (ratio - queue.hintCorrection);
     }
     queue.averageCost = queue.averageCost > 0 ? queue.averageCost + learningRate * (cost - queue.averageCost) : cost;
 }
--- a/src/core/FairQueue.h
+++ b/src/core/FairQueue.h
@@ -41,8 +41,7 @@
     bool reported { false }; ///< The last reports named it as backlogged.
     double charged { 0 }; ///< Cost units charged by this daemon since it started.
     double normalised { 0 }; ///< Service divided by share: the fleet's as last heard plus own additions.
-    double hintCorrection { 0 }; ///< Learned ratio of final cost to hint.
-    std::uint32_t hintsLearned { 0 }; ///< Completed requests that had a hint.
+    double hintCorrection { 1 }; ///< Learned ratio of final cost to hint.
     double averageCost { 0 }; ///< Of completed requests; 0: none yet.
     double averageRun { 0 }; ///< Milliseconds that a request holds a slot; 0: none yet.
     std::map<CellId, CellUse> cells;
