--- a/src/cli/Cli.cpp
+++ b/src/cli/Cli.cpp
@@ -169,6 +169,8 @@
 {
     static const std::vector<Command> list {
         { "daemon", "", "run a daemon until it is stopped by SIGTERM", { "settings" }, runDaemonCommand },
+        { "router", "", "run a router on a deployment's store until it is stopped by SIGTERM", { "settings" },
+            runRouterCommand },
         { "check", "FILE", "check settings or a configuration and print every error", { "json" }, runCheck },
         { "workspace create", "ID", "create a workspace and print its API key once",
             withChangeFlags({ "share", "queue-requests", "queue-bytes", "key-hash" }), runWorkspaceCreate },
--- a/src/cli/Commands.h
+++ b/src/cli/Commands.h
@@ -54,4 +54,7 @@
 /// \brief Runs a daemon with the settings of --settings.
 [[nodiscard]] int runDaemonCommand(const std::vector<std::string>& arguments);
 
+/// \brief Runs a router on the platform's store with the settings of --settings.
+[[nodiscard]] int runRouterCommand(const std::vector<std::string>& arguments);
+
 }
--- /dev/null
+++ b/src/cli/RouterCommand.cpp
@@ -0,0 +1,31 @@
+#include "cli/Commands.h"
+#include "cli/Flags.h"
+#include "config/RouterSettings.h"
+#include "platform/Adapter.h"
+
+#include <absl/flags/flag.h>
+#include <iostream>
+
+namespace jasminestack {
+
+int runRouterCommand(const std::vector<std::string>&)
+{
+    const std::string path = absl::GetFlag(FLAGS_settings);
+    if (path.empty()) {
+        std::cerr << "jasminestack: 'router' needs --settings FILE\n";
+        return exit_code::usage;
+    }
+    const auto text = readFile(path);
+    if (!text) {
+        std::cerr << "jasminestack: cannot read " << path << "\n";
+        return exit_code::failure;
+    }
+    const auto settings = parseRouterSettings(*text, path);
+    if (!settings) {
+        std::cerr << settings.error().message << "\n";
+        return exit_code::invalidInput;
+    }
+    return runRouter(settings.value(), platform::makeAdapter(), path);
+}
+
+}
--- /dev/null
+++ b/src/config/RouterSettings.cpp
@@ -0,0 +1,100 @@
+#include "config/RouterSettings.h"
+
+#include "config/JsonReader.h"
+
+namespace jasminestack {
+
+namespace {
+
+    constexpr std::int64_t oneSecond = 1'000;
+    constexpr std::int64_t oneMinute = 60 * oneSecond;
+
+    void readAddresses(ObjectReader& root, RouterSettings& settings, JsonProblems& problems)
+    {
+        {
+            ObjectReader callers = root.object("callers", Presence::Required);
+            callers.address("address", settings.callers.address, Presence::Required, true);
+            callers.millis("writeTimeoutMs", settings.callers.writeTimeout, 100, 10 * oneMinute);
+        }
+        {
+            ObjectReader health = root.object("health", Presence::Required);
+            health.address("address", settings.health.address, Presence::Required);
+            health.text("path", settings.health.path);
+            health.address("metricsAddress", settings.health.metricsAddress);
+        }
+        {
+            ObjectReader peers = root.object("peers", Presence::Required);
+            peers.address("address", settings.peers.address, Presence::Required);
+            peers.eachText("seeds", [&](const JsonNode& node, const std::string& path) {
+                if (isAddress(node.text))
+                    settings.peers.seeds.push_back(node.text);
+                else
+                    problems.push_back(
+                        { node.line, node.column, path, "'" + node.text + "' is not of the form IP:PORT" });
+            });
+        }
+        ObjectReader store = root.object("store", Presence::Required);
+        store.address("address", settings.store.address, Presence::Required);
+        store.millis("registrationIntervalMs", settings.store.registrationInterval, 50, oneMinute);
+    }
+
+    void readSeconds(ObjectReader& reader, std::string_view name, Millis& into)
+    {
+        double seconds = into.seconds();
+        reader.number(name, seconds, 1.0, 3'600.0);
+        into = { static_cast<std::int64_t>(seconds * oneSecond) };
+    }
+
+    void readPolicy(ObjectReader& root, RouterSettings& settings)
+    {
+        {
+            ObjectReader retries = root.object("retries");
+            retries.number("ratio", settings.retries.ratio, 0.0, 1.0);
+            retries.number("slack", settings.retries.slack, 0.0, 1e6);
+            readSeconds(retries, "windowSeconds", settings.retries.window);
+        }
+        {
+            ObjectReader placement = root.object("placement");
+            placement.choice("policy", settings.placement.policy, { "predicted", "least-outstanding" });
+            placement.number("rereadCost", settings.placement.rereadCost, 0.0, 100.0);
+            placement.millis("crossZoneCostMs", settings.placement.crossZoneCost, 0, oneMinute);
+        }
+        {
+            ObjectReader shutdown = root.object("shutdown");
+            readSeconds(shutdown, "graceSeconds", settings.shutdown.grace);
+        }
+        root.object("logging").choice("level", settings.logging.level, { "debug", "info", "warning", "error" });
+    }
+
+}
+
+RouterSettings readRouterSettings(const JsonNode& root, JsonProblems& problems)
+{
+    RouterSettings settings;
+    ObjectReader reader(&root, "", problems);
+    {
+        ObjectReader daemon = reader.object("router", Presence::Required);
+        daemon.identifier("id", settings.daemon.id.value, Presence::Required);
+        daemon.identifier("availabilityZone", settings.daemon.availabilityZone, Presence::Required);
+    }
+    readAddresses(reader, settings, problems);
+    readPolicy(reader, settings);
+    return settings;
+}
+
+Result<RouterSettings> parseRouterSettings(std::string_view text, std::string_view path)
+{
+    JsonProblems problems;
+    const JsonNode root = parseJson(text, problems);
+    RouterSettings settings;
+    if (problems.empty())
+        settings = readRouterSettings(root, problems);
+    if (problems.empty())
+        return settings;
+    const JsonProblem& first = problems.front();
+    return Error { .kind = ErrorKind::SettingsInvalid,
+        .message = formatProblems(problems, path),
+        .position = { .path = std::string(path), .line = first.line, .column = first.column } };
+}
+
+}
--- /dev/null
+++ b/src/config/RouterSettings.h
@@ -0,0 +1,74 @@
+#pragma once
+
+#include "base/Clock.h"
+#include "base/Identifier.h"
+#include "base/Result.h"
+#include "config/JsonDocument.h"
+
+#include <cstddef>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace jasminestack {
+
+/// \brief Settings of a router on a deployment whose platform keeps configuration and registrations in a store. All
+/// addresses are "IP:PORT".
+struct RouterSettings {
+    struct Daemon {
+        DaemonId id;
+        std::string availabilityZone;
+    } daemon;
+
+    struct Callers {
+        std::string address;
+        Millis writeTimeout { 10'000 }; ///< For a caller that does not read its answer.
+    } callers;
+
+    struct Health {
+        std::string address; ///< Where the load balancer asks for readiness.
+        std::string path { "/readyz" };
+        std::string metricsAddress; ///< Empty: metrics are served on the health address only.
+    } health;
+
+    struct Peers {
+        std::string address; ///< Messages (UDP) and documents (TCP) for the other daemons.
+        std::vector<std::string> seeds; ///< Addresses of daemons that may be alive.
+    } peers;
+
+    struct Store {
+        std::string address;
+        Millis registrationInterval { 500 }; ///< Pause between two reads of the endpoints' registrations.
+    } store;
+
+    struct Retries {
+        double ratio { 0.1 }; ///< Second and further sends to a pool, as a share of its requests.
+        double slack { 10 }; ///< Sends beyond the ratio, for the whole fleet.
+        Millis window { 10'000 };
+    } retries;
+
+    struct Placement {
+        std::string policy { "predicted" }; ///< "predicted", or the baseline "least-outstanding".
+        double rereadCost { 0.7 }; ///< See PlacementOptions.
+        Millis crossZoneCost { 15 };
+    } placement;
+
+    struct Shutdown {
+        Millis grace { 8'000 }; ///< From SIGTERM to the end of the process.
+    } shutdown;
+
+    struct Logging {
+        std::string level { "info" };
+    } logging;
+};
+
+/// \brief Reads settings from JSON with comments.
+/// \param path Used in errors.
+/// \returns All errors found, each with line, column and path, joined as one SettingsInvalid error.
+[[nodiscard]] Result<RouterSettings> parseRouterSettings(std::string_view text, std::string_view path);
+
+/// \brief Reads settings from a parsed document.
+/// \returns The settings; valid only if nothing was added to \p problems.
+[[nodiscard]] RouterSettings readRouterSettings(const JsonNode& root, JsonProblems& problems);
+
+}
--- a/src/net/CallerServer.cpp
+++ b/src/net/CallerServer.cpp
@@ -2,68 +2,52 @@
 
 #include "net/HttpClient.h"
 #include "net/HttpResponseParser.h"
+#include "net/Socket.h"
 
 #include <algorithm>
+#include <arpa/inet.h>
+#include <array>
+#include <cerrno>
 #include <charconv>
-#include <event2/buffer.h>
-#include <event2/bufferevent.h>
 #include <event2/event.h>
-#include <event2/http.h>
-#include <event2/http_struct.h>
-#include <event2/keyvalq_struct.h>
+#include <event2/listener.h>
+#include <http_parser.h>
 #include <netinet/in.h>
-#include <netinet/tcp.h>
 #include <optional>
-#include <poll.h>
 #include <sys/socket.h>
 #include <unordered_map>
-#include <unordered_set>
 
 namespace jasminestack {
 
 namespace {
 
-    // How often a connection with pipelined data is checked for its close, because its readability says nothing then.
-    constexpr timeval pollInterval { .tv_sec = 0, .tv_usec = 250'000 };
+    // A connection that is closed after an answer discards what the caller still sends for this long, because closing a
+    // socket with unread bytes resets it and may destroy the answer on its way.
+    constexpr Millis lingerTime { 1'000 };
 
-    timeval toTimeval(Millis span) noexcept
-    {
-        return { .tv_sec = span.count / 1000, .tv_usec = (span.count % 1000) * 1000 };
-    }
+    // Bytes of pipelined requests that are read while one is being answered.
+    constexpr std::size_t pipelineBytes = 64U << 10U;
+
+    constexpr std::size_t readBytes = 64U << 10U;
+    constexpr int listenBacklog = 1'024;
+
+    // A caller that has vanished without closing its connection is noticed by unanswered probes.
+    constexpr SilenceLimits callerSilence { .keepAliveIdleSeconds = 5, .keepAliveProbes = 3, .unacknowledged = { 8'000 } };
 
-    std::string_view methodName(evhttp_cmd_type command) noexcept
+    bool isToken(std::string_view name) noexcept
     {
-        switch (command) {
-        case EVHTTP_REQ_GET:
-            return "GET";
-        case EVHTTP_REQ_POST:
-            return "POST";
-        case EVHTTP_REQ_HEAD:
-            return "HEAD";
-        case EVHTTP_REQ_PUT:
-            return "PUT";
-        case EVHTTP_REQ_DELETE:
-            return "DELETE";
-        case EVHTTP_REQ_OPTIONS:
-            return "OPTIONS";
-        case EVHTTP_REQ_PATCH:
-            return "PATCH";
-        default:
-            return "";
-        }
+        return !name.empty() && std::all_of(name.begin(), name.end(), [](char c) {
+            auto byte = static_cast<unsigned char>(c);
+            return byte > 0x20 && byte < 0x7f && std::string_view("()<>@,;:\\\"/[]?={}").find(c) == std::string_view::npos;
+        });
     }
 
-    CallerRequest takeRequest(evhttp_request* message)
+    bool isStatusWithoutBody(int status) noexcept { return status == 204 || status == 304; }
+
+    std::size_t countHeaders(const CallerRequest& request, std::string_view name) noexcept
     {
-        CallerRequest request { .method = std::string(methodName(evhttp_request_get_command(message))),
-            .target = evhttp_request_get_uri(message) };
-        for (const evkeyval* header = evhttp_request_get_input_headers(message)->tqh_first; header;
-             header = header->next.tqe_next)
-            request.headers.emplace_back(header->key, header->value);
-        evbuffer* input = evhttp_request_get_input_buffer(message);
-        request.body.resize(evbuffer_get_length(input));
-        evbuffer_remove(input, request.body.data(), request.body.size());
-        return request;
+        return static_cast<std::size_t>(std::count_if(request.headers.begin(), request.headers.end(),
+            [&](const auto& header) { return equalHeaderNames(header.first, name); }));
     }
 
 }
@@ -73,297 +57,460 @@
 std::string_view CallerRequest::path() const noexcept { return std::string_view(target).substr(0, target.find('?')); }
 
 struct CallerServer::State {
-    class Exchange;
+    class Connection;
 
-    struct Receiving {
-        State* owner { nullptr };
-        bufferevent* stream { nullptr };
-        std::optional<Millis> since;
+    struct ListenerDeleter {
+        void operator()(evconnlistener* listener) const noexcept { evconnlistener_free(listener); }
     };
 
     event_base& base;
     SystemClock clock;
     CallerHandler& handler;
     CallerServerOptions options;
-    evhttp* server { nullptr };
-    evhttp_bound_socket* listener { nullptr };
+    std::unique_ptr<evconnlistener, ListenerDeleter> listener;
     std::uint16_t port { 0 };
     bool closeAfterAnswers { false };
-    std::unordered_set<Exchange*> exchanges;
-    /// When the request that a connection is receiving began. An entry is kept after its connection has closed, until
-    /// another one gets the same address, since evhttp does not tell; there are as many as connections at one time.
-    std::unordered_map<bufferevent*, std::unique_ptr<Receiving>> receiving;
-    std::vector<Exchange*> unflushed; ///< Exchanges with chunks of this turn of the event loop.
-    event* flushEvent { nullptr };
+    std::unordered_map<Connection*, std::unique_ptr<Connection>> connections;
+    std::vector<std::unique_ptr<Connection>> closed; ///< Destroyed outside their own calls.
+    EventPointer reaper;
+    std::vector<char> scratch;
 
     State(event_base& eventBase, CallerHandler& theHandler, const CallerServerOptions& theOptions)
         : base(eventBase)
         , handler(theHandler)
         , options(theOptions)
+        , reaper(event_new(&eventBase, -1, 0, onReap, this))
+        , scratch(readBytes)
     {
-        flushEvent = event_new(&base, -1, 0, onFlush, this);
     }
 
-    ~State() { event_free(flushEvent); }
-    State(const State&) = delete;
-    State& operator=(const State&) = delete;
-
-    // Creates the buffered event of a new connection.
-    static bufferevent* onConnection(event_base* base, void* argument)
+    void close(Connection* connection)
     {
-        auto& state = *static_cast<State*>(argument);
-        bufferevent* stream = bufferevent_socket_new(base, -1, BEV_OPT_CLOSE_ON_FREE);
-        auto& entry = state.receiving[stream];
-        entry = std::make_unique<Receiving>(Receiving { .owner = &state, .stream = stream });
-        evbuffer_add_cb(bufferevent_get_input(stream), onInput, entry.get());
-        return stream;
-    }
-
-    // evhttp's time limit starts again with each byte. This one is for the whole request, so that a caller who sends
-    // it slowly does not hold a connection forever.
-    static void onInput(evbuffer*, const evbuffer_cb_info* info, void* argument)
-    {
-        auto& receiving = *static_cast<Receiving*>(argument);
-        if (info->n_added == 0)
+        auto found = connections.find(connection);
+        if (found == connections.end())
             return;
-        Millis now = receiving.owner->clock.now();
-        if (!receiving.since)
-            receiving.since = now;
-        else if (now - *receiving.since > receiving.owner->options.readTimeout)
-            shutdown(bufferevent_getfd(receiving.stream), SHUT_RDWR);
+        if (closed.empty())
+            event_active(reaper.get(), EV_TIMEOUT, 0);
+        closed.push_back(std::move(found->second));
+        connections.erase(found);
     }
 
-    static void onFlush(evutil_socket_t, short, void* argument);
-    static void onMessage(evhttp_request* message, void* argument);
+    static void onReap(evutil_socket_t, short, void* argument) { static_cast<State*>(argument)->closed.clear(); }
+    static void onAccept(evconnlistener*, evutil_socket_t descriptor, sockaddr*, int, void* argument);
 };
 
-class CallerServer::State::Exchange final : public CallerExchange {
+class CallerServer::State::Connection final : public CallerExchange {
 public:
-    Exchange(State& owner, evhttp_request* message)
+    Connection(State& owner, Descriptor socket)
         : m_owner(owner)
-        , m_message(message)
-        , m_connection(evhttp_request_get_connection(message))
-        , m_chunk(evbuffer_new())
+        , m_socket(std::move(socket))
+        , m_readable(event_new(&owner.base, m_socket.value(), EV_READ | EV_PERSIST, onReadable, this))
+        , m_writable(event_new(&owner.base, m_socket.value(), EV_WRITE | EV_PERSIST, onWritable, this))
+        , m_timer(evtimer_new(&owner.base, onTimer, this))
     {
-        m_owner.exchanges.insert(this);
-        bufferevent* stream = evhttp_connection_get_bufferevent(m_connection);
-        m_descriptor = bufferevent_getfd(stream);
-        int on = 1;
-        setsockopt(m_descriptor, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
-        // The caller has nothing to send until it is answered, however long that takes.
-        timeval write = toTimeval(owner.options.writeTimeout);
-        bufferevent_set_timeouts(stream, nullptr, &write);
-        evhttp_connection_set_closecb(m_connection, onClosed, this);
-        evhttp_request_set_on_complete_cb(message, onComplete, this);
-        // evhttp does not read while it answers, so it would not notice the caller's close; and reading on its
-        // connection in that state aborts the process on pipelined data. EV_READ is needed beside EV_CLOSED because a
-        // reset is reported as an error, which libevent maps to readable and writable only.
-        m_watch = event_new(&owner.base, m_descriptor, EV_READ | EV_CLOSED, onReadable, this);
-        event_add(m_watch, nullptr);
-    }
-
-    ~Exchange() override
-    {
-        evhttp_connection_set_closecb(m_connection, nullptr, nullptr);
-        if (m_watch)
-            event_free(m_watch);
-        if (m_outputWatch)
-            evbuffer_remove_cb_entry(output(), m_outputWatch);
-        evbuffer_free(m_chunk);
-        if (m_unflushed)
-            std::replace(m_owner.unflushed.begin(), m_owner.unflushed.end(), this, static_cast<Exchange*>(nullptr));
-        m_owner.exchanges.erase(this);
-    }
-    Exchange(const Exchange&) = delete;
-    Exchange& operator=(const Exchange&) = delete;
+        configureConnection(m_socket.value(), callerSilence);
+        http_parser_init(&m_parser, HTTP_REQUEST);
+        m_parser.data = this;
+        event_add(m_readable.get(), nullptr);
+        startTimer(owner.options.idleTimeout);
+    }
+
+    [[nodiscard]] bool answering() const noexcept { return m_phase == Phase::Answering; }
+    [[nodiscard]] bool idle() const noexcept { return m_phase == Phase::Idle && m_input.empty() && m_output.empty(); }
 
     void attach(CallerListener& listener) override { m_listener = &listener; }
 
     void sendWhole(const CallerHead& head, std::string_view body) override
     {
-        addHeaders(head);
-        evbuffer_add(m_chunk, body.data(), body.size());
-        stopWatching();
-        evhttp_send_reply(m_message, head.status, nullptr, m_chunk);
+        std::string text = formatHead(head);
+        if (!isStatusWithoutBody(head.status))
+            text.append("Content-Length: ").append(std::to_string(body.size())).append("\r\n");
+        text.append("\r\n");
+        if (!m_headRequest && !isStatusWithoutBody(head.status))
+            text.append(body);
+        enqueue(text);
+        finishAnswer();
     }
 
     void startStream(const CallerHead& head) override
     {
-        addHeaders(head);
-        evhttp_send_reply_start(m_message, head.status, nullptr);
-        m_outputWatch = evbuffer_add_cb(output(), onOutputChanged, this);
+        std::string text = formatHead(head);
+        if (m_http10)
+            m_keepAlive = false; // Without chunks the end of the body is the end of the connection.
+        else
+            text.append("Transfer-Encoding: chunked\r\n");
+        text.append("\r\n");
+        m_unsent = std::move(text);
     }
 
-    // Chunks are framed and written here instead of by evhttp, which registers and unregisters the socket for writing
-    // around each of them. All chunks of one turn of the event loop leave with one system call.
     void sendChunk(std::string_view bytes) override
     {
-        if (bytes.empty())
+        if (bytes.empty() || m_headRequest)
             return;
-        if (!m_message->chunked) {
-            evbuffer_add(m_chunk, bytes.data(), bytes.size());
-            evhttp_send_reply_chunk(m_message, m_chunk);
+        std::string text = std::exchange(m_unsent, {});
+        if (m_http10) {
+            enqueue(text.append(bytes));
             return;
         }
-        if (!m_blocked)
-            bufferevent_disable(evhttp_connection_get_bufferevent(m_connection), EV_WRITE);
-        char size[2 * sizeof(std::size_t) + 2];
-        char* end = std::to_chars(size, size + sizeof(size) - 2, bytes.size(), 16).ptr;
-        *end++ = '\r';
-        *end++ = '\n';
-        evbuffer_add(output(), size, static_cast<std::size_t>(end - size));
-        evbuffer_add(output(), bytes.data(), bytes.size());
-        evbuffer_add(output(), "\r\n", 2);
-        if (m_unflushed || m_blocked)
-            return;
-        if (m_owner.unflushed.empty())
-            event_active(m_owner.flushEvent, EV_TIMEOUT, 0);
-        m_owner.unflushed.push_back(this);
-        m_unflushed = true;
-    }
-
-    void flush()
-    {
-        m_unflushed = false;
-        if (m_answered)
-            return;
-        evbuffer_unfreeze(output(), 1);
-        evbuffer_write(output(), m_descriptor);
-        evbuffer_freeze(output(), 1);
-        if (evbuffer_get_length(output()) == 0)
-            return;
-        // The socket is full, or failed; the buffered event waits for it, applies the time limit and reports errors.
-        m_blocked = true;
-        bufferevent_enable(evhttp_connection_get_bufferevent(m_connection), EV_WRITE);
+        std::array<char, 2 * sizeof(std::size_t)> size {};
+        char* end = std::to_chars(size.data(), size.data() + size.size(), bytes.size(), 16).ptr;
+        text.append(size.data(), end).append("\r\n").append(bytes).append("\r\n");
+        enqueue(text);
     }
 
     void endStream() override
     {
-        stopWatching();
-        evhttp_send_reply_end(m_message);
+        std::string text = std::exchange(m_unsent, {});
+        if (!m_http10 && !m_headRequest)
+            text.append("0\r\n\r\n");
+        enqueue(text);
+        finishAnswer();
     }
 
     void abort() override
     {
-        evhttp_connection* connection = m_connection;
-        delete this;
-        evhttp_connection_free(connection);
+        // The missing last chunk tells the caller that the answer is cut.
+        m_listener = nullptr;
+        m_owner.close(this);
     }
 
-    [[nodiscard]] std::size_t bufferedBytes() const override { return evbuffer_get_length(output()); }
+    [[nodiscard]] std::size_t bufferedBytes() const override { return m_output.size() - m_written; }
 
 private:
-    [[nodiscard]] evbuffer* output() const
+    enum class Phase : std::uint8_t {
+        Idle, ///< Between requests.
+        Receiving,
+        Answering,
+        Lingering, ///< Answered and closed for writing; what comes is discarded.
+    };
+
+    void startTimer(Millis span)
     {
-        return bufferevent_get_output(evhttp_connection_get_bufferevent(m_connection));
+        timeval limit = toTimeval(span);
+        evtimer_add(m_timer.get(), &limit);
     }
 
-    void addHeaders(const CallerHead& head)
+    std::string formatHead(const CallerHead& head)
     {
-        evkeyvalq* headers = evhttp_request_get_output_headers(m_message);
-        for (const auto& [name, value] : head.headers)
-            evhttp_add_header(headers, name.c_str(), value.c_str());
         if (m_owner.closeAfterAnswers)
-            evhttp_add_header(headers, "Connection", "close");
+            m_keepAlive = false;
+        std::string text = "HTTP/1.1 " + std::to_string(head.status) + " "
+            + http_status_str(static_cast<http_status>(head.status)) + "\r\n";
+        for (const auto& [name, value] : head.headers)
+            text.append(name).append(": ").append(value).append("\r\n");
+        if (!m_keepAlive || m_http10)
+            text.append("Connection: close\r\n");
+        return text;
+    }
+
+    void enqueue(std::string_view bytes)
+    {
+        if (bytes.empty())
+            return;
+        if (bufferedBytes() != 0) {
+            m_output.append(bytes);
+            return;
+        }
+        ssize_t sent = send(m_socket.value(), bytes.data(), bytes.size(), MSG_NOSIGNAL);
+        if (sent < 0 && errno != EAGAIN && errno != EINTR) {
+            m_failed = true; // Reported by the readable event, outside the handler's call.
+            return;
+        }
+        auto taken = static_cast<std::size_t>(std::max<ssize_t>(sent, 0));
+        if (taken == bytes.size())
+            return;
+        m_output.assign(bytes.substr(taken));
+        m_written = 0;
+        event_add(m_writable.get(), nullptr);
+        startTimer(m_owner.options.writeTimeout);
     }
 
-    // The answer is complete; the object stays until it is written or the connection fails.
-    void stopWatching()
+    // Ends the exchange. The next request, which may already have arrived, is read outside the handler's call.
+    void finishAnswer()
     {
-        m_answered = true;
         m_listener = nullptr;
-        event_free(m_watch);
-        m_watch = nullptr;
+        m_phase = Phase::Idle;
+        m_request = {};
+        if (m_http10)
+            m_keepAlive = false;
+        if (bufferedBytes() == 0)
+            answerWritten();
+    }
+
+    void answerWritten()
+    {
+        if (!m_keepAlive) {
+            m_phase = Phase::Lingering;
+            shutdown(m_socket.value(), SHUT_WR);
+            startTimer(lingerTime);
+            event_add(m_readable.get(), nullptr);
+            return;
+        }
+        startTimer(m_owner.options.idleTimeout);
+        event_add(m_readable.get(), nullptr);
+        if (!m_input.empty())
+            event_active(m_readable.get(), EV_TIMEOUT, 0);
     }
 
     void gone()
     {
-        CallerListener* listener = m_listener;
-        delete this;
+        CallerListener* listener = std::exchange(m_listener, nullptr);
+        m_owner.close(this);
         if (listener)
             listener->onCallerGone();
     }
 
-    static void onComplete(evhttp_request*, void* argument)
+    void refuse(ErrorKind kind, std::string_view message)
+    {
+        m_keepAlive = false;
+        m_phase = Phase::Answering;
+        CallerHead head { .status = answerFor(kind).httpStatus, .headers = { { "Content-Type", "application/json" } } };
+        sendWhole(head, m_owner.handler.onUnreadable(kind, message));
+    }
+
+    static void onReadable(evutil_socket_t, short what, void* argument)
     {
-        auto* exchange = static_cast<Exchange*>(argument);
-        timeval read = toTimeval(exchange->m_owner.options.readTimeout);
-        timeval write = toTimeval(exchange->m_owner.options.writeTimeout);
-        bufferevent_set_timeouts(evhttp_connection_get_bufferevent(exchange->m_connection), &read, &write);
-        delete exchange;
+        auto& connection = *static_cast<Connection*>(argument);
+        if (what & EV_READ)
+            connection.read();
+        if (connection.m_owner.connections.contains(&connection))
+            connection.parse();
     }
 
-    // Called by evhttp when it drops the connection by itself (write error or time limit). It has then separated an
-    // unanswered request from the connection and leaves it to the application to free it.
-    static void onClosed(evhttp_connection*, void* argument)
+    void read()
     {
-        auto* exchange = static_cast<Exchange*>(argument);
-        if (!exchange->m_answered && !evhttp_request_get_connection(exchange->m_message)) {
-            evhttp_request_set_on_complete_cb(exchange->m_message, nullptr, nullptr);
-            evhttp_request_free(exchange->m_message);
+        std::vector<char>& scratch = m_owner.scratch;
+        ssize_t length = recv(m_socket.value(), scratch.data(), scratch.size(), 0);
+        if (length < 0 && (errno == EAGAIN || errno == EINTR) && !m_failed)
+            return;
+        if (length <= 0 || m_failed) {
+            gone();
+            return;
         }
-        exchange->gone();
+        if (m_phase == Phase::Lingering)
+            return;
+        m_input.append(scratch.data(), static_cast<std::size_t>(length));
+        if (m_phase == Phase::Answering && m_input.size() >= pipelineBytes)
+            event_del(m_readable.get());
     }
 
-    static void onOutputChanged(evbuffer* output, const evbuffer_cb_info*, void* argument)
+    void parse()
     {
-        auto* exchange = static_cast<Exchange*>(argument);
-        if (evbuffer_get_length(output) != 0)
+        if (m_input.empty() || (m_phase != Phase::Idle && m_phase != Phase::Receiving) || bufferedBytes() != 0)
             return;
-        exchange->m_blocked = false;
-        if (exchange->m_listener)
-            exchange->m_listener->onCallerDrained();
+        if (m_phase == Phase::Idle) {
+            m_phase = Phase::Receiving;
+            m_request = { .arrivedAt = m_owner.clock.now() };
+            m_headBytes = 0;
+            m_headComplete = false;
+            m_requestComplete = false;
+            m_fault.reset();
+            http_parser_init(&m_parser, HTTP_REQUEST);
+            startTimer(std::min(m_owner.options.headTimeout, m_owner.options.readTimeout));
+        }
+        std::size_t used = http_parser_execute(&m_parser, &parserSettings(), m_input.data(), m_input.size());
+        http_errno error = HTTP_PARSER_ERRNO(&m_parser);
+        if (m_fault) {
+            refuse(*m_fault, m_faultMessage);
+            return;
+        }
+        if (error != HPE_OK && error != HPE_PAUSED) {
+            refuse(ErrorKind::BadRequest, http_errno_description(error));
+            return;
+        }
+        m_input.erase(0, used);
+        if (m_requestComplete)
+            deliver();
+    }
+
+    void deliver()
+    {
+        evtimer_del(m_timer.get());
+        m_phase = Phase::Answering;
+        m_request.method = http_method_str(static_cast<http_method>(m_parser.method));
+        m_headRequest = m_parser.method == HTTP_HEAD;
+        m_http10 = m_parser.http_minor == 0;
+        m_keepAlive = !m_http10 && http_should_keep_alive(&m_parser) != 0;
+        m_owner.handler.onRequest(std::move(m_request), *this);
+    }
+
+    int fail(ErrorKind kind, std::string message)
+    {
+        m_fault = kind;
+        m_faultMessage = std::move(message);
+        return -1;
+    }
+
+    int countHeadBytes(std::size_t length)
+    {
+        m_headBytes += length;
+        if (m_headBytes > m_owner.options.maxHeaderBytes)
+            return fail(ErrorKind::HeaderTooLarge,
+                "the headers are longer than " + std::to_string(m_owner.options.maxHeaderBytes) + " bytes");
+        return 0;
+    }
+
+    int addFieldName(std::string_view text)
+    {
+        // A name after a value begins the next header; names and values may arrive in parts.
+        if (m_valueSeen || m_request.headers.empty()) {
+            m_request.headers.emplace_back();
+            m_valueSeen = false;
+            m_headBytes += std::string_view(": \r\n").size();
+        }
+        m_request.headers.back().first.append(text);
+        return countHeadBytes(text.size());
+    }
+
+    int addFieldValue(std::string_view text)
+    {
+        m_valueSeen = true;
+        m_request.headers.back().second.append(text);
+        return countHeadBytes(text.size());
+    }
+
+    // Refuses what another server on the way could read as a different request.
+    int checkHead()
+    {
+        m_headComplete = true;
+        for (const auto& [name, value] : m_request.headers) {
+            if (!isToken(name))
+                return fail(ErrorKind::BadRequest, "a header name holds a character that is not allowed");
+        }
+        std::size_t codings = countHeaders(m_request, "Transfer-Encoding");
+        std::size_t lengths = countHeaders(m_request, "Content-Length");
+        if (codings + lengths > 1 || (codings == 1 && !equalHeaderNames(m_request.header("Transfer-Encoding"), "chunked")))
+            return fail(ErrorKind::BadRequest, "the body is framed in more than one way");
+        std::size_t hosts = countHeaders(m_request, "Host");
+        if (hosts > 1 || (hosts == 0 && m_parser.http_minor == 1))
+            return fail(ErrorKind::BadRequest, "exactly one Host header is needed");
+        if (m_parser.http_major != 1 || m_parser.upgrade != 0 || m_request.method == "CONNECT")
+            return fail(ErrorKind::BadRequest, "only HTTP/1.1 without upgrade is served");
+        std::uint64_t length = m_parser.content_length;
+        if (lengths == 1 && length > m_owner.options.maxBodyBytes)
+            return tooLarge();
+        if (equalHeaderNames(m_request.header("Expect"), "100-continue"))
+            enqueue("HTTP/1.1 100 Continue\r\n\r\n");
+        startTimer(m_owner.options.readTimeout);
+        return 0;
+    }
+
+    int tooLarge()
+    {
+        return fail(ErrorKind::BodyTooLarge,
+            "the body is longer than " + std::to_string(m_owner.options.maxBodyBytes) + " bytes");
+    }
+
+    int addBody(std::string_view text)
+    {
+        if (m_request.body.size() + text.size() > m_owner.options.maxBodyBytes)
+            return tooLarge();
+        m_request.body.append(text);
+        return 0;
+    }
+
+    static Connection& self(http_parser* parser) { return *static_cast<Connection*>(parser->data); }
+
+    static const http_parser_settings& parserSettings()
+    {
+        static const http_parser_settings settings = [] {
+            http_parser_settings callbacks;
+            http_parser_settings_init(&callbacks);
+            callbacks.on_url = [](http_parser* parser, const char* at, std::size_t length) {
+                self(parser).m_request.target.append(at, length);
+                return self(parser).countHeadBytes(length);
+            };
+            callbacks.on_header_field = [](http_parser* parser, const char* at, std::size_t length) {
+                if (self(parser).m_headComplete)
+                    return 0; // A trailer; dropped.
+                return self(parser).addFieldName({ at, length });
+            };
+            callbacks.on_header_value = [](http_parser* parser, const char* at, std::size_t length) {
+                if (self(parser).m_headComplete)
+                    return 0;
+                return self(parser).addFieldValue({ at, length });
+            };
+            callbacks.on_headers_complete = [](http_parser* parser) { return self(parser).checkHead(); };
+            callbacks.on_body = [](http_parser* parser, const char* at, std::size_t length) {
+                return self(parser).addBody({ at, length });
+            };
+            callbacks.on_message_complete = [](http_parser* parser) {
+                self(parser).m_requestComplete = true;
+                http_parser_pause(parser, 1);
+                return 0;
+            };
+            return callbacks;
+        }();
+        return settings;
     }
 
-    static void onReadable(evutil_socket_t, short, void* argument)
+    static void onWritable(evutil_socket_t, short, void* argument)
     {
-        auto* exchange = static_cast<Exchange*>(argument);
-        pollfd state { .fd = exchange->m_descriptor, .events = POLLRDHUP };
-        if (poll(&state, 1, 0) > 0) {
-            evhttp_connection* connection = exchange->m_connection;
-            exchange->gone();
-            evhttp_connection_free(connection);
+        auto& connection = *static_cast<Connection*>(argument);
+        std::string_view rest = std::string_view(connection.m_output).substr(connection.m_written);
+        ssize_t sent = send(connection.m_socket.value(), rest.data(), rest.size(), MSG_NOSIGNAL);
+        if (sent < 0 && errno != EAGAIN && errno != EINTR) {
+            connection.gone();
+            return;
+        }
+        connection.m_written += static_cast<std::size_t>(std::max<ssize_t>(sent, 0));
+        if (connection.bufferedBytes() != 0) {
+            if (sent > 0)
+                connection.startTimer(connection.m_owner.options.writeTimeout);
+            return;
+        }
+        connection.m_output.clear();
+        connection.m_written = 0;
+        event_del(connection.m_writable.get());
+        if (connection.m_phase == Phase::Idle) {
+            connection.answerWritten();
             return;
         }
-        // Readable without a close: pipelined data, which stays in the socket until this answer is sent.
-        event_free(exchange->m_watch);
-        exchange->m_watch = event_new(&exchange->m_owner.base, -1, EV_TIMEOUT, onReadable, exchange);
-        event_add(exchange->m_watch, &pollInterval);
+        evtimer_del(connection.m_timer.get());
+        if (connection.m_listener)
+            connection.m_listener->onCallerDrained();
+    }
+
+    static void onTimer(evutil_socket_t, short, void* argument)
+    {
+        auto& connection = *static_cast<Connection*>(argument);
+        if (connection.m_phase == Phase::Receiving && connection.bufferedBytes() == 0)
+            connection.refuse(ErrorKind::RequestTimeout, "the request did not arrive in time");
+        else
+            connection.gone();
     }
 
     State& m_owner;
-    evhttp_request* m_message;
-    evhttp_connection* m_connection;
-    evbuffer* m_chunk;
-    event* m_watch { nullptr };
+    Descriptor m_socket;
+    EventPointer m_readable;
+    EventPointer m_writable;
+    EventPointer m_timer;
+    http_parser m_parser {};
+    Phase m_phase { Phase::Idle };
+    std::string m_input; ///< Received and not yet parsed.
+    std::string m_output; ///< Accepted and not yet taken by the socket.
+    std::string m_unsent; ///< Head of a stream; leaves with its first chunk.
+    std::size_t m_written { 0 };
+    CallerRequest m_request;
+    std::size_t m_headBytes { 0 };
+    std::optional<ErrorKind> m_fault;
+    std::string m_faultMessage;
     CallerListener* m_listener { nullptr };
-    evutil_socket_t m_descriptor { -1 };
-    evbuffer_cb_entry* m_outputWatch { nullptr };
-    bool m_answered { false };
-    bool m_unflushed { false };
-    bool m_blocked { false }; ///< The socket takes no more bytes; the buffered event writes the rest.
+    bool m_valueSeen { false };
+    bool m_headComplete { false };
+    bool m_requestComplete { false };
+    bool m_headRequest { false };
+    bool m_http10 { false };
+    bool m_keepAlive { true };
+    bool m_failed { false };
 };
 
-void CallerServer::State::onFlush(evutil_socket_t, short, void* argument)
-{
-    auto& state = *static_cast<State*>(argument);
-    while (!state.unflushed.empty()) {
-        Exchange* exchange = state.unflushed.back();
-        state.unflushed.pop_back();
-        if (exchange)
-            exchange->flush();
-    }
-}
-
-void CallerServer::State::onMessage(evhttp_request* message, void* argument)
+void CallerServer::State::onAccept(evconnlistener*, evutil_socket_t descriptor, sockaddr*, int, void* argument)
 {
     auto& state = *static_cast<State*>(argument);
-    auto receiving = state.receiving.find(evhttp_connection_get_bufferevent(evhttp_request_get_connection(message)));
-    if (receiving != state.receiving.end())
-        receiving->second->since.reset();
-    // The exchange deletes itself when its answer is written or its connection ends.
-    auto* exchange = new Exchange(state, message);
-    state.handler.onRequest(takeRequest(message), *exchange);
+    auto connection = std::make_unique<Connection>(state, Descriptor(descriptor));
+    Connection* key = connection.get();
+    state.connections.emplace(key, std::move(connection));
 }
 
 CallerServer::CallerServer(event_base& base, CallerHandler& handler, const CallerServerOptions& options)
@@ -371,13 +518,7 @@
 {
 }
 
-CallerServer::~CallerServer()
-{
-    while (!m_state->exchanges.empty())
-        delete *m_state->exchanges.begin();
-    if (m_state->server)
-        evhttp_free(m_state->server);
-}
+CallerServer::~CallerServer() = default;
 
 Result<void> CallerServer::listen()
 {
@@ -385,31 +526,24 @@
     std::string_view address = state.options.address;
     std::size_t colon = address.rfind(':');
     bool anyPort = colon != std::string_view::npos && address.substr(colon) == ":0";
-    std::string host(address.substr(0, colon));
-    std::uint16_t port = 0;
+    sockaddr_in target {};
+    target.sin_family = AF_INET;
     if (!anyPort) {
         auto split = splitAddress(address);
         if (!split)
             return Error { .kind = ErrorKind::SettingsInvalid, .message = split.error().message };
-        port = split.value().second;
-    }
-    state.server = evhttp_new(&state.base);
-    evhttp_set_max_headers_size(state.server, static_cast<ev_ssize_t>(state.options.maxHeaderBytes));
-    // evhttp answers larger bodies with a page of its own. Up to twice the limit the handler gives the JSON error.
-    evhttp_set_max_body_size(state.server, static_cast<ev_ssize_t>(2 * state.options.maxBodyBytes));
-    evhttp_set_allowed_methods(state.server,
-        EVHTTP_REQ_GET | EVHTTP_REQ_POST | EVHTTP_REQ_HEAD | EVHTTP_REQ_PUT | EVHTTP_REQ_DELETE | EVHTTP_REQ_OPTIONS
-            | EVHTTP_REQ_PATCH);
-    timeval timeout = toTimeval(state.options.readTimeout);
-    evhttp_set_timeout_tv(state.server, &timeout);
-    evhttp_set_gencb(state.server, State::onMessage, &state);
-    evhttp_set_bevcb(state.server, State::onConnection, &state);
-    state.listener = evhttp_bind_socket_with_handle(state.server, host.c_str(), port);
+        target.sin_port = htons(split.value().second);
+    }
+    if (inet_pton(AF_INET, std::string(address.substr(0, colon)).c_str(), &target.sin_addr) != 1)
+        return Error { .kind = ErrorKind::SettingsInvalid, .message = "bad address " + state.options.address };
+    state.listener.reset(evconnlistener_new_bind(&state.base, State::onAccept, &state,
+        LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE | LEV_OPT_CLOSE_ON_EXEC, listenBacklog,
+        reinterpret_cast<sockaddr*>(&target), sizeof(target)));
     if (!state.listener)
         return Error { .kind = ErrorKind::SettingsInvalid, .message = "cannot listen on " + state.options.address };
     sockaddr_in bound {};
     socklen_t length = sizeof(bound);
-    getsockname(evhttp_bound_socket_get_fd(state.listener), reinterpret_cast<sockaddr*>(&bound), &length);
+    getsockname(evconnlistener_get_fd(state.listener.get()), reinterpret_cast<sockaddr*>(&bound), &length);
     state.port = ntohs(bound.sin_port);
     return ok();
 }
@@ -418,12 +552,32 @@
 
 void CallerServer::closeAfterAnswers() noexcept { m_state->closeAfterAnswers = true; }
 
-std::size_t CallerServer::openExchanges() const noexcept { return m_state->exchanges.size(); }
+std::size_t CallerServer::openExchanges() const noexcept
+{
+    return static_cast<std::size_t>(std::count_if(m_state->connections.begin(), m_state->connections.end(),
+        [](const auto& entry) { return entry.first->answering(); }));
+}
+
+std::size_t CallerServer::connections() const noexcept { return m_state->connections.size(); }
+
+void CallerServer::closeListener() { m_state->listener.reset(); }
+
+void CallerServer::closeIdleConnections()
+{
+    std::vector<State::Connection*> idle;
+    for (const auto& [connection, owned] : m_state->connections) {
+        if (connection->idle())
+            idle.push_back(connection);
+    }
+    for (State::Connection* connection : idle)
+        m_state->close(connection);
+}
 
-void CallerServer::closeListener()
+void CallerServer::setLimits(const CallerServerOptions& options)
 {
-    if (m_state->listener)
-        evhttp_del_accept_socket(m_state->server, std::exchange(m_state->listener, nullptr));
+    std::string address = std::move(m_state->options.address);
+    m_state->options = options;
+    m_state->options.address = std::move(address);
 }
 
 }
--- a/src/net/CallerServer.h
+++ b/src/net/CallerServer.h
@@ -13,6 +13,7 @@
 
 struct event_base;
 
+
 namespace jasminestack {
 
 /// \brief A caller's request with its whole body.
@@ -21,6 +22,7 @@
     std::string target; ///< Path and query as sent.
     std::vector<std::pair<std::string, std::string>> headers;
     std::string body;
+    Millis arrivedAt {}; ///< When its first byte was read.
 
     /// \returns The value of the first header \p name (any case), or an empty view.
     [[nodiscard]] std::string_view header(std::string_view name) const noexcept;
@@ -72,6 +74,14 @@
 
     /// \brief Handles one request; \p exchange may be ended inside this call.
     virtual void onRequest(CallerRequest request, CallerExchange& exchange) = 0;
+
+    /// \brief A request could not be read; the server answers it and closes its connection.
+    /// \returns The body of that answer.
+    virtual std::string onUnreadable(ErrorKind kind, std::string_view message)
+    {
+        (void)kind;
+        return std::string(message) + "\n";
+    }
 };
 
 /// \brief Address and limits of the caller server.
@@ -79,11 +89,15 @@
     std::string address; ///< "IP:PORT"; port 0 binds a free one.
     std::size_t maxHeaderBytes { 16U << 10U };
     std::size_t maxBodyBytes { 4U << 20U };
-    Millis readTimeout { 10'000 };
-    Millis writeTimeout { 10'000 };
+    Millis headTimeout { 10'000 }; ///< From the first byte of a request to the end of its headers.
+    Millis readTimeout { 10'000 }; ///< From the first byte of a request to its end.
+    Millis idleTimeout { 60'000 }; ///< Between requests on a connection.
+    Millis writeTimeout { 10'000 }; ///< For a caller that does not read its answer.
 };
 
-/// \brief HTTP/1.1 server for callers (evhttp).
+/// \brief HTTP/1.1 server for callers, on plain sockets of the event loop with http_parser. evhttp cannot tell a
+/// request that is framed in two ways from a sound one, has no time limit for the headers alone, and needs three more
+/// system calls for each chunk of a stream.
 class CallerServer {
 public:
     CallerServer(event_base&, CallerHandler&, const CallerServerOptions&);
@@ -109,6 +123,15 @@
     /// \brief Stops accepting connections; exchanges in progress go on.
     void closeListener();
 
+    /// \brief Closes the connections on which no request is in progress.
+    void closeIdleConnections();
+
+    /// \brief Changes the limits of later requests; the address is ignored.
+    void setLimits(const CallerServerOptions&);
+
+    /// \returns Open connections.
+    [[nodiscard]] std::size_t connections() const noexcept;
+
 private:
     struct State;
     std::unique_ptr<State> m_state;
--- a/src/net/EndpointClient.cpp
+++ b/src/net/EndpointClient.cpp
@@ -2,15 +2,14 @@
 
 #include "net/HttpClient.h"
 #include "net/HttpResponseParser.h"
+#include "net/Socket.h"
 
 #include <algorithm>
-#include <arpa/inet.h>
 #include <cerrno>
+#include <charconv>
 #include <event2/event.h>
-#include <netinet/in.h>
-#include <netinet/tcp.h>
+#include <optional>
 #include <sys/socket.h>
-#include <unistd.h>
 #include <unordered_map>
 #include <utility>
 #include <vector>
@@ -21,18 +20,14 @@
 
     constexpr std::size_t scratchBytes = 64U << 10U;
 
-    timeval toTimeval(Millis span) noexcept
-    {
-        auto ms = std::max<std::int64_t>(span.count, 0);
-        return { .tv_sec = ms / 1000, .tv_usec = (ms % 1000) * 1000 };
-    }
+    constexpr Millis half(Millis span) noexcept { return { span.count / 2 }; }
 
     std::string formatRequest(const EndpointRequest& request)
     {
         std::string text;
         text.reserve(512 + request.body.size());
         text.append(request.method).append(" ").append(request.target).append(" HTTP/1.1\r\nHost: ");
-        text.append(request.address).append("\r\n");
+        text.append(request.host.empty() ? request.address : request.host).append("\r\n");
         for (const auto& [name, value] : request.headers)
             text.append(name).append(": ").append(value).append("\r\n");
         if (!request.body.empty() || (request.method != "GET" && request.method != "HEAD"))
@@ -40,39 +35,19 @@
         return text.append("\r\n").append(request.body);
     }
 
-    struct EventDeleter {
-        void operator()(event* item) const noexcept { event_free(item); }
-    };
-    using EventPointer = std::unique_ptr<event, EventDeleter>;
-
-    // Owns a socket. Plain sockets are used instead of bufferevents, which need three system calls for each read and
-    // would copy every chunk once more.
-    class Descriptor {
-    public:
-        Descriptor() = default;
-        explicit Descriptor(int value) noexcept
-            : m_value(value)
-        {
-        }
-        Descriptor(Descriptor&& other) noexcept
-            : m_value(std::exchange(other.m_value, -1))
-        {
-        }
-        Descriptor& operator=(Descriptor&& other) noexcept
-        {
-            std::swap(m_value, other.m_value);
-            return *this;
-        }
-        ~Descriptor()
-        {
-            if (m_value >= 0)
-                close(m_value);
-        }
-        [[nodiscard]] int value() const noexcept { return m_value; }
-
-    private:
-        int m_value { -1 };
-    };
+    // The idle time that an endpoint announces in `Keep-Alive: timeout=SECONDS`, if it does.
+    std::optional<Millis> announcedIdleTime(const EndpointHead& head)
+    {
+        std::string_view value = findHeader(head.headers, "Keep-Alive");
+        std::size_t position = value.find("timeout=");
+        if (position == std::string_view::npos)
+            return std::nullopt;
+        std::int64_t seconds = 0;
+        value.remove_prefix(position + std::string_view("timeout=").size());
+        if (std::from_chars(value.data(), value.data() + value.size(), seconds).ec != std::errc {})
+            return std::nullopt;
+        return Millis { seconds * 1000 };
+    }
 
 }
 
@@ -84,6 +59,7 @@
         State* owner { nullptr };
         std::string address;
         Millis since {};
+        Millis limit {}; ///< Idle time after which it is closed.
         Descriptor socket;
         EventPointer watch;
     };
@@ -104,6 +80,8 @@
         Millis lastActivity {};
         bool headDelivered { false };
         bool bytesMayHaveLeft { false };
+        bool reused { false };
+        bool skipping { false }; ///< The response being read belongs to an earlier request.
         bool paused { false };
     };
 
@@ -136,7 +114,9 @@
             idle.rbegin(), idle.rend(), [&](const auto& connection) { return connection->address == address; });
         if (found == idle.rend())
             return {};
-        Millis limit = fresh ? options.freshLimit : options.idleLimit;
+        Millis limit = (*found)->limit;
+        if (fresh)
+            limit = std::min(limit, options.freshLimit);
         if (clock.now() - (*found)->since >= limit)
             return {};
         (*found)->watch.reset();
@@ -145,7 +125,7 @@
         return socket;
     }
 
-    void keepIdle(Descriptor socket, const std::string& address)
+    void keepIdle(Descriptor socket, const std::string& address, Millis limit)
     {
         auto sameAddress = std::count_if(
             idle.begin(), idle.end(), [&](const auto& connection) { return connection->address == address; });
@@ -155,6 +135,7 @@
         connection->owner = this;
         connection->address = address;
         connection->since = clock.now();
+        connection->limit = limit;
         connection->socket = std::move(socket);
         connection->watch.reset(
             event_new(&base, connection->socket.value(), EV_READ, onIdleReadable, connection.get()));
@@ -179,7 +160,7 @@
         auto& state = *static_cast<State*>(argument);
         Millis now = state.clock.now();
         std::erase_if(
-            state.idle, [&](const auto& connection) { return now - connection->since >= state.options.idleLimit; });
+            state.idle, [&](const auto& connection) { return now - connection->since >= connection->limit; });
     }
 
     void useSocket(Exchange& exchange, Descriptor socket)
@@ -194,28 +175,17 @@
     {
         if (Descriptor reused = takeIdle(exchange.request.address, exchange.request.freshConnection);
             reused.value() >= 0) {
+            exchange.reused = true;
             useSocket(exchange, std::move(reused));
             sendRequest(exchange);
             return;
         }
-        auto address = splitAddress(exchange.request.address);
-        sockaddr_in target {};
-        target.sin_family = AF_INET;
-        if (!address || inet_pton(AF_INET, address.value().first.c_str(), &target.sin_addr) != 1) {
-            finish(exchange, ErrorKind::EndpointUnavailable);
-            return;
-        }
-        target.sin_port = htons(address.value().second);
-        Descriptor socket(::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0));
-        int on = 1;
-        setsockopt(socket.value(), IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
-        if (socket.value() < 0
-            || (connect(socket.value(), reinterpret_cast<sockaddr*>(&target), sizeof(target)) != 0
-                && errno != EINPROGRESS)) {
+        auto socket = startConnection(exchange.request.address);
+        if (!socket) {
             finish(exchange, ErrorKind::EndpointUnavailable);
             return;
         }
-        useSocket(exchange, std::move(socket));
+        useSocket(exchange, std::move(socket).value());
         exchange.phase = Phase::Connecting;
         timeval limit = toTimeval(exchange.request.connectTimeout);
         evtimer_add(exchange.timer.get(), &limit);
@@ -257,12 +227,19 @@
 
     void finish(Exchange& exchange, ErrorKind error, bool complete = false)
     {
-        EndpointEnd end { .complete = complete, .bytesMayHaveLeft = exchange.bytesMayHaveLeft, .error = error };
+        EndpointEnd end { .complete = complete,
+            .bytesMayHaveLeft = exchange.bytesMayHaveLeft,
+            .answered = exchange.phase == Phase::Body,
+            .reused = exchange.reused,
+            .error = error };
         EndpointListener& listener = *exchange.listener;
         std::string address = std::move(exchange.request.address);
         if (!complete)
             closeIdle(address);
         Descriptor kept;
+        Millis idleLimit = options.idleLimit;
+        if (auto announced = announcedIdleTime(exchange.parser.head()))
+            idleLimit = std::min(idleLimit, std::max(*announced - options.keepAliveMargin, *announced - half(*announced)));
         if (complete && exchange.parser.reusable() && exchange.output.empty()) {
             exchange.readable.reset();
             exchange.writable.reset();
@@ -270,10 +247,43 @@
         }
         exchanges.erase(exchange.id);
         if (kept.value() >= 0)
-            keepIdle(std::move(kept), address);
+            keepIdle(std::move(kept), address, idleLimit);
         listener.onEnd(end);
     }
 
+    // Reads received bytes, dropping responses to earlier requests on this connection.
+    void receive(Exchange& exchange, std::span<char> data)
+    {
+        while (true) {
+            std::string_view body = exchange.parser.feed(data);
+            if (exchange.reused && !exchange.headDelivered && exchange.parser.headComplete())
+                exchange.skipping = isForeign(exchange);
+            if (!exchange.skipping) {
+                static_cast<void>(deliver(exchange, body));
+                return;
+            }
+            if (exchange.parser.failed()) {
+                finish(exchange, ErrorKind::AnswerMismatch);
+                return;
+            }
+            if (!exchange.parser.complete())
+                return;
+            data = data.subspan(exchange.parser.consumed());
+            exchange.parser = HttpResponseParser(exchange.request.method == "HEAD");
+            exchange.skipping = false;
+            if (data.empty())
+                return;
+        }
+    }
+
+    static bool isForeign(const Exchange& exchange)
+    {
+        if (exchange.request.echoHeader.empty())
+            return false;
+        std::string_view echoed = findHeader(exchange.parser.head().headers, exchange.request.echoHeader);
+        return !echoed.empty() && echoed != exchange.request.echoValue;
+    }
+
     // Delivers what the parser has found. Returns false when the exchange is over.
     bool deliver(Exchange& exchange, std::string_view body)
     {
@@ -312,8 +322,7 @@
                 timeval limit = toTimeval(exchange.request.idleTimeout);
                 evtimer_add(exchange.timer.get(), &limit);
             }
-            std::span<char> data(state.scratch.data(), static_cast<std::size_t>(length));
-            static_cast<void>(state.deliver(exchange, exchange.parser.feed(data)));
+            state.receive(exchange, { state.scratch.data(), static_cast<std::size_t>(length) });
             return;
         }
         if (length < 0 && (errno == EAGAIN || errno == EINTR))
--- /dev/null
+++ b/src/net/HttpListener.h
@@ -0,0 +1,41 @@
+#pragma once
+
+#include "base/Result.h"
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <string_view>
+
+struct event_base;
+
+namespace jasminestack {
+
+/// \brief An answer of a small local HTTP server.
+struct HttpReply {
+    int status { 200 };
+    std::string body;
+    std::string contentType { "text/plain; charset=utf-8" };
+};
+
+/// \brief A small HTTP server (evhttp) for health checks, metrics and peers. Callers are served by CallerServer.
+class HttpListener {
+public:
+    /// \brief Answers a GET request of this path.
+    using Handler = std::function<HttpReply(std::string_view path)>;
+
+    HttpListener(event_base&, Handler);
+    ~HttpListener();
+    HttpListener(const HttpListener&) = delete;
+    HttpListener& operator=(const HttpListener&) = delete;
+
+    /// \brief Binds a further address "IP:PORT".
+    /// \returns SettingsInvalid if it cannot be bound.
+    [[nodiscard]] Result<void> listen(std::string_view address);
+
+private:
+    struct State;
+    std::unique_ptr<State> m_state;
+};
+
+}
--- a/src/net/HttpResponseParser.cpp
+++ b/src/net/HttpResponseParser.cpp
@@ -109,12 +109,13 @@
             break;
         case State::Done:
             m_excess = true;
-            position = data.size();
-            break;
+            m_consumed = position;
+            return { data.data() + bodyStart, bodyEnd - bodyStart };
         case State::Failed:
             break;
         }
     }
+    m_consumed = position;
     return { data.data() + bodyStart, bodyEnd - bodyStart };
 }
 
--- a/src/net/HttpResponseParser.h
+++ b/src/net/HttpResponseParser.h
@@ -38,6 +38,9 @@
     /// \returns Whether the connection can carry another exchange after this response.
     [[nodiscard]] bool reusable() const noexcept { return complete() && m_keepAlive && !m_excess; }
 
+    /// \returns How many bytes of the last feed() belong to this response; the rest follows its end.
+    [[nodiscard]] std::size_t consumed() const noexcept { return m_consumed; }
+
     [[nodiscard]] const EndpointHead& head() const noexcept { return m_head; }
 
 private:
@@ -52,6 +55,7 @@
     EndpointHead m_head;
     std::string m_text; ///< Bytes of the head so far.
     State m_state { State::Head };
+    std::size_t m_consumed { 0 };
     std::uint64_t m_left { 0 }; ///< Bytes left of the body or of the current chunk.
     unsigned m_digits { 0 };
     bool m_inExtension { false };
--- a/src/net/Interfaces.h
+++ b/src/net/Interfaces.h
@@ -82,8 +82,13 @@
     std::string address; ///< "IP:PORT".
     std::string method;
     std::string target; ///< Path and query.
+    std::string host; ///< Value of the Host header; the address if empty.
     std::vector<std::pair<std::string, std::string>> headers;
     std::string body;
+    /// If not empty, a response on a reused connection whose header of this name has another value than
+    /// \c echoValue belongs to an earlier request and is skipped.
+    std::string echoHeader;
+    std::string echoValue;
     bool freshConnection { false }; ///< Use no idle connection older than one second (non-idempotent requests).
     Millis connectTimeout { 1'000 };
     Millis firstByteTimeout { 30'000 };
@@ -100,6 +105,8 @@
 struct EndpointEnd {
     bool complete { false }; ///< The answer ended as its framing says.
     bool bytesMayHaveLeft { false }; ///< A byte of the request may have reached the endpoint.
+    bool answered { false }; ///< A byte of an answer has arrived.
+    bool reused { false }; ///< The connection had carried another exchange before.
     ErrorKind error { ErrorKind::Internal }; ///< Valid when not complete.
 };
 
--- /dev/null
+++ b/src/net/Socket.cpp
@@ -0,0 +1,64 @@
+#include "net/Socket.h"
+
+#include "net/HttpClient.h"
+
+#include <arpa/inet.h>
+#include <cerrno>
+#include <event2/event.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+namespace jasminestack {
+
+namespace {
+
+    void setOption(int descriptor, int level, int name, int value) noexcept
+    {
+        setsockopt(descriptor, level, name, &value, sizeof(value));
+    }
+
+}
+
+Descriptor::~Descriptor()
+{
+    if (m_value >= 0)
+        close(m_value);
+}
+
+void EventDeleter::operator()(event* item) const noexcept { event_free(item); }
+
+void configureConnection(int descriptor, const SilenceLimits& limits) noexcept
+{
+    setOption(descriptor, IPPROTO_TCP, TCP_NODELAY, 1);
+    setOption(descriptor, SOL_SOCKET, SO_KEEPALIVE, 1);
+    setOption(descriptor, IPPROTO_TCP, TCP_KEEPIDLE, limits.keepAliveIdleSeconds);
+    setOption(descriptor, IPPROTO_TCP, TCP_KEEPINTVL, 1);
+    setOption(descriptor, IPPROTO_TCP, TCP_KEEPCNT, limits.keepAliveProbes);
+    setOption(descriptor, IPPROTO_TCP, TCP_USER_TIMEOUT, static_cast<int>(limits.unacknowledged.count));
+}
+
+Result<Descriptor> startConnection(std::string_view address)
+{
+    auto split = splitAddress(address);
+    sockaddr_in target {};
+    target.sin_family = AF_INET;
+    if (!split || inet_pton(AF_INET, split.value().first.c_str(), &target.sin_addr) != 1)
+        return Error { .kind = ErrorKind::EndpointUnavailable, .message = "bad address " + std::string(address) };
+    target.sin_port = htons(split.value().second);
+    Descriptor socket(::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0));
+    if (socket.value() < 0)
+        return Error { .kind = ErrorKind::EndpointUnavailable, .message = "no socket" };
+    configureConnection(socket.value());
+    if (connect(socket.value(), reinterpret_cast<sockaddr*>(&target), sizeof(target)) != 0 && errno != EINPROGRESS)
+        return Error { .kind = ErrorKind::EndpointUnavailable, .message = "cannot connect to " + std::string(address) };
+    return socket;
+}
+
+timeval toTimeval(Millis span) noexcept
+{
+    return { .tv_sec = span.count / 1000, .tv_usec = (span.count % 1000) * 1000 };
+}
+
+}
--- /dev/null
+++ b/src/net/UdpTransport.cpp
@@ -0,0 +1,79 @@
+#include "net/UdpTransport.h"
+
+#include "net/HttpClient.h"
+
+#include <arpa/inet.h>
+#include <event2/event.h>
+#include <netinet/in.h>
+#include <optional>
+#include <sys/socket.h>
+
+namespace jasminestack {
+
+namespace {
+
+    constexpr std::size_t maxDatagramBytes = 64U << 10U;
+
+    // Datagrams read in one turn of the event loop at most, so that they do not delay the streams.
+    constexpr int datagramsPerTurn = 32;
+
+    std::optional<sockaddr_in> parseAddress(std::string_view address)
+    {
+        auto split = splitAddress(address);
+        sockaddr_in target {};
+        target.sin_family = AF_INET;
+        if (!split || inet_pton(AF_INET, split.value().first.c_str(), &target.sin_addr) != 1)
+            return std::nullopt;
+        target.sin_port = htons(split.value().second);
+        return target;
+    }
+
+}
+
+UdpTransport::UdpTransport(event_base& base)
+    : m_base(base)
+    , m_buffer(maxDatagramBytes)
+{
+}
+
+UdpTransport::~UdpTransport() = default;
+
+Result<void> UdpTransport::bind(std::string_view address)
+{
+    auto target = parseAddress(address);
+    Descriptor socket(::socket(AF_INET, SOCK_DGRAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0));
+    if (!target || socket.value() < 0
+        || ::bind(socket.value(), reinterpret_cast<const sockaddr*>(&*target), sizeof(*target)) != 0)
+        return Error { .kind = ErrorKind::SettingsInvalid, .message = "cannot bind " + std::string(address) };
+    m_socket = std::move(socket);
+    m_readable.reset(event_new(
+        &m_base, m_socket.value(), EV_READ | EV_PERSIST,
+        [](int, short, void* argument) { static_cast<UdpTransport*>(argument)->receive(); }, this));
+    event_add(m_readable.get(), nullptr);
+    return ok();
+}
+
+void UdpTransport::send(std::string_view address, std::string_view bytes)
+{
+    auto target = parseAddress(address);
+    if (!target
+        || sendto(m_socket.value(), bytes.data(), bytes.size(), MSG_NOSIGNAL,
+               reinterpret_cast<const sockaddr*>(&*target), sizeof(*target))
+            < 0)
+        ++m_dropped;
+}
+
+void UdpTransport::onReceive(Handler handler) { m_handler = std::move(handler); }
+
+void UdpTransport::receive()
+{
+    for (int i = 0; i < datagramsPerTurn; ++i) {
+        ssize_t length = recv(m_socket.value(), m_buffer.data(), m_buffer.size(), 0);
+        if (length < 0)
+            return;
+        if (m_handler)
+            m_handler({ m_buffer.data(), static_cast<std::size_t>(length) });
+    }
+}
+
+}
--- a/src/observe/Logging.h
+++ b/src/observe/Logging.h
@@ -43,6 +43,16 @@
 /// \brief Starts logging to standard error; call it once, before the first event.
 void startLogging(LogLevel);
 
+/// \brief Starts logging to standard output without ever waiting for its reader: lines are collected in a bounded
+/// buffer and written by flushLog(). Lines that find the buffer full are counted and dropped.
+void startBufferedLogging(LogLevel);
+
+/// \brief Writes collected lines as far as standard output takes them; call it a few times a second and at the end.
+void flushLog();
+
+/// \returns Lines dropped since the start because standard output was not read.
+[[nodiscard]] std::uint64_t droppedLogLines() noexcept;
+
 /// \brief Changes the level at run time. Events below it are dropped before they are formatted.
 void setLogLevel(LogLevel) noexcept;
 
--- /dev/null
+++ b/src/router/FleetNewsCodec.cpp
@@ -0,0 +1,153 @@
+#include "router/FleetNewsCodec.h"
+
+#include "net/MessagePack.h"
+
+namespace jasminestack {
+
+namespace {
+
+    constexpr std::uint64_t formatVersion = 1;
+
+    // Items in any list of a message at most, against memory use by a broken message.
+    constexpr std::size_t maxItems = 10'000;
+
+    std::size_t checkedCount(const ArrayReader& list)
+    {
+        if (list.remaining() > maxItems)
+            throw msgpack::type_error();
+        return list.remaining();
+    }
+
+    template <typename Item, typename Pack>
+    void packList(msgpack::packer<StringBuffer>& packer, const std::vector<Item>& items, Pack pack)
+    {
+        packer.pack_array(static_cast<std::uint32_t>(items.size()));
+        for (const Item& item : items)
+            pack(item);
+    }
+
+    template <typename Read> auto readList(ArrayReader list, Read read)
+    {
+        std::vector<decltype(read(list))> items;
+        items.reserve(checkedCount(list));
+        while (!list.atEnd())
+            items.push_back(read(list));
+        return items;
+    }
+
+    LoadNews readLoad(ArrayReader& list)
+    {
+        ArrayReader row = list.nested();
+        LoadNews news { .endpoint = row.unsignedValue() };
+        news.load.running = row.smallValue();
+        news.load.unreadTokens = row.unsignedValue();
+        news.load.heldTokens = row.unsignedValue();
+        row.finish();
+        return news;
+    }
+
+    PromptNews readPrompt(ArrayReader& list)
+    {
+        ArrayReader row = list.nested();
+        PromptNews news { .endpoint = row.unsignedValue() };
+        while (!row.atEnd()) {
+            std::uint64_t key = row.unsignedValue();
+            news.prompt.push_back({ .key = key, .tokens = row.smallValue() });
+        }
+        return news;
+    }
+
+    WorkspaceRate readRate(ArrayReader& list)
+    {
+        ArrayReader row = list.nested();
+        WorkspaceRate rate { .workspace = row.unsignedValue() };
+        rate.asked = row.number();
+        rate.served = row.number();
+        row.finish();
+        return rate;
+    }
+
+    CrashMark readCrash(ArrayReader& list)
+    {
+        ArrayReader row = list.nested();
+        CrashMark mark { .contentHash = row.unsignedValue(), .losses = row.smallValue(), .eventId = row.unsignedValue() };
+        row.finish();
+        return mark;
+    }
+
+}
+
+std::string encodeFleetNews(const FleetNews& news)
+{
+    StringBuffer buffer;
+    msgpack::packer<StringBuffer> packer(buffer);
+    packer.pack_array(14);
+    packer.pack(formatVersion);
+    packer.pack(news.daemon);
+    packer.pack(news.daemonId);
+    packer.pack(news.address);
+    packer.pack(news.sequence);
+    packer.pack(news.configurationVersion);
+    packer.pack(news.registrationsPosition);
+    packer.pack(news.leaving);
+    packer.pack(news.complete);
+    packList(packer, news.loads, [&](const LoadNews& item) {
+        packer.pack_array(4);
+        packer.pack(item.endpoint);
+        packer.pack(item.load.running);
+        packer.pack(item.load.unreadTokens);
+        packer.pack(item.load.heldTokens);
+    });
+    packList(packer, news.prompts, [&](const PromptNews& item) {
+        packer.pack_array(static_cast<std::uint32_t>(1 + 2 * item.prompt.size()));
+        packer.pack(item.endpoint);
+        for (const PromptPart& part : item.prompt) {
+            packer.pack(part.key);
+            packer.pack(part.tokens);
+        }
+    });
+    packList(packer, news.rates, [&](const WorkspaceRate& item) {
+        packer.pack_array(3);
+        packer.pack(item.workspace);
+        packer.pack(static_cast<float>(item.asked));
+        packer.pack(static_cast<float>(item.served));
+    });
+    packList(packer, news.crashes, [&](const CrashMark& item) {
+        packer.pack_array(3);
+        packer.pack(item.contentHash);
+        packer.pack(item.losses);
+        packer.pack(item.eventId);
+    });
+    packList(packer, news.peers, [&](const std::string& item) { packer.pack(item); });
+    return std::move(buffer.bytes);
+}
+
+Result<FleetNews> decodeFleetNews(std::string_view bytes)
+{
+    try {
+        msgpack::object_handle handle = msgpack::unpack(bytes.data(), bytes.size());
+        ArrayReader reader(handle.get());
+        if (reader.unsignedValue() != formatVersion)
+            return Error { .kind = ErrorKind::PeerMessageRejected, .message = "another version of the format" };
+        FleetNews news;
+        news.daemon = reader.unsignedValue();
+        news.daemonId = reader.text();
+        news.address = reader.text();
+        news.sequence = reader.unsignedValue();
+        news.configurationVersion = reader.unsignedValue();
+        news.registrationsPosition = reader.signedValue();
+        news.leaving = reader.boolean();
+        news.complete = reader.boolean();
+        news.loads = readList(reader.nested(), readLoad);
+        news.prompts = readList(reader.nested(), readPrompt);
+        news.rates = readList(reader.nested(), readRate);
+        news.crashes = readList(reader.nested(), readCrash);
+        news.peers = readList(reader.nested(), [](ArrayReader& list) { return std::string(list.text()); });
+        reader.finish();
+        return news;
+    } catch (const std::exception& fault) {
+        return Error { .kind = ErrorKind::PeerMessageRejected, .message = fault.what() };
+    }
+}
+
+}
--- /dev/null
+++ b/src/router/RoutedRequest.h
@@ -0,0 +1,162 @@
+#pragma once
+
+#include "net/CallerServer.h"
+#include "net/Interfaces.h"
+#include "net/Socket.h"
+#include "router/EventSplitter.h"
+#include "router/RequestProtocol.h"
+#include "router/RouterFlow.h"
+#include "routing/Admission.h"
+
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+/// \file
+/// \brief The state machine of one request; used by RouterFlow only.
+
+namespace jasminestack {
+
+class RoutedRequest;
+
+/// \brief What a request's state machine needs from the table of all requests.
+class RoutedRequestOwner {
+public:
+    virtual ~RoutedRequestOwner() = default;
+    [[nodiscard]] virtual RouterFlowContext& context() noexcept = 0;
+    [[nodiscard]] virtual const RouterFlowOptions& options() const noexcept = 0;
+    [[nodiscard]] virtual RetryAllowance& allowance() noexcept = 0;
+
+    /// \brief Puts the request among those that are tried again when there may be room.
+    virtual void wait(RoutedRequest&) = 0;
+    virtual void stopWaiting(RoutedRequest&) = 0;
+
+    /// \brief A request has left an endpoint or has been read by it.
+    virtual void roomChanged() = 0;
+
+    /// \returns Whether a caller with this much time left was here before: first attempts bring the route's longest.
+    [[nodiscard]] virtual bool isReturning(const Route&, Millis timeLeft) = 0;
+
+    /// \brief Removes the request; it is destroyed later, outside its own calls.
+    virtual void finished(RoutedRequest&) = 0;
+};
+
+class RoutedRequest final : public CallerListener, public EndpointListener {
+public:
+    struct Start {
+        CallerRequest request;
+        RequestFacts facts;
+        std::shared_ptr<const RoutingTable> table;
+        const Route* route; ///< In \c table.
+        WorkspaceId workspace;
+    };
+
+    RoutedRequest(RoutedRequestOwner&, Start, CallerExchange&);
+    ~RoutedRequest() override;
+    RoutedRequest(const RoutedRequest&) = delete;
+    RoutedRequest& operator=(const RoutedRequest&) = delete;
+
+    /// \brief Takes the first step: sends the request, lets it wait or refuses it.
+    void begin();
+
+    /// \brief Tries again to send a waiting request.
+    void place();
+
+    /// \returns The key by which waiting requests are served: returning callers first, then workspaces that are furthest
+    /// below their fair share, then by arrival.
+    [[nodiscard]] std::tuple<bool, double, std::int64_t> waitingOrder() const;
+
+    void onCallerGone() override;
+    void onCallerDrained() override;
+    void onSent() override;
+    void onHead(const EndpointHead&) override;
+    void onBody(std::string_view chunk) override;
+    void onEnd(const EndpointEnd&) override;
+
+private:
+    enum class Stage : std::uint8_t { Waiting, Running, Ended };
+    enum class Relay : std::uint8_t {
+        Undecided, ///< No head yet.
+        Refusal, ///< The endpoint does not run the request; its answer is read to the end.
+        Events, ///< Whole events are passed on as they come.
+        Whole, ///< Collected until complete.
+        Passing, ///< Passed on as it comes, because it is too long to collect.
+    };
+
+    /// \brief Why the request ends without an endpoint's answer.
+    struct Failure {
+        ErrorKind kind;
+        std::string_view cause; ///< For logs and metrics.
+        Millis retryAfter {};
+    };
+
+    [[nodiscard]] Millis now() const;
+    [[nodiscard]] Millis timeLeft() const { return m_deadline - now(); }
+    [[nodiscard]] Work work() const;
+    [[nodiscard]] AdmissionInput admissionInput(const Choice&) const;
+    [[nodiscard]] bool mayRepeat() const;
+    [[nodiscard]] PoolId choosePool() const;
+    void send(const Choice&);
+    void refuseForLoad(const Choice&);
+    void attemptEnded(EndpointOutcome);
+    void attemptFailed(ErrorKind kind, const EndpointEnd& end, std::string_view cause);
+    void attemptRefused();
+    void tryElsewhere(std::string_view cause);
+    void giveUp(std::string_view cause);
+    void onTimer();
+    void armTimer();
+    void checkStall(Millis now);
+    [[nodiscard]] Millis stallLimit() const;
+    void noteLoss();
+    void relayEvents(std::string_view chunk);
+    void beginAnswer();
+    void sendToCaller(std::string_view bytes);
+    void answerWhole();
+    void finishStream();
+    void endWith(const Failure&);
+    void finish(std::string_view outcome);
+    void dropExchange();
+    [[nodiscard]] static CallerHead headForCaller(const EndpointHead&);
+
+    RoutedRequestOwner& m_owner;
+    CallerRequest m_request;
+    RequestFacts m_facts;
+    std::shared_ptr<const RoutingTable> m_table;
+    const Route& m_route;
+    WorkspaceId m_workspace;
+    PoolId m_pool;
+    CallerExchange* m_caller;
+    EventPointer m_timer;
+    Millis m_deadline; ///< Final answer by then: the route's time limit or the caller's deadline.
+    bool m_limitedByCaller { false }; ///< The caller's deadline is the earlier one.
+    bool m_returning { false };
+    std::uint64_t m_contentHash { 0 };
+
+    Stage m_stage { Stage::Waiting };
+    Relay m_relay { Relay::Undecided };
+    bool m_waitingListed { false };
+    std::vector<EndpointId> m_tried;
+    unsigned m_sends { 0 }; ///< Endpoints that the request may have reached.
+    unsigned m_connectFailures { 0 };
+    bool m_mayHaveRun { false };
+    Placement m_placement;
+    bool m_placed { false };
+    ExchangeId m_exchange { 0 };
+    Millis m_lastProgress {}; ///< When the current attempt was sent or last brought bytes.
+
+    EndpointHead m_head;
+    std::string m_body;
+    std::optional<CallerHead> m_failedHead; ///< An endpoint's error answer, kept while another attempt runs.
+    std::string m_failedBody;
+    EventSplitter m_events;
+    bool m_answerBegun { false };
+    bool m_paused { false };
+    Millis m_firstByteAt {};
+    int m_status { 0 };
+    double m_predicted { 0 };
+    Millis m_queued {};
+};
+
+}
--- /dev/null
+++ b/src/router/RouterFlow.cpp
@@ -0,0 +1,183 @@
+#include "router/RouterFlow.h"
+
+#include "net/Socket.h"
+#include "observe/Logging.h"
+#include "router/RoutedRequest.h"
+
+#include <algorithm>
+#include <event2/event.h>
+#include <unordered_map>
+
+namespace jasminestack {
+
+namespace {
+
+    // First attempts differ by this much in the time that callers give them; less is a returning caller's.
+    constexpr Millis returningMargin { 40 };
+
+    constexpr std::string_view retryAfterStart = "0.500";
+
+    std::string errorText(ErrorKind kind, std::string_view message)
+    {
+        std::string text = R"({"error":{"kind":")" + std::string(answerFor(kind).name) + R"(","message":")";
+        for (char c : message) {
+            if (c == '"' || c == '\\')
+                text += '\\';
+            text += static_cast<unsigned char>(c) < 0x20 ? ' ' : c;
+        }
+        return text + R"(","run_status":"not_run"}})" + "\n";
+    }
+
+}
+
+struct RouterFlow::State final : RoutedRequestOwner {
+    RouterFlowContext flowContext;
+    RouterFlowOptions flowOptions;
+    RetryAllowance retryAllowance;
+    std::unordered_map<RoutedRequest*, std::unique_ptr<RoutedRequest>> requests;
+    std::vector<std::unique_ptr<RoutedRequest>> retired;
+    std::vector<RoutedRequest*> waiting;
+    std::unordered_map<std::string, Millis> longestDeadlines; ///< By route name, as callers send them.
+    EventPointer roomEvent;
+    EventPointer reaper;
+
+    State(RouterFlowContext context, const RouterFlowOptions& options)
+        : flowContext(context)
+        , flowOptions(options)
+        , roomEvent(event_new(
+              &context.base, -1, 0, [](int, short, void* self) { static_cast<State*>(self)->tryWaiting(); }, this))
+        , reaper(event_new(
+              &context.base, -1, 0, [](int, short, void* self) { static_cast<State*>(self)->retired.clear(); }, this))
+    {
+    }
+
+    [[nodiscard]] RouterFlowContext& context() noexcept override { return flowContext; }
+    [[nodiscard]] const RouterFlowOptions& options() const noexcept override { return flowOptions; }
+    [[nodiscard]] RetryAllowance& allowance() noexcept override { return retryAllowance; }
+
+    void wait(RoutedRequest& request) override { waiting.push_back(&request); }
+
+    void stopWaiting(RoutedRequest& request) override { std::erase(waiting, &request); }
+
+    void roomChanged() override
+    {
+        if (!waiting.empty())
+            event_active(roomEvent.get(), EV_TIMEOUT, 0);
+    }
+
+    void tryWaiting()
+    {
+        std::vector<RoutedRequest*> order = waiting;
+        std::sort(order.begin(), order.end(),
+            [](const RoutedRequest* a, const RoutedRequest* b) { return a->waitingOrder() < b->waitingOrder(); });
+        for (RoutedRequest* request : order) {
+            if (std::find(waiting.begin(), waiting.end(), request) != waiting.end())
+                request->place();
+        }
+    }
+
+    [[nodiscard]] bool isReturning(const Route& route, Millis timeLeft) override
+    {
+        Millis& longest = longestDeadlines[route.name];
+        longest = std::max(longest, timeLeft);
+        return timeLeft + returningMargin < longest;
+    }
+
+    void finished(RoutedRequest& request) override
+    {
+        auto found = requests.find(&request);
+        if (found == requests.end())
+            return;
+        if (retired.empty())
+            event_active(reaper.get(), EV_TIMEOUT, 0);
+        retired.push_back(std::move(found->second));
+        requests.erase(found);
+    }
+
+    void refuse(const CallerRequest& request, CallerExchange& exchange, ErrorKind kind, std::string_view message)
+    {
+        CallerHead head { .status = answerFor(kind).httpStatus, .headers = { { "Content-Type", "application/json" } } };
+        if (head.status == 503)
+            head.headers.emplace_back("Retry-After", retryAfterStart);
+        flowContext.metrics.add(Counter::Requests, { "", answerFor(kind).name });
+        logEvent(LogLevel::Warning, "request_refused",
+            { { "method", request.method }, { "target", request.target.substr(0, 64) },
+                { "host", request.header("Host") }, { "kind", answerFor(kind).name }, { "status", head.status },
+                { "message", message }, { "configuration", flowContext.board.table->version },
+                { "current", flowContext.board.configurationCurrent ? 1 : 0 } });
+        exchange.sendWhole(head, errorText(kind, message));
+    }
+};
+
+RouterFlow::RouterFlow(RouterFlowContext context, const RouterFlowOptions& options)
+    : m_state(std::make_unique<State>(context, options))
+{
+}
+
+RouterFlow::~RouterFlow() = default;
+
+void RouterFlow::onRequest(CallerRequest request, CallerExchange& exchange)
+{
+    State& state = *m_state;
+    RouterBoard& board = state.flowContext.board;
+    std::shared_ptr<const RoutingTable> table = board.table;
+    if (table->version == 0) {
+        state.refuse(request, exchange, ErrorKind::NotReady, "this daemon has no configuration yet");
+        return;
+    }
+    auto facts = state.flowContext.protocol.decode(request);
+    if (!facts) {
+        state.refuse(request, exchange, facts.error().kind, facts.error().message);
+        return;
+    }
+    // A daemon that may have missed a newer version cannot say that a route or key does not exist.
+    const Route* route = table->routeFor(facts.value().host, request.path());
+    if (!route || route->pools.empty()) {
+        state.refuse(request, exchange, board.configurationCurrent ? ErrorKind::NotFound : ErrorKind::NotReady,
+            "no route has this host and path");
+        return;
+    }
+    WorkspaceId workspace;
+    if (table->authenticates) {
+        auto holder = table->workspacesByKey.find(facts.value().apiKey);
+        if (holder != table->workspacesByKey.end())
+            workspace = holder->second;
+        else if (!route->anonymous) {
+            state.refuse(request, exchange, board.configurationCurrent ? ErrorKind::Unauthorized : ErrorKind::NotReady,
+                "the API key is unknown");
+            return;
+        }
+    }
+    auto owned = std::make_unique<RoutedRequest>(state,
+        RoutedRequest::Start { .request = std::move(request),
+            .facts = std::move(facts).value(),
+            .table = std::move(table),
+            .route = route,
+            .workspace = std::move(workspace) },
+        exchange);
+    RoutedRequest& started = *owned;
+    state.requests.emplace(&started, std::move(owned));
+    started.begin();
+}
+
+std::string RouterFlow::onUnreadable(ErrorKind kind, std::string_view message)
+{
+    logEvent(LogLevel::Warning, "request_unreadable", { { "kind", answerFor(kind).name }, { "message", message } });
+    m_state->flowContext.metrics.add(Counter::Requests, { "", answerFor(kind).name });
+    return errorText(kind, message);
+}
+
+void RouterFlow::retryWaiting() { m_state->roomChanged(); }
+
+void RouterFlow::setOptions(const RouterFlowOptions& options)
+{
+    std::size_t daemons = m_state->flowOptions.retries.daemons;
+    m_state->flowOptions = options;
+    m_state->flowOptions.retries.daemons = daemons;
+}
+
+void RouterFlow::setDaemons(std::size_t count) { m_state->flowOptions.retries.daemons = count; }
+
+std::size_t RouterFlow::active() const noexcept { return m_state->requests.size(); }
+
+}
--- /dev/null
+++ b/src/router/RouterFlow.h
@@ -0,0 +1,87 @@
+#pragma once
+
+#include "base/Random.h"
+#include "core/CrashGuard.h"
+#include "net/CallerServer.h"
+#include "net/Interfaces.h"
+#include "observe/Metrics.h"
+#include "router/RequestProtocol.h"
+#include "routing/FleetNews.h"
+#include "routing/FleetPicture.h"
+#include "routing/RetryAllowance.h"
+#include "routing/RoutingTable.h"
+#include "routing/WorkspaceShares.h"
+
+#include <functional>
+#include <memory>
+#include <vector>
+
+struct event_base;
+
+namespace jasminestack {
+
+/// \brief Limits of the request path.
+struct RouterFlowOptions {
+    std::string availabilityZone;
+    PlacementOptions placement;
+    RetryBounds retries; ///< The number of daemons is kept up to date by the owner.
+    Millis connectTimeout { 600 }; ///< An endpoint in the same region answers within a few milliseconds.
+    std::size_t highWater { 64U << 10U }; ///< Bytes buffered for a caller above which its endpoint is not read.
+    std::size_t wholeBytes { 256U << 10U }; ///< Answers up to this size reach the caller only when complete.
+    bool admitAll { false }; ///< Baseline: no request is refused or held because of predicted times.
+};
+
+/// \brief State that the request path shares with the exchange between daemons (the blackboard).
+struct RouterBoard {
+    std::shared_ptr<const RoutingTable> table { std::make_shared<RoutingTable>() };
+    FleetPicture picture;
+    WorkspaceShares shares;
+    CrashGuardState crashes;
+    std::vector<PromptNews> sentPrompts; ///< Not yet told to peers.
+    std::vector<CrashMark> crashMarks; ///< Not yet told to peers.
+    bool configurationCurrent { false }; ///< The configuration is known to be the newest, within seconds.
+    bool stopping { false };
+};
+
+/// \brief What the request path calls.
+struct RouterFlowContext {
+    event_base& base;
+    const Clock& clock;
+    Random& random;
+    RouterBoard& board;
+    EndpointTransport& transport;
+    const RequestProtocol& protocol;
+    Metrics& metrics;
+    std::function<void()> boardChanged; ///< This daemon's load at an endpoint has changed; peers should hear of it.
+};
+
+/// \brief Takes callers' requests by host and path to endpoints and relays the answers: one state machine for each
+/// request.
+class RouterFlow final : public CallerHandler {
+public:
+    RouterFlow(RouterFlowContext, const RouterFlowOptions&);
+    ~RouterFlow() override;
+    RouterFlow(const RouterFlow&) = delete;
+    RouterFlow& operator=(const RouterFlow&) = delete;
+
+    void onRequest(CallerRequest, CallerExchange&) override;
+    std::string onUnreadable(ErrorKind, std::string_view message) override;
+
+    /// \brief The fleet's picture has changed; waiting requests may have room now.
+    void retryWaiting();
+
+    /// \brief Takes over changed settings for later decisions.
+    void setOptions(const RouterFlowOptions&);
+
+    /// \brief Sets how many daemons share the fleet's retries.
+    void setDaemons(std::size_t count);
+
+    /// \returns Requests in progress.
+    [[nodiscard]] std::size_t active() const noexcept;
+
+private:
+    struct State;
+    std::unique_ptr<State> m_state;
+};
+
+}
--- /dev/null
+++ b/src/routing/Admission.cpp
@@ -0,0 +1,58 @@
+#include "routing/Admission.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace jasminestack {
+
+namespace {
+
+    // A workspace at its fair share may use the whole limit; one above it leaves room for the others, in proportion.
+    constexpr double lowestMargin = 0.3;
+    constexpr double highestMargin = 1.2;
+
+    // Part of its objective that a request may wait in the daemon for room before it is refused.
+    constexpr std::int64_t patienceDivisor = 8;
+
+    // A caller that comes back has missed its objective already; it waits for a part of its remaining time.
+    constexpr Millis returningPatience { 1'000 };
+
+    constexpr double shortestRetry = 200.0;
+    constexpr double longestRetry = 4'000.0;
+    constexpr double retryWithoutEndpoint = 1'000.0;
+
+    double workspaceMargin(double pressure) noexcept
+    {
+        return std::clamp(2.0 - pressure, lowestMargin, highestMargin);
+    }
+
+    Millis patience(const AdmissionInput& input) noexcept
+    {
+        if (input.returning)
+            return { std::min(returningPatience.count, input.timeLeft.count / patienceDivisor) };
+        return { input.objective.count / patienceDivisor };
+    }
+
+}
+
+double admissionLimit(const AdmissionInput& input) noexcept
+{
+    Millis objective = input.tightest > Millis {} ? std::min(input.objective, input.tightest) : input.objective;
+    return static_cast<double>(objective.count) * workspaceMargin(input.pressure) / input.overrun;
+}
+
+AdmissionVerdict admit(const AdmissionInput& input) noexcept
+{
+    if (input.predicted <= admissionLimit(input) && input.predicted < static_cast<double>(input.timeLeft.count))
+        return AdmissionVerdict::Send;
+    return input.waited < patience(input) ? AdmissionVerdict::Wait : AdmissionVerdict::Refuse;
+}
+
+Millis retryDelay(const AdmissionInput& input, Random& random)
+{
+    double excess = std::isfinite(input.predicted) ? input.predicted - admissionLimit(input) : retryWithoutEndpoint;
+    double base = std::clamp(excess * std::max(input.pressure, 1.0), shortestRetry, longestRetry);
+    return { static_cast<std::int64_t>(base * (0.75 + 0.75 * random.unit())) };
+}
+
+}
--- /dev/null
+++ b/src/routing/FleetNews.h
@@ -0,0 +1,42 @@
+#pragma once
+
+#include "core/Messages.h"
+#include "routing/FleetPicture.h"
+#include "routing/WorkspaceShares.h"
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace jasminestack {
+
+/// \brief A daemon's load at one endpoint; absolute, so that a lost message does no lasting harm.
+struct LoadNews {
+    EndpointKey endpoint { 0 };
+    EndpointLoad load;
+};
+
+/// \brief A prompt that was sent to an endpoint.
+struct PromptNews {
+    EndpointKey endpoint { 0 };
+    std::vector<PromptPart> prompt;
+};
+
+/// \brief What one daemon tells the others.
+struct FleetNews {
+    DaemonKey daemon { 0 }; ///< Of this process; a restart gives another one.
+    std::string daemonId;
+    std::string address; ///< "IP:PORT" on which it hears messages and serves its documents.
+    std::uint64_t sequence { 0 }; ///< Grows with each message of the process.
+    std::uint64_t configurationVersion { 0 };
+    std::int64_t registrationsPosition { -1 };
+    bool leaving { false };
+    bool complete { false }; ///< Endpoints without an entry in \c loads have no load of this daemon.
+    std::vector<LoadNews> loads; ///< Those that have changed, or all.
+    std::vector<PromptNews> prompts;
+    std::vector<WorkspaceRate> rates; ///< All, or empty if not repeated in this message.
+    std::vector<CrashMark> crashes;
+    std::vector<std::string> peers; ///< Addresses of daemons that it hears; empty if not repeated.
+};
+
+}
--- /dev/null
+++ b/src/routing/FleetPicture.cpp
@@ -0,0 +1,265 @@
+#include "routing/FleetPicture.h"
+
+#include "base/Hash.h"
+
+#include <algorithm>
+#include <limits>
+
+namespace jasminestack {
+
+namespace {
+
+    // Weight of one answer in an endpoint's averages: about the last twenty answers count.
+    constexpr double endpointStep = 0.05;
+
+    // Weight of one answer in a pool's averages.
+    constexpr double poolStep = 0.01;
+
+    // A loss keeps an endpoint out for the first time; each further one in a row doubles it up to the second.
+    constexpr Millis firstAvoidance { 250 };
+    constexpr Millis longestAvoidance { 4'000 };
+
+    // An endpoint that refuses or stalls has more work than this daemon knows of.
+    constexpr Millis refusalAvoidance { 100 };
+
+    // A slot that a failing endpoint wastes: its share of failures counts as this many times its predicted time.
+    constexpr double failureWeight = 8.0;
+
+    // Failures below this much above the pool's average are ordinary.
+    constexpr double ordinaryFailures = 0.1;
+
+    constexpr double minimumSlowness = 0.5;
+    constexpr double maximumSlowness = 20.0;
+
+    // Part of an engine's memory that running requests may fill; beyond it requests are preempted.
+    constexpr double usableMemory = 0.9;
+
+    unsigned slotsOf(const EndpointView& view, const PoolSpec& spec) noexcept
+    {
+        return std::max(1U, view.registration.slots != 0 ? view.registration.slots : spec.slots);
+    }
+
+    double relativeFailures(const EndpointView& view, const PoolView& pool) noexcept
+    {
+        double excess = view.failureShare - pool.failureShare;
+        return excess > ordinaryFailures ? excess : 0.0;
+    }
+
+    void average(double& value, double sample, double step) noexcept { value += step * (sample - value); }
+
+    void subtract(std::uint64_t& value, std::uint64_t amount) noexcept { value -= std::min(value, amount); }
+
+    EndpointView* find(FleetPicture& picture, const Placement& placement)
+    {
+        auto found = picture.byKey.find(placement.key);
+        return found == picture.byKey.end() ? nullptr : found->second;
+    }
+
+    // Milliseconds until a slot is free.
+    double slotWait(const EndpointLoad& load, unsigned slots, const PoolView& pool) noexcept
+    {
+        if (load.running < slots)
+            return 0;
+        return pool.holdMilliseconds * (load.running - slots + 1) / slots;
+    }
+
+    void indexEndpoints(FleetPicture& picture)
+    {
+        picture.byPool.clear();
+        picture.byKey.clear();
+        for (auto& [id, view] : picture.endpoints) {
+            picture.byPool[view.registration.pool].push_back(&view);
+            picture.byKey[view.key] = &view;
+        }
+    }
+
+    void avoid(EndpointView& view, Millis span, Millis now) { view.avoidUntil = std::max(view.avoidUntil, now + span); }
+
+}
+
+EndpointLoad EndpointView::load() const noexcept
+{
+    EndpointLoad sum = own;
+    for (const auto& [daemon, load] : peers) {
+        sum.running += load.running;
+        sum.unreadTokens += load.unreadTokens;
+        sum.heldTokens += load.heldTokens;
+    }
+    return sum;
+}
+
+EndpointKey endpointKey(const Registration& registration) noexcept
+{
+    return hash64(registration.id.value, static_cast<std::uint64_t>(registration.startedAt));
+}
+
+void setRegistrations(FleetPicture& picture, std::span<const Registration> registrations)
+{
+    std::map<EndpointId, EndpointView> next;
+    for (const Registration& registration : registrations) {
+        EndpointKey key = endpointKey(registration);
+        auto known = picture.endpoints.find(registration.id);
+        EndpointView view;
+        // The same id with another start or address is another process, which holds nothing of the earlier one.
+        if (known != picture.endpoints.end() && known->second.key == key
+            && known->second.registration.address == registration.address)
+            view = std::move(known->second);
+        view.registration = registration;
+        view.key = key;
+        next.insert_or_assign(registration.id, std::move(view));
+    }
+    picture.endpoints = std::move(next);
+    indexEndpoints(picture);
+}
+
+Choice choose(FleetPicture& picture, const RoutingTable& table, const PoolId& pool, const Work& work,
+    std::string_view zone, std::span<const EndpointId> avoided, bool repeatable, const PlacementOptions& options,
+    Millis now)
+{
+    Choice best;
+    auto members = picture.byPool.find(pool);
+    if (members == picture.byPool.end())
+        return best;
+    const PoolSpec& spec = table.poolSpec(pool);
+    const PoolView& learned = picture.pools[pool];
+    double bestScore = std::numeric_limits<double>::infinity();
+    for (EndpointView* view : members->second) {
+        if (view->registration.draining || now < view->avoidUntil)
+            continue;
+        if (view->losses != 0 && (view->probing || !repeatable))
+            continue;
+        if (std::find(avoided.begin(), avoided.end(), view->registration.id) != avoided.end())
+            continue;
+        EndpointLoad load = view->load();
+        std::uint64_t unread = work.promptTokens - std::min(work.promptTokens, view->cache.cachedTokens(work.prompt));
+        double ahead = static_cast<double>(load.unreadTokens + unread);
+        double slowness = view->slowness;
+        double predicted = learned.latency.predict(ahead) * slowness + slotWait(load, slotsOf(*view, spec), learned);
+        if (spec.memoryTokens != 0
+            && static_cast<double>(load.heldTokens + unread + work.outputTokens)
+                > usableMemory * static_cast<double>(spec.memoryTokens))
+            predicted += learned.holdMilliseconds;
+        double score = predicted + options.rereadCost * static_cast<double>(unread) * learned.latency.perUnit;
+        // Ties go to the endpoint with fewer requests, whose steps are shorter.
+        score += learned.latency.base * static_cast<double>(load.running) / slotsOf(*view, spec);
+        score *= 1.0 + failureWeight * relativeFailures(*view, learned);
+        if (view->registration.availabilityZone != zone)
+            score += static_cast<double>(options.crossZoneCost.count);
+        if (view->registration.warmupLeft > Millis {})
+            score += static_cast<double>(view->registration.warmupLeft.count) / 10.0;
+        if (options.leastOutstanding)
+            score = load.running;
+        if (score >= bestScore)
+            continue;
+        bestScore = score;
+        best = { .endpoint = view, .predicted = predicted, .unreadTokens = unread, .workAhead = ahead };
+    }
+    return best;
+}
+
+Placement recordSend(FleetPicture& picture, const Choice& choice, const Work& work, Millis now)
+{
+    EndpointView& view = *choice.endpoint;
+    Placement placement { .endpoint = view.registration.id,
+        .key = view.key,
+        .unreadTokens = choice.unreadTokens,
+        .heldTokens = choice.unreadTokens + work.outputTokens,
+        .workAhead = choice.workAhead,
+        .predicted = choice.predicted,
+        .sentAt = now };
+    ++view.own.running;
+    view.own.unreadTokens += placement.unreadTokens;
+    view.own.heldTokens += placement.heldTokens;
+    view.changed = true;
+    if (view.losses != 0)
+        view.probing = true;
+    view.cache.insert(work.prompt);
+    (void)picture;
+    return placement;
+}
+
+void recordFirstByte(FleetPicture& picture, Placement& placement, Millis now)
+{
+    if (placement.firstByteSeen)
+        return;
+    placement.firstByteSeen = true;
+    EndpointView* view = find(picture, placement);
+    if (!view)
+        return;
+    subtract(view->own.unreadTokens, placement.unreadTokens);
+    view->changed = true;
+    view->lastAnswer = now;
+    auto taken = static_cast<double>((now - placement.sentAt).count);
+    PoolView& pool = picture.pools[view->registration.pool];
+    double expected = std::max(pool.latency.predict(placement.workAhead), 1.0);
+    average(view->slowness, std::clamp(taken / expected, minimumSlowness, maximumSlowness), endpointStep);
+    addSample(pool.latency, placement.workAhead, taken / std::max(view->slowness, 1.0));
+}
+
+void recordEnd(FleetPicture& picture, const Placement& placement, EndpointOutcome outcome, Millis now)
+{
+    EndpointView* view = find(picture, placement);
+    if (!view)
+        return;
+    view->own.running -= std::min(view->own.running, 1U);
+    if (!placement.firstByteSeen)
+        subtract(view->own.unreadTokens, placement.unreadTokens);
+    subtract(view->own.heldTokens, placement.heldTokens);
+    view->changed = true;
+    view->probing = false;
+    PoolView& pool = picture.pools[view->registration.pool];
+    auto held = static_cast<double>((now - placement.sentAt).count);
+    switch (outcome) {
+    case EndpointOutcome::Answered:
+        view->losses = 0;
+        pool.holdMilliseconds
+            = pool.holdMilliseconds == 0 ? held : pool.holdMilliseconds + poolStep * (held - pool.holdMilliseconds);
+        break;
+    case EndpointOutcome::Refused:
+        view->losses = 0;
+        avoid(*view, refusalAvoidance, now);
+        break;
+    case EndpointOutcome::Failed:
+        break;
+    case EndpointOutcome::Lost: {
+        Millis span { std::min(firstAvoidance.count << std::min(view->losses, 5U), longestAvoidance.count) };
+        ++view->losses;
+        avoid(*view, span, now);
+        break;
+    }
+    case EndpointOutcome::Stalled:
+        avoid(*view, firstAvoidance, now);
+        break;
+    case EndpointOutcome::Cancelled:
+        return;
+    }
+    double failed = outcome == EndpointOutcome::Answered ? 0.0 : 1.0;
+    average(view->failureShare, failed, endpointStep);
+    average(pool.failureShare, failed, poolStep);
+}
+
+void setPeerLoad(FleetPicture& picture, DaemonKey daemon, EndpointKey endpoint, const EndpointLoad& load)
+{
+    auto found = picture.byKey.find(endpoint);
+    if (found == picture.byKey.end())
+        return;
+    if (load == EndpointLoad {})
+        found->second->peers.erase(daemon);
+    else
+        found->second->peers[daemon] = load;
+}
+
+void notePeerPrompt(FleetPicture& picture, EndpointKey endpoint, std::span<const PromptPart> prompt)
+{
+    auto found = picture.byKey.find(endpoint);
+    if (found != picture.byKey.end())
+        found->second->cache.insert(prompt);
+}
+
+void dropPeer(FleetPicture& picture, DaemonKey daemon)
+{
+    for (auto& [id, view] : picture.endpoints)
+        view.peers.erase(daemon);
+}
+
+}
--- /dev/null
+++ b/src/routing/FleetPicture.h
@@ -0,0 +1,145 @@
+#pragma once
+
+#include "base/Clock.h"
+#include "base/Identifier.h"
+#include "routing/LatencyModel.h"
+#include "routing/PromptCache.h"
+#include "routing/RoutingTable.h"
+
+#include <cstdint>
+#include <map>
+#include <span>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+/// \file
+/// \brief What a daemon believes about the endpoints: their registrations, the work that all daemons have sent them, what
+/// their prefix caches hold, how fast and how healthy they are.
+
+namespace jasminestack {
+
+/// \brief Identifies a daemon's process in messages.
+using DaemonKey = std::uint64_t;
+
+/// \brief Identifies an endpoint's process in messages: its id and the time of its start.
+using EndpointKey = std::uint64_t;
+
+/// \brief Work that one daemon has at an endpoint.
+struct EndpointLoad {
+    std::uint32_t running { 0 }; ///< Requests sent and not ended.
+    std::uint64_t unreadTokens { 0 }; ///< Prompt tokens of requests whose first event has not come.
+    std::uint64_t heldTokens { 0 }; ///< Memory of the requests, without the parts that were cached before.
+
+    [[nodiscard]] friend bool operator==(const EndpointLoad&, const EndpointLoad&) = default;
+};
+
+/// \brief One endpoint. Written by the functions below only.
+struct EndpointView {
+    Registration registration;
+    EndpointKey key { 0 };
+    EndpointLoad own;
+    std::unordered_map<DaemonKey, EndpointLoad> peers;
+    PromptCache cache;
+    double slowness { 1.0 }; ///< Seen over predicted times, relative to its pool.
+    double failureShare { 0.0 }; ///< Of its latest answers, the share that failed.
+    unsigned losses { 0 }; ///< Connections refused or lost in a row, without an answer in between.
+    Millis avoidUntil {}; ///< Gets no work before this time.
+    Millis lastAnswer {};
+    bool probing { false }; ///< One request finds out whether it works again.
+    bool changed { false }; ///< Its own load has changed since the last message to peers.
+
+    /// \returns The load of all daemons.
+    [[nodiscard]] EndpointLoad load() const noexcept;
+};
+
+/// \brief What is learned about a pool.
+struct PoolView {
+    LatencyModel latency;
+    double holdMilliseconds { 0 }; ///< Average time for which a request occupies a slot.
+    double failureShare { 0 }; ///< Of its latest answers.
+};
+
+struct FleetPicture {
+    std::map<EndpointId, EndpointView> endpoints;
+    std::unordered_map<PoolId, std::vector<EndpointView*>> byPool;
+    std::unordered_map<EndpointKey, EndpointView*> byKey;
+    std::unordered_map<PoolId, PoolView> pools;
+};
+
+/// \brief Takes over the endpoints that are registered now; those that are missing are removed at once.
+void setRegistrations(FleetPicture&, std::span<const Registration>);
+
+/// \brief A request that is placed or running.
+struct Work {
+    std::span<const PromptPart> prompt; ///< Empty for plain requests.
+    std::uint64_t promptTokens { 0 };
+    std::uint64_t outputTokens { 0 }; ///< At most.
+};
+
+/// \brief What a request adds to its endpoint's load; kept with the request until it ends.
+struct Placement {
+    EndpointId endpoint;
+    EndpointKey key { 0 };
+    std::uint64_t unreadTokens { 0 };
+    std::uint64_t heldTokens { 0 };
+    double workAhead { 0 }; ///< Units of work when it was sent, with its own.
+    double predicted { 0 }; ///< Milliseconds to its first byte.
+    Millis sentAt {};
+    bool firstByteSeen { false };
+};
+
+/// \brief How placement weighs what it knows.
+struct PlacementOptions {
+    /// Extra cost of reading prompt tokens that another endpoint holds, as a share of the time that it takes.
+    double rereadCost { 0.7 };
+    Millis crossZoneCost { 15 }; ///< Extra cost of an endpoint in another availability zone.
+    bool leastOutstanding { false }; ///< Baseline: the endpoint with the fewest requests, whatever their prompts.
+};
+
+/// \brief An endpoint for a request, or none.
+struct Choice {
+    EndpointView* endpoint { nullptr };
+    double predicted { 0 }; ///< Milliseconds to the first byte.
+    std::uint64_t unreadTokens { 0 };
+    double workAhead { 0 };
+};
+
+/// \brief Finds the endpoint that answers soonest, counting the work that the choice costs others.
+/// \param avoid Endpoints that this request was sent to before.
+/// \param repeatable Whether the request may be used to probe an endpoint that failed.
+[[nodiscard]] Choice choose(FleetPicture&, const RoutingTable&, const PoolId&, const Work&, std::string_view zone,
+    std::span<const EndpointId> avoid, bool repeatable, const PlacementOptions&, Millis now);
+
+/// \brief Records that the request is sent to the chosen endpoint.
+[[nodiscard]] Placement recordSend(FleetPicture&, const Choice&, const Work&, Millis now);
+
+/// \brief The first byte or event of the answer has come.
+void recordFirstByte(FleetPicture&, Placement&, Millis now);
+
+/// \brief How a request ended at its endpoint.
+enum class EndpointOutcome : std::uint8_t {
+    Answered,
+    Refused, ///< It declared that it did not run the request.
+    Failed, ///< It answered with an error or broke its answer off.
+    Lost, ///< The connection could not be opened or ended without an answer.
+    Stalled, ///< It gave no sign for much longer than predicted.
+    Cancelled, ///< The caller left or the daemon gave up; says nothing about the endpoint.
+};
+
+/// \brief Removes the request from its endpoint's load and learns from the outcome.
+void recordEnd(FleetPicture&, const Placement&, EndpointOutcome, Millis now);
+
+/// \brief A peer's load at an endpoint.
+void setPeerLoad(FleetPicture&, DaemonKey, EndpointKey, const EndpointLoad&);
+
+/// \brief A peer has sent a prompt to an endpoint.
+void notePeerPrompt(FleetPicture&, EndpointKey, std::span<const PromptPart>);
+
+/// \brief A peer's process is gone or silent: its load is unknown and counts as none.
+void dropPeer(FleetPicture&, DaemonKey);
+
+/// \returns The key of an endpoint's process.
+[[nodiscard]] EndpointKey endpointKey(const Registration&) noexcept;
+
+}
--- /dev/null
+++ b/src/routing/PromptCache.cpp
@@ -0,0 +1,47 @@
+#include "routing/PromptCache.h"
+
+namespace jasminestack {
+
+std::uint64_t PromptCache::cachedTokens(std::span<const PromptPart> prompt) const noexcept
+{
+    std::uint64_t cached = 0;
+    for (const PromptPart& part : prompt) {
+        if (!m_index.contains(part.key))
+            break;
+        cached += part.tokens;
+    }
+    return cached;
+}
+
+void PromptCache::insert(std::span<const PromptPart> prompt)
+{
+    // Leading parts are the most recently used, so that the parts which depend on them are evicted first.
+    for (auto part = prompt.rbegin(); part != prompt.rend(); ++part) {
+        auto found = m_index.find(part->key);
+        if (found != m_index.end()) {
+            m_parts.splice(m_parts.begin(), m_parts, found->second);
+            continue;
+        }
+        m_parts.push_front(*part);
+        m_index.emplace(part->key, m_parts.begin());
+        m_tokens += part->tokens;
+    }
+}
+
+void PromptCache::shrink(std::uint64_t capacity)
+{
+    while (m_tokens > capacity && !m_parts.empty()) {
+        m_tokens -= m_parts.back().tokens;
+        m_index.erase(m_parts.back().key);
+        m_parts.pop_back();
+    }
+}
+
+void PromptCache::clear()
+{
+    m_parts.clear();
+    m_index.clear();
+    m_tokens = 0;
+}
+
+}
