Follow registrations by held reads; admit long prompts by the work ahead of them

Registrations change rarely (one record a change), so a held read tells them at once and needs fewer calls than polling.

--- a/src/config/RouterSettings.cpp
+++ b/src/config/RouterSettings.cpp
@@ -35,7 +35,6 @@
         }
         ObjectReader store = root.object("store", Presence::Required);
         store.address("address", settings.store.address, Presence::Required);
-        store.millis("registrationIntervalMs", settings.store.registrationInterval, 50, oneMinute);
     }
 
     void readSeconds(ObjectReader& reader, std::string_view name, Millis& into)
--- a/src/config/RouterSettings.h
+++ b/src/config/RouterSettings.h
@@ -38,7 +38,6 @@
 
     struct Store {
         std::string address;
-        Millis registrationInterval { 500 }; ///< Pause between two reads of the endpoints' registrations.
     } store;
 
     struct Retries {
--- a/src/router/RoutedRequest.cpp
+++ b/src/router/RoutedRequest.cpp
@@ -142,6 +142,7 @@
     // A plain answer that comes late is still worth most of its time limit, and no engine reads prompts behind it.
     Millis objective = stream ? m_route.latencyObjective : Millis { m_route.timeout.count / 2 };
     return { .predicted = choice.endpoint ? choice.predicted : std::numeric_limits<double>::infinity(),
+        .alone = choice.alone,
         .overrun = latency.overrun,
         .waited = now() - m_request.arrivedAt,
         .objective = objective,
--- a/src/routing/Admission.cpp
+++ b/src/routing/Admission.cpp
@@ -14,8 +14,8 @@
     // Part of its objective that a request may wait in the daemon for room before it is refused.
     constexpr std::int64_t patienceDivisor = 8;
 
-    // A caller that comes back has missed its objective already; it waits for a part of its remaining time.
-    constexpr Millis returningPatience { 1'000 };
+    // A request that has missed its objective already, or cannot meet it, waits for a part of its remaining time.
+    constexpr Millis latePatience { 1'000 };
 
     constexpr double shortestRetry = 200.0;
     constexpr double longestRetry = 4'000.0;
@@ -26,10 +26,24 @@
         return std::clamp(2.0 - pressure, lowestMargin, highestMargin);
     }
 
+    double baseLimit(const AdmissionInput& input) noexcept
+    {
+        Millis objective = input.tightest > Millis {} ? std::min(input.objective, input.tightest) : input.objective;
+        return static_cast<double>(objective.count) * workspaceMargin(input.pressure) / input.overrun;
+    }
+
+    // Part of the limit that a request which is late in any case may find ahead of it.
+    constexpr double lateWorkAhead = 0.5;
+
+    bool lateInAnyCase(const AdmissionInput& input) noexcept
+    {
+        return input.alone > baseLimit(input) * (1.0 - lateWorkAhead);
+    }
+
     Millis patience(const AdmissionInput& input) noexcept
     {
-        if (input.returning)
-            return { std::min(returningPatience.count, input.timeLeft.count / patienceDivisor) };
+        if (input.returning || lateInAnyCase(input))
+            return { std::min(latePatience.count, input.timeLeft.count / patienceDivisor) };
         return { input.objective.count / patienceDivisor };
     }
 
@@ -37,8 +51,8 @@
 
 double admissionLimit(const AdmissionInput& input) noexcept
 {
-    Millis objective = input.tightest > Millis {} ? std::min(input.objective, input.tightest) : input.objective;
-    return static_cast<double>(objective.count) * workspaceMargin(input.pressure) / input.overrun;
+    double limit = baseLimit(input);
+    return lateInAnyCase(input) ? input.alone + limit * lateWorkAhead : limit;
 }
 
 AdmissionVerdict admit(const AdmissionInput& input) noexcept
--- a/src/routing/Admission.h
+++ b/src/routing/Admission.h
@@ -15,6 +15,7 @@
 /// \brief What the decision depends on.
 struct AdmissionInput {
     double predicted { 0 }; ///< Milliseconds to the first byte at the best endpoint; infinite if there is none.
+    double alone { 0 }; ///< The same if the endpoint had no other work.
     double overrun { 1.0 }; ///< Factor that most answers stay below; see LatencyModel.
     Millis waited {}; ///< Since the request arrived.
     Millis objective {}; ///< The route's latency objective.
@@ -32,7 +33,8 @@
 
 [[nodiscard]] AdmissionVerdict admit(const AdmissionInput&) noexcept;
 
-/// \returns The time in milliseconds within which the first byte must be predicted for the request to be sent.
+/// \returns The time in milliseconds within which the first byte must be predicted for the request to be sent. A request
+/// that is late even without other work (a very long prompt) may use half of the limit for the work ahead of it.
 [[nodiscard]] double admissionLimit(const AdmissionInput&) noexcept;
 
 /// \returns How long a refused caller should stay away: until there will be room, spread so that callers do not return
--- a/src/routing/FleetPicture.cpp
+++ b/src/routing/FleetPicture.cpp
@@ -152,7 +152,11 @@
         if (score >= bestScore)
             continue;
         bestScore = score;
-        best = { .endpoint = view, .predicted = predicted, .unreadTokens = unread, .workAhead = ahead };
+        best = { .endpoint = view,
+            .predicted = predicted,
+            .alone = learned.latency.predict(static_cast<double>(unread)) * slowness,
+            .unreadTokens = unread,
+            .workAhead = ahead };
     }
     return best;
 }
--- a/src/routing/FleetPicture.h
+++ b/src/routing/FleetPicture.h
@@ -101,6 +101,7 @@
 struct Choice {
     EndpointView* endpoint { nullptr };
     double predicted { 0 }; ///< Milliseconds to the first byte.
+    double alone { 0 }; ///< The same if the endpoint had no other work.
     std::uint64_t unreadTokens { 0 };
     double workAhead { 0 };
 };
