Charge reading again what another engine holds

Change: the cost of reading again counts the difference to the engine that holds most, in choice and admission.

--- a/src/router/RoutedRequest.cpp
+++ b/src/router/RoutedRequest.cpp
@@ -142,6 +142,7 @@
     // A plain answer that comes late is still worth most of its time limit, and no engine reads prompts behind it.
     Millis objective = stream ? m_route.latencyObjective : Millis { m_route.timeout.count / 2 };
     return { .predicted = choice.endpoint ? choice.predicted : std::numeric_limits<double>::infinity(),
+        .reread = choice.reread,
         .alone = choice.alone,
         .overrun = latency.overrun,
         .waited = now() - m_request.arrivedAt,
@@ -160,7 +161,8 @@
         giveUp("deadline_in_queue");
         return;
     }
-    Choice choice = choose(context.board.picture, *m_table, m_pool, work(), options.availabilityZone, m_tried,
+    double limit = admissionLimit(admissionInput({}));
+    Choice choice = choose(context.board.picture, *m_table, m_pool, work(), limit, options.availabilityZone, m_tried,
         m_route.repeatable(), options.placement, now());
     AdmissionVerdict verdict = options.admitAll && choice.endpoint ? AdmissionVerdict::Send : admit(admissionInput(choice));
     switch (verdict) {
@@ -540,8 +542,8 @@
 void RoutedRequest::tryElsewhere(std::string_view cause)
 {
     RouterFlowContext& context = m_owner.context();
-    Choice choice = choose(context.board.picture, *m_table, m_pool, work(), m_owner.options().availabilityZone, m_tried,
-        m_route.repeatable(), m_owner.options().placement, now());
+    Choice choice = choose(context.board.picture, *m_table, m_pool, work(), admissionLimit(admissionInput({})),
+        m_owner.options().availabilityZone, m_tried, m_route.repeatable(), m_owner.options().placement, now());
     logEvent(LogLevel::Info, "request_repeated",
         { { "request", m_facts.id }, { "cause", cause }, { "from", m_placement.endpoint.value },
             { "to", choice.endpoint ? choice.endpoint->registration.id.value : std::string("none") },
--- a/src/routing/Admission.cpp
+++ b/src/routing/Admission.cpp
@@ -57,7 +57,7 @@
 
 AdmissionVerdict admit(const AdmissionInput& input) noexcept
 {
-    if (input.predicted <= admissionLimit(input) && input.predicted < static_cast<double>(input.timeLeft.count))
+    if (input.predicted + input.reread <= admissionLimit(input) && input.predicted < static_cast<double>(input.timeLeft.count))
         return AdmissionVerdict::Send;
     return input.waited < patience(input) ? AdmissionVerdict::Wait : AdmissionVerdict::Refuse;
 }
--- a/src/routing/Admission.h
+++ b/src/routing/Admission.h
@@ -15,6 +15,7 @@
 /// \brief What the decision depends on.
 struct AdmissionInput {
     double predicted { 0 }; ///< Milliseconds to the first byte at the best endpoint; infinite if there is none.
+    double reread { 0 }; ///< Cost in milliseconds of reading again what another endpoint holds.
     double alone { 0 }; ///< The same if the endpoint had no other work.
     double overrun { 1.0 }; ///< Factor that most answers stay below; see LatencyModel.
     Millis waited {}; ///< Since the request arrived.
--- a/src/routing/FleetPicture.cpp
+++ b/src/routing/FleetPicture.cpp
@@ -28,6 +28,9 @@
     // Failures below this much above the pool's average are ordinary.
     constexpr double ordinaryFailures = 0.1;
 
+    // Added to the score of endpoints that miss the limit, so that they come after all others.
+    constexpr double beyondLimit = 1e9;
+
     constexpr double minimumSlowness = 0.5;
     constexpr double maximumSlowness = 20.0;
 
@@ -113,8 +116,8 @@
 }
 
 Choice choose(FleetPicture& picture, const RoutingTable& table, const PoolId& pool, const Work& work,
-    std::string_view zone, std::span<const EndpointId> avoided, bool repeatable, const PlacementOptions& options,
-    Millis now)
+    double limit, std::string_view zone, std::span<const EndpointId> avoided, bool repeatable,
+    const PlacementOptions& options, Millis now)
 {
     Choice best;
     auto members = picture.byPool.find(pool);
@@ -123,6 +126,8 @@
     const PoolSpec& spec = table.poolSpec(pool);
     const PoolView& learned = picture.pools[pool];
     double bestScore = std::numeric_limits<double>::infinity();
+    std::vector<std::pair<EndpointView*, std::uint64_t>> usable; // With the prompt tokens that each holds.
+    std::uint64_t mostCached = 0;
     for (EndpointView* view : members->second) {
         if (view->registration.draining || now < view->avoidUntil)
             continue;
@@ -130,8 +135,13 @@
             continue;
         if (std::find(avoided.begin(), avoided.end(), view->registration.id) != avoided.end())
             continue;
+        std::uint64_t cached = std::min(work.promptTokens, view->cache.cachedTokens(work.prompt));
+        mostCached = std::max(mostCached, cached);
+        usable.emplace_back(view, cached);
+    }
+    for (const auto& [view, cached] : usable) {
         EndpointLoad load = view->load();
-        std::uint64_t unread = work.promptTokens - std::min(work.promptTokens, view->cache.cachedTokens(work.prompt));
+        std::uint64_t unread = work.promptTokens - cached;
         double ahead = static_cast<double>(load.unreadTokens + unread);
         double slowness = view->slowness;
         double predicted = learned.latency.predict(ahead) * slowness + slotWait(load, slotsOf(*view, spec), learned);
@@ -139,7 +149,8 @@
             && static_cast<double>(load.heldTokens + unread + work.outputTokens)
                 > usableMemory * static_cast<double>(spec.memoryTokens))
             predicted += learned.holdMilliseconds;
-        double score = predicted + options.rereadCost * static_cast<double>(unread) * learned.latency.perUnit;
+        double reread = options.rereadCost * static_cast<double>(mostCached - cached) * learned.latency.perUnit;
+        double score = predicted + reread;
         // Ties go to the endpoint with fewer requests, whose steps are shorter.
         score += learned.latency.base * static_cast<double>(load.running) / slotsOf(*view, spec);
         score *= 1.0 + failureWeight * relativeFailures(*view, learned);
@@ -147,6 +158,8 @@
             score += static_cast<double>(options.crossZoneCost.count);
         if (view->registration.warmupLeft > Millis {})
             score += static_cast<double>(view->registration.warmupLeft.count) / 10.0;
+        if (predicted + reread > limit)
+            score = beyondLimit + predicted + reread;
         if (options.leastOutstanding)
             score = load.running;
         if (score >= bestScore)
@@ -154,6 +167,7 @@
         bestScore = score;
         best = { .endpoint = view,
             .predicted = predicted,
+            .reread = reread,
             .alone = learned.latency.predict(static_cast<double>(unread)) * slowness,
             .unreadTokens = unread,
             .workAhead = ahead };
--- a/src/routing/FleetPicture.h
+++ b/src/routing/FleetPicture.h
@@ -91,8 +91,9 @@
 
 /// \brief How placement weighs what it knows.
 struct PlacementOptions {
-    /// Extra cost of reading prompt tokens that another endpoint holds, as a share of the time that it takes.
-    double rereadCost { 0.7 };
+    /// Extra cost of reading prompt tokens that another endpoint holds, as a multiple of the time that it takes. All
+    /// engines together can read little more than what is new in the prompts, so that time is missing elsewhere.
+    double rereadCost { 1.0 };
     Millis crossZoneCost { 15 }; ///< Extra cost of an endpoint in another availability zone.
     bool leastOutstanding { false }; ///< Baseline: the endpoint with the fewest requests, whatever their prompts.
 };
@@ -101,16 +102,18 @@
 struct Choice {
     EndpointView* endpoint { nullptr };
     double predicted { 0 }; ///< Milliseconds to the first byte.
+    double reread { 0 }; ///< Cost in milliseconds of reading again what another endpoint holds.
     double alone { 0 }; ///< The same if the endpoint had no other work.
     std::uint64_t unreadTokens { 0 };
     double workAhead { 0 };
 };
 
 /// \brief Finds the endpoint that answers soonest, counting the work that the choice costs others.
+/// \param limit Milliseconds within which the first byte should come: endpoints that are predicted to keep it go first.
 /// \param avoid Endpoints that this request was sent to before.
 /// \param repeatable Whether the request may be used to probe an endpoint that failed.
-[[nodiscard]] Choice choose(FleetPicture&, const RoutingTable&, const PoolId&, const Work&, std::string_view zone,
-    std::span<const EndpointId> avoid, bool repeatable, const PlacementOptions&, Millis now);
+[[nodiscard]] Choice choose(FleetPicture&, const RoutingTable&, const PoolId&, const Work&, double limit,
+    std::string_view zone, std::span<const EndpointId> avoid, bool repeatable, const PlacementOptions&, Millis now);
 
 /// \brief Records that the request is sent to the chosen endpoint.
 [[nodiscard]] Placement recordSend(FleetPicture&, const Choice&, const Work&, Millis now);
