Charge a further copy of a prompt part by its uses

Cause: a constant cost of reading again keeps cold parts at home only if it is so high that a hot part never gets a second engine. Change: the charge falls with the uses of the part (all routers' sends, 10 s) for each engine that holds it.

--- a/src/config/RouterSettings.cpp
+++ b/src/config/RouterSettings.cpp
@@ -55,7 +55,7 @@
         {
             ObjectReader placement = root.object("placement");
             placement.choice("policy", settings.placement.policy, { "predicted", "least-outstanding" });
-            placement.number("rereadCost", settings.placement.rereadCost, 0.0, 100.0);
+            placement.number("usesPerCopy", settings.placement.usesPerCopy, 0.0, 100.0);
             placement.millis("crossZoneCostMs", settings.placement.crossZoneCost, 0, oneMinute);
         }
         {
--- a/src/config/RouterSettings.h
+++ b/src/config/RouterSettings.h
@@ -48,7 +48,7 @@
 
     struct Placement {
         std::string policy { "predicted" }; ///< "predicted", or the baseline "least-outstanding".
-        double rereadCost { 1.0 }; ///< See PlacementOptions.
+        double usesPerCopy { 32.0 }; ///< See PlacementOptions.
         Millis crossZoneCost { 15 };
     } placement;
 
--- a/src/router/FleetExchange.cpp
+++ b/src/router/FleetExchange.cpp
@@ -197,7 +197,7 @@
     }
     peer.lastHeard = now;
     for (const PromptNews& prompt : news.prompts)
-        notePeerPrompt(board.picture, prompt.endpoint, prompt.prompt);
+        notePeerPrompt(board.picture, prompt.endpoint, prompt.prompt, now);
     for (const CrashMark& mark : news.crashes)
         onCrashMark(board.crashes, crashOptions, mark, now);
     if (news.sequence < peer.sequence)
--- a/src/router/RouterDaemon.cpp
+++ b/src/router/RouterDaemon.cpp
@@ -48,7 +48,7 @@
     RouterFlowOptions flowOptions(const RouterSettings& settings)
     {
         RouterFlowOptions options { .availabilityZone = settings.daemon.availabilityZone,
-            .placement = { .rereadCost = settings.placement.rereadCost,
+            .placement = { .usesPerCopy = settings.placement.usesPerCopy,
                 .crossZoneCost = settings.placement.crossZoneCost,
                 .leastOutstanding = settings.placement.policy == "least-outstanding" },
             .retries = { .ratio = settings.retries.ratio,
--- a/src/routing/FleetPicture.cpp
+++ b/src/routing/FleetPicture.cpp
@@ -3,6 +3,7 @@
 #include "base/Hash.h"
 
 #include <algorithm>
+#include <cmath>
 #include <limits>
 
 namespace jasminestack {
@@ -42,6 +43,49 @@
         return std::max(1U, view.registration.slots != 0 ? view.registration.slots : spec.slots);
     }
 
+    // Time constant of the counts of uses: about as long as an engine keeps a part that is not used.
+    constexpr Millis useWindow { 10'000 };
+
+    // A part that was hardly used is charged as if it had been used this often.
+    constexpr double fewestUses = 0.5;
+
+    // Counts kept at most; those below the threshold are dropped first.
+    constexpr std::size_t maxPartUses = 20'000;
+    constexpr double forgottenUses = 0.2;
+
+    double usesAt(const PartUse& use, Millis now)
+    {
+        return use.count * std::exp(-(now - use.updated).seconds() / useWindow.seconds());
+    }
+
+    void countUses(FleetPicture& picture, std::span<const PromptPart> prompt, Millis now)
+    {
+        for (const PromptPart& part : prompt) {
+            PartUse& use = picture.partUses[part.key];
+            use = { .count = usesAt(use, now) + 1.0, .updated = now };
+        }
+        if (picture.partUses.size() > maxPartUses)
+            std::erase_if(
+                picture.partUses, [&](const auto& entry) { return usesAt(entry.second, now) < forgottenUses; });
+    }
+
+    // Multiple of its time that reading again \p tokens of the prompt is charged at: the time pays off over the uses of
+    // the further copy.
+    double rereadMultiple(const FleetPicture& picture, std::span<const PromptPart> prompt, std::uint64_t tokens,
+        std::size_t copies, double usesPerCopy, Millis now)
+    {
+        std::uint64_t depth = 0;
+        double uses = 0;
+        for (const PromptPart& part : prompt) {
+            depth += part.tokens;
+            if (auto found = picture.partUses.find(part.key); found != picture.partUses.end())
+                uses = usesAt(found->second, now);
+            if (depth >= tokens)
+                break;
+        }
+        return usesPerCopy * static_cast<double>(std::max<std::size_t>(copies, 1)) / std::max(uses, fewestUses);
+    }
+
     double relativeFailures(const EndpointView& view, const PoolView& pool) noexcept
     {
         double excess = view.failureShare - pool.failureShare;
@@ -128,6 +172,7 @@
     double bestScore = std::numeric_limits<double>::infinity();
     std::vector<std::pair<EndpointView*, std::uint64_t>> usable; // With the prompt tokens that each holds.
     std::uint64_t mostCached = 0;
+    std::size_t copies = 0; // Endpoints that hold that much.
     for (EndpointView* view : members->second) {
         if (view->registration.draining || now < view->avoidUntil)
             continue;
@@ -136,9 +181,14 @@
         if (std::find(avoided.begin(), avoided.end(), view->registration.id) != avoided.end())
             continue;
         std::uint64_t cached = std::min(work.promptTokens, view->cache.cachedTokens(work.prompt));
-        mostCached = std::max(mostCached, cached);
+        if (cached > mostCached) {
+            mostCached = cached;
+            copies = 0;
+        }
+        copies += cached == mostCached ? 1U : 0U;
         usable.emplace_back(view, cached);
     }
+    double multiple = rereadMultiple(picture, work.prompt, mostCached, copies, options.usesPerCopy, now);
     for (const auto& [view, cached] : usable) {
         EndpointLoad load = view->load();
         std::uint64_t unread = work.promptTokens - cached;
@@ -149,7 +199,7 @@
             && static_cast<double>(load.heldTokens + unread + work.outputTokens)
                 > usableMemory * static_cast<double>(spec.memoryTokens))
             predicted += learned.holdMilliseconds;
-        double reread = options.rereadCost * static_cast<double>(mostCached - cached) * learned.latency.perUnit;
+        double reread = multiple * static_cast<double>(mostCached - cached) * learned.latency.perUnit;
         double score = predicted + reread;
         // Ties go to the endpoint with fewer requests, whose steps are shorter.
         score += learned.latency.base * static_cast<double>(load.running) / slotsOf(*view, spec);
@@ -192,7 +242,7 @@
     if (view.losses != 0)
         view.probing = true;
     view.cache.insert(work.prompt);
-    (void)picture;
+    countUses(picture, work.prompt, now);
     return placement;
 }
 
@@ -267,8 +317,9 @@
         found->second->peers[daemon] = load;
 }
 
-void notePeerPrompt(FleetPicture& picture, EndpointKey endpoint, std::span<const PromptPart> prompt)
+void notePeerPrompt(FleetPicture& picture, EndpointKey endpoint, std::span<const PromptPart> prompt, Millis now)
 {
+    countUses(picture, prompt, now);
     auto found = picture.byKey.find(endpoint);
     if (found != picture.byKey.end())
         found->second->cache.insert(prompt);
--- a/src/routing/FleetPicture.h
+++ b/src/routing/FleetPicture.h
@@ -60,7 +60,14 @@
     double failureShare { 0 }; ///< Of its latest answers.
 };
 
+/// \brief How often prompts with one part were sent, counted over the last seconds.
+struct PartUse {
+    double count { 0 };
+    Millis updated {};
+};
+
 struct FleetPicture {
+    std::unordered_map<std::uint64_t, PartUse> partUses; ///< By part key; all daemons' sends.
     std::map<EndpointId, EndpointView> endpoints;
     std::unordered_map<PoolId, std::vector<EndpointView*>> byPool;
     std::unordered_map<EndpointKey, EndpointView*> byKey;
@@ -91,9 +98,9 @@
 
 /// \brief How placement weighs what it knows.
 struct PlacementOptions {
-    /// Extra cost of reading prompt tokens that another endpoint holds, as a multiple of the time that it takes. All
-    /// engines together can read little more than what is new in the prompts, so that time is missing elsewhere.
-    double rereadCost { 1.0 };
+    /// Uses of a prompt part within the last seconds at which one more endpoint that holds it pays: with fewer uses for
+    /// each endpoint that holds it, reading it again is charged at a multiple of its time.
+    double usesPerCopy { 16.0 };
     Millis crossZoneCost { 15 }; ///< Extra cost of an endpoint in another availability zone.
     bool leastOutstanding { false }; ///< Baseline: the endpoint with the fewest requests, whatever their prompts.
 };
@@ -138,7 +145,7 @@
 void setPeerLoad(FleetPicture&, DaemonKey, EndpointKey, const EndpointLoad&);
 
 /// \brief A peer has sent a prompt to an endpoint.
-void notePeerPrompt(FleetPicture&, EndpointKey, std::span<const PromptPart>);
+void notePeerPrompt(FleetPicture&, EndpointKey, std::span<const PromptPart>, Millis now);
 
 /// \brief A peer's process is gone or silent: its load is unknown and counts as none.
 void dropPeer(FleetPicture&, DaemonKey);
