Let requests wait in the router while they can be in time, late ones after all others

Cause: the engines' queues held up to 600 ms of work, so that half of the long prompts were late, and callers told by their deadlines as returning were nearly all first attempts (deadlines of first attempts vary by 15%), which waited a second. Change: a bound on the work ahead of a request besides its own objective; waiting requests are ordered by whether they can still be in time, then returning callers, then fair share; returning callers are recognised by content, across routers.

--- a/src/net/CallerServer.cpp
+++ b/src/net/CallerServer.cpp
@@ -32,13 +32,16 @@
     constexpr int listenBacklog = 1'024;
 
     // A caller that has vanished without closing its connection is noticed by unanswered probes.
-    constexpr SilenceLimits callerSilence { .keepAliveIdleSeconds = 5, .keepAliveProbes = 3, .unacknowledged = { 8'000 } };
+    constexpr SilenceLimits callerSilence {
+        .keepAliveIdleSeconds = 5, .keepAliveProbes = 3, .unacknowledged = { 8'000 }
+    };
 
     bool isToken(std::string_view name) noexcept
     {
         return !name.empty() && std::all_of(name.begin(), name.end(), [](char c) {
             auto byte = static_cast<unsigned char>(c);
-            return byte > 0x20 && byte < 0x7f && std::string_view("()<>@,;:\\\"/[]?={}").find(c) == std::string_view::npos;
+            return byte > 0x20 && byte < 0x7f
+                && std::string_view("()<>@,;:\\\"/[]?={}").find(c) == std::string_view::npos;
         });
     }
 
@@ -379,7 +382,8 @@
         }
         std::size_t codings = countHeaders(m_request, "Transfer-Encoding");
         std::size_t lengths = countHeaders(m_request, "Content-Length");
-        if (codings + lengths > 1 || (codings == 1 && !equalHeaderNames(m_request.header("Transfer-Encoding"), "chunked")))
+        if (codings + lengths > 1
+            || (codings == 1 && !equalHeaderNames(m_request.header("Transfer-Encoding"), "chunked")))
             return fail(ErrorKind::BadRequest, "the body is framed in more than one way");
         std::size_t hosts = countHeaders(m_request, "Host");
         if (hosts > 1 || (hosts == 0 && m_parser.http_minor == 1))
--- a/src/net/CallerServer.h
+++ b/src/net/CallerServer.h
@@ -13,7 +13,6 @@
 
 struct event_base;
 
-
 namespace jasminestack {
 
 /// \brief A caller's request with its whole body.
--- a/src/net/EndpointClient.cpp
+++ b/src/net/EndpointClient.cpp
@@ -159,8 +159,7 @@
     {
         auto& state = *static_cast<State*>(argument);
         Millis now = state.clock.now();
-        std::erase_if(
-            state.idle, [&](const auto& connection) { return now - connection->since >= connection->limit; });
+        std::erase_if(state.idle, [&](const auto& connection) { return now - connection->since >= connection->limit; });
     }
 
     void useSocket(Exchange& exchange, Descriptor socket)
@@ -239,7 +238,8 @@
         Descriptor kept;
         Millis idleLimit = options.idleLimit;
         if (auto announced = announcedIdleTime(exchange.parser.head()))
-            idleLimit = std::min(idleLimit, std::max(*announced - options.keepAliveMargin, *announced - half(*announced)));
+            idleLimit
+                = std::min(idleLimit, std::max(*announced - options.keepAliveMargin, *announced - half(*announced)));
         if (complete && exchange.parser.reusable() && exchange.output.empty()) {
             exchange.readable.reset();
             exchange.writable.reset();
--- a/src/observe/Logging.cpp
+++ b/src/observe/Logging.cpp
@@ -58,7 +58,8 @@
                 return;
             }
             if (m_dropped != m_reported) {
-                m_bytes += "level=warning event=log_lines_dropped count=" + std::to_string(m_dropped - m_reported) + "\n";
+                m_bytes
+                    += "level=warning event=log_lines_dropped count=" + std::to_string(m_dropped - m_reported) + "\n";
                 m_reported = m_dropped;
             }
             m_bytes.append(line).push_back('\n');
--- a/src/router/EventSplitter.h
+++ b/src/router/EventSplitter.h
@@ -8,13 +8,13 @@
 
 namespace jasminestack {
 
-/// \brief Cuts a stream of server-sent events into whole events and follows their ids, so that a stream which breaks off
-/// can go on at another endpoint after the last event that the caller has.
+/// \brief Cuts a stream of server-sent events into whole events and follows their ids, so that a stream which breaks
+/// off can go on at another endpoint after the last event that the caller has.
 class EventSplitter {
 public:
     /// \param chunk The next received bytes.
-    /// \returns The whole events to pass on; valid until the next call and while \p chunk is. After resume() events up to
-    /// the last id are left out.
+    /// \returns The whole events to pass on; valid until the next call and while \p chunk is. After resume() events up
+    /// to the last id are left out.
     [[nodiscard]] std::string_view feed(std::string_view chunk);
 
     /// \returns The bytes of an event that was not ended; empties it.
--- a/src/router/FleetExchange.cpp
+++ b/src/router/FleetExchange.cpp
@@ -29,8 +29,8 @@
     constexpr Millis documentTimeout { 1'000 };
     constexpr Millis crashRepeat { 1'500 };
 
-    // Messages that one daemon receives from all others are bounded by this rate: the interval between two messages of a
-    // daemon grows with the number of its peers.
+    // Messages that one daemon receives from all others are bounded by this rate: the interval between two messages of
+    // a daemon grows with the number of its peers.
     constexpr std::int64_t messagesPerSecond = 1'500;
     constexpr Millis shortestInterval { 3 };
     constexpr Millis longestInterval { 100 };
@@ -131,6 +131,10 @@
         .complete = all,
         .prompts = std::move(board.sentPrompts) };
     board.sentPrompts.clear();
+    for (const auto& [contentHash, firstArrival] : board.newRefusals)
+        news.refusals.push_back(
+            { .contentHash = contentHash, .age = static_cast<std::uint32_t>((now - firstArrival).count) });
+    board.newRefusals.clear();
     for (auto& [id, view] : board.picture.endpoints) {
         bool changed = std::exchange(view.changed, false);
         if (all ? view.own == EndpointLoad {} : !changed)
@@ -200,6 +204,8 @@
         notePeerPrompt(board.picture, prompt.endpoint, prompt.prompt, now);
     for (const CrashMark& mark : news.crashes)
         onCrashMark(board.crashes, crashOptions, mark, now);
+    for (const RefusalNews& refusal : news.refusals)
+        board.refusals.record(refusal.contentHash, now - Millis { refusal.age }, now);
     if (news.sequence < peer.sequence)
         return; // Overtaken by a newer message.
     peer.sequence = news.sequence;
@@ -260,7 +266,8 @@
                     { "reason", response ? std::to_string(response.value().status) : response.error().message } });
             return;
         }
-        logEvent(LogLevel::Info, "peer_documents_read", { { "peer", address }, { "bytes", response.value().body.size() } });
+        logEvent(
+            LogLevel::Info, "peer_documents_read", { { "peer", address }, { "bytes", response.value().body.size() } });
         m_context.source.importDocuments(response.value().body);
     });
 }
@@ -271,7 +278,8 @@
     for (auto entry = m_peers.begin(); entry != m_peers.end();) {
         Peer& peer = entry->second;
         bool heard = peer.lastHeard != Millis {};
-        if (heard && peer.key != 0 && now - peer.lastHeard >= silenceLimit && m_context.board.shares.peers.contains(peer.key)) {
+        if (heard && peer.key != 0 && now - peer.lastHeard >= silenceLimit
+            && m_context.board.shares.peers.contains(peer.key)) {
             logEvent(LogLevel::Warning, "peer_silent",
                 { { "address", entry->first }, { "silent_ms", (now - peer.lastHeard).count } });
             dropPeer(m_context.board.picture, peer.key);
--- a/src/router/FleetNewsCodec.cpp
+++ b/src/router/FleetNewsCodec.cpp
@@ -67,10 +67,21 @@
         return rate;
     }
 
+    RefusalNews readRefusal(ArrayReader& list)
+    {
+        ArrayReader row = list.nested();
+        RefusalNews refusal { .contentHash = row.unsignedValue() };
+        refusal.age = row.smallValue();
+        row.finish();
+        return refusal;
+    }
+
     CrashMark readCrash(ArrayReader& list)
     {
         ArrayReader row = list.nested();
-        CrashMark mark { .contentHash = row.unsignedValue(), .losses = row.smallValue(), .eventId = row.unsignedValue() };
+        CrashMark mark {
+            .contentHash = row.unsignedValue(), .losses = row.smallValue(), .eventId = row.unsignedValue()
+        };
         row.finish();
         return mark;
     }
@@ -81,7 +92,7 @@
 {
     StringBuffer buffer;
     msgpack::packer<StringBuffer> packer(buffer);
-    packer.pack_array(14);
+    packer.pack_array(15);
     packer.pack(formatVersion);
     packer.pack(news.daemon);
     packer.pack(news.daemonId);
@@ -118,6 +129,11 @@
         packer.pack(item.losses);
         packer.pack(item.eventId);
     });
+    packList(packer, news.refusals, [&](const RefusalNews& item) {
+        packer.pack_array(2);
+        packer.pack(item.contentHash);
+        packer.pack(item.age);
+    });
     packList(packer, news.peers, [&](const std::string& item) { packer.pack(item); });
     return std::move(buffer.bytes);
 }
@@ -142,6 +158,7 @@
         news.prompts = readList(reader.nested(), readPrompt);
         news.rates = readList(reader.nested(), readRate);
         news.crashes = readList(reader.nested(), readCrash);
+        news.refusals = readList(reader.nested(), readRefusal);
         news.peers = readList(reader.nested(), [](ArrayReader& list) { return std::string(list.text()); });
         reader.finish();
         return news;
--- a/src/router/RequestProtocol.h
+++ b/src/router/RequestProtocol.h
@@ -53,8 +53,7 @@
     [[nodiscard]] virtual Result<RequestFacts> decode(const CallerRequest&) const = 0;
 
     /// \brief Builds the request to an endpoint, without the time limits of the exchange.
-    [[nodiscard]] virtual EndpointRequest encode(
-        const CallerRequest&, const RequestFacts&, const SendOrder&) const = 0;
+    [[nodiscard]] virtual EndpointRequest encode(const CallerRequest&, const RequestFacts&, const SendOrder&) const = 0;
 
     [[nodiscard]] virtual AnswerFacts inspect(const EndpointHead&) const = 0;
 };
--- a/src/router/RoutedRequest.cpp
+++ b/src/router/RoutedRequest.cpp
@@ -83,14 +83,18 @@
           &owner.context().base, [](int, short, void* self) { static_cast<RoutedRequest*>(self)->onTimer(); }, this))
     , m_deadline(m_request.arrivedAt + m_route.timeout)
 {
-    if (m_facts.timeLeft) {
-        m_returning = m_owner.isReturning(m_route, *m_facts.timeLeft);
-        if (*m_facts.timeLeft < m_route.timeout) {
-            m_deadline = m_request.arrivedAt + *m_facts.timeLeft;
-            m_limitedByCaller = true;
-        }
+    if (m_facts.timeLeft && *m_facts.timeLeft < m_route.timeout) {
+        m_deadline = m_request.arrivedAt + *m_facts.timeLeft;
+        m_limitedByCaller = true;
     }
     m_contentHash = hash64(m_request.body, hash64(m_request.target, hash64(m_workspace.value)));
+    m_firstArrival = m_request.arrivedAt;
+    // Requests without a body are too alike to be recognised.
+    if (auto first = owner.context().board.refusals.firstArrival(m_contentHash, m_request.arrivedAt);
+        first && !m_request.body.empty()) {
+        m_firstArrival = *first;
+        m_returning = true;
+    }
     caller.attach(*this);
 }
 
@@ -128,69 +132,76 @@
         recordAsked(context.board.shares, m_workspace,
             static_cast<double>(m_facts.promptTokens) + outputCost * static_cast<double>(m_facts.outputTokens), time);
     if (crashVerdict(context.board.crashes, m_contentHash, time) == CrashVerdict::Quarantined) {
-        endWith({ .kind = ErrorKind::RequestQuarantined, .cause = "crashes_endpoints", .retryAfter = retryAfterCrashes });
+        endWith(
+            { .kind = ErrorKind::RequestQuarantined, .cause = "crashes_endpoints", .retryAfter = retryAfterCrashes });
         return;
     }
     place();
 }
 
-AdmissionInput RoutedRequest::admissionInput(const Choice& choice) const
+AdmissionFacts RoutedRequest::admissionFacts() const
 {
     RouterFlowContext& context = m_owner.context();
-    const LatencyModel& latency = context.board.picture.pools[m_pool].latency;
     bool stream = m_route.kind == RequestKind::Stream;
     // A plain answer that comes late is still worth most of its time limit, and no engine reads prompts behind it.
     Millis objective = stream ? m_route.latencyObjective : Millis { m_route.timeout.count / 2 };
-    return { .predicted = choice.endpoint ? choice.predicted : std::numeric_limits<double>::infinity(),
-        .reread = choice.reread,
-        .alone = choice.alone,
-        .overrun = latency.overrun,
-        .waited = now() - m_request.arrivedAt,
-        .objective = objective,
+    return { .objective = objective,
         .tightest = stream ? m_table->tightestObjective(m_pool) : Millis {},
-        .timeLeft = timeLeft(),
+        .overrun = context.board.picture.pools[m_pool].latency.overrun,
         .pressure = pressure(context.board.shares, m_workspace),
-        .returning = m_returning };
+        .waited = now() - m_request.arrivedAt,
+        .age = now() - m_firstArrival,
+        .timeLeft = timeLeft() };
 }
 
-void RoutedRequest::place()
+Choice RoutedRequest::chooseEndpoint(const AdmissionLimits& limits) const
 {
-    RouterFlowContext& context = m_owner.context();
     const RouterFlowOptions& options = m_owner.options();
+    return choose(m_owner.context().board.picture, *m_table, m_pool, work(),
+        { .limits = limits,
+            .availabilityZone = options.availabilityZone,
+            .avoid = m_tried,
+            .repeatable = m_route.repeatable(),
+            .options = options.placement },
+        now());
+}
+
+void RoutedRequest::place()
+{
     if (timeLeft() < shortestAttempt) {
         giveUp("deadline_in_queue");
         return;
     }
-    double limit = admissionLimit(admissionInput({}));
-    Choice choice = choose(context.board.picture, *m_table, m_pool, work(), limit, options.availabilityZone, m_tried,
-        m_route.repeatable(), options.placement, now());
-    AdmissionVerdict verdict = options.admitAll && choice.endpoint ? AdmissionVerdict::Send : admit(admissionInput(choice));
-    switch (verdict) {
-    case AdmissionVerdict::Send:
+    AdmissionFacts facts = admissionFacts();
+    AdmissionLimits limits = admissionLimits(facts);
+    Choice choice = chooseEndpoint(limits);
+    m_late = isLate(limits, choice.prediction);
+    if (choice.endpoint && (choice.fits || m_owner.options().admitAll)) {
         send(choice);
-        break;
-    case AdmissionVerdict::Wait:
+    } else if (mayWait(facts, limits, choice.prediction)) {
         if (!std::exchange(m_waitingListed, true))
             m_owner.wait(*this);
         armTimer();
-        break;
-    case AdmissionVerdict::Refuse:
-        refuseForLoad(choice);
-        break;
+    } else {
+        refuseForLoad(facts, limits, choice);
     }
 }
 
-std::tuple<bool, double, std::int64_t> RoutedRequest::waitingOrder() const
+std::tuple<bool, bool, double, std::int64_t> RoutedRequest::waitingOrder() const
 {
-    return { !m_returning, pressure(m_owner.context().board.shares, m_workspace), m_request.arrivedAt.count };
+    return { m_late, !m_returning, pressure(m_owner.context().board.shares, m_workspace), m_firstArrival.count };
 }
 
-void RoutedRequest::refuseForLoad(const Choice& choice)
+void RoutedRequest::refuseForLoad(const AdmissionFacts& facts, const AdmissionLimits& limits, const Choice& choice)
 {
-    m_predicted = choice.predicted;
+    m_predicted = choice.prediction.total();
+    RouterBoard& board = m_owner.context().board;
+    board.refusals.record(m_contentHash, m_firstArrival, now());
+    board.newRefusals.emplace_back(m_contentHash, m_firstArrival);
+    m_owner.context().boardChanged();
     endWith({ .kind = choice.endpoint ? ErrorKind::DeadlineUnreachable : ErrorKind::EndpointUnavailable,
         .cause = choice.endpoint ? "no_room" : "no_endpoint",
-        .retryAfter = retryDelay(admissionInput(choice), m_owner.context().random) });
+        .retryAfter = retryDelay(facts, limits, choice.prediction, m_owner.context().random) });
 }
 
 void RoutedRequest::send(const Choice& choice)
@@ -208,9 +219,10 @@
         m_queued = time - m_request.arrivedAt;
         if (m_facts.promptTokens != 0)
             recordServed(context.board.shares, m_workspace,
-                static_cast<double>(m_facts.promptTokens) + outputCost * static_cast<double>(m_facts.outputTokens), time);
+                static_cast<double>(m_facts.promptTokens) + outputCost * static_cast<double>(m_facts.outputTokens),
+                time);
     }
-    m_predicted = choice.predicted;
+    m_predicted = choice.prediction.total();
     Registration endpoint = choice.endpoint->registration;
     m_placement = recordSend(context.board.picture, choice, work(), time);
     m_placed = true;
@@ -542,8 +554,7 @@
 void RoutedRequest::tryElsewhere(std::string_view cause)
 {
     RouterFlowContext& context = m_owner.context();
-    Choice choice = choose(context.board.picture, *m_table, m_pool, work(), admissionLimit(admissionInput({})),
-        m_owner.options().availabilityZone, m_tried, m_route.repeatable(), m_owner.options().placement, now());
+    Choice choice = chooseEndpoint(admissionLimits(admissionFacts()));
     logEvent(LogLevel::Info, "request_repeated",
         { { "request", m_facts.id }, { "cause", cause }, { "from", m_placement.endpoint.value },
             { "to", choice.endpoint ? choice.endpoint->registration.id.value : std::string("none") },
@@ -627,7 +638,9 @@
             { "predicted_ms", std::isfinite(m_predicted) ? static_cast<std::int64_t>(m_predicted) : -1 },
             { "ahead", static_cast<std::int64_t>(m_placement.workAhead) }, { "unread", m_placement.unreadTokens },
             { "prompt", m_facts.promptTokens }, { "first_ms", firstByte }, { "total_ms", total.count },
-            { "events", m_events.events() }, { "configuration", m_table->version } });
+            { "events", m_events.events() }, { "returning", m_returning ? 1 : 0 },
+            { "objective_ms", m_route.latencyObjective.count },
+            { "caller_ms", m_facts.timeLeft.value_or(Millis {}).count }, { "configuration", m_table->version } });
     m_owner.finished(*this);
 }
 
--- a/src/router/RoutedRequest.h
+++ b/src/router/RoutedRequest.h
@@ -36,9 +36,6 @@
     /// \brief A request has left an endpoint or has been read by it.
     virtual void roomChanged() = 0;
 
-    /// \returns Whether a caller with this much time left was here before: first attempts bring the route's longest.
-    [[nodiscard]] virtual bool isReturning(const Route&, Millis timeLeft) = 0;
-
     /// \brief Removes the request; it is destroyed later, outside its own calls.
     virtual void finished(RoutedRequest&) = 0;
 };
@@ -64,9 +61,9 @@
     /// \brief Tries again to send a waiting request.
     void place();
 
-    /// \returns The key by which waiting requests are served: returning callers first, then workspaces that are furthest
-    /// below their fair share, then by arrival.
-    [[nodiscard]] std::tuple<bool, double, std::int64_t> waitingOrder() const;
+    /// \returns The key by which waiting requests are served: those that can still meet their objective first, then
+    /// returning callers, then workspaces that are furthest below their fair share, then by arrival.
+    [[nodiscard]] std::tuple<bool, bool, double, std::int64_t> waitingOrder() const;
 
     void onCallerGone() override;
     void onCallerDrained() override;
@@ -95,11 +92,12 @@
     [[nodiscard]] Millis now() const;
     [[nodiscard]] Millis timeLeft() const { return m_deadline - now(); }
     [[nodiscard]] Work work() const;
-    [[nodiscard]] AdmissionInput admissionInput(const Choice&) const;
+    [[nodiscard]] AdmissionFacts admissionFacts() const;
+    [[nodiscard]] Choice chooseEndpoint(const AdmissionLimits&) const;
     [[nodiscard]] bool mayRepeat() const;
     [[nodiscard]] PoolId choosePool() const;
     void send(const Choice&);
-    void refuseForLoad(const Choice&);
+    void refuseForLoad(const AdmissionFacts&, const AdmissionLimits&, const Choice&);
     void attemptEnded(EndpointOutcome);
     void attemptFailed(ErrorKind kind, const EndpointEnd& end, std::string_view cause);
     void attemptRefused();
@@ -131,8 +129,10 @@
     EventPointer m_timer;
     Millis m_deadline; ///< Final answer by then: the route's time limit or the caller's deadline.
     bool m_limitedByCaller { false }; ///< The caller's deadline is the earlier one.
-    bool m_returning { false };
     std::uint64_t m_contentHash { 0 };
+    Millis m_firstArrival {}; ///< Of the caller's first attempt, as far as the fleet knows it.
+    bool m_late { false }; ///< It misses its objective, wherever it is sent.
+    bool m_returning { false }; ///< The caller was refused before.
 
     Stage m_stage { Stage::Waiting };
     Relay m_relay { Relay::Undecided };
--- a/src/router/RouterDaemon.cpp
+++ b/src/router/RouterDaemon.cpp
@@ -51,9 +51,8 @@
             .placement = { .usesPerCopy = settings.placement.usesPerCopy,
                 .crossZoneCost = settings.placement.crossZoneCost,
                 .leastOutstanding = settings.placement.policy == "least-outstanding" },
-            .retries = { .ratio = settings.retries.ratio,
-                .slack = settings.retries.slack,
-                .window = settings.retries.window } };
+            .retries
+            = { .ratio = settings.retries.ratio, .slack = settings.retries.slack, .window = settings.retries.window } };
         options.admitAll = options.placement.leastOutstanding;
         return options;
     }
@@ -245,7 +244,8 @@
             return;
         phase = Phase::Ended;
         exchange.leave();
-        logEvent(LogLevel::Info, "shutdown_finished", { { "took_ms", passed.count }, { "in_progress", flow.active() } });
+        logEvent(
+            LogLevel::Info, "shutdown_finished", { { "took_ms", passed.count }, { "in_progress", flow.active() } });
         event_base_loopbreak(base.get());
     }
 
--- a/src/router/RouterDaemon.h
+++ b/src/router/RouterDaemon.h
@@ -16,7 +16,8 @@
 
 /// \brief What a deployment's adapter provides.
 struct DeploymentAdapter {
-    std::function<std::unique_ptr<DeploymentSource>(event_base&, HttpClient&, const Clock&, const RouterSettings&)> source;
+    std::function<std::unique_ptr<DeploymentSource>(event_base&, HttpClient&, const Clock&, const RouterSettings&)>
+        source;
     std::unique_ptr<RequestProtocol> protocol;
 };
 
--- a/src/router/RouterFlow.cpp
+++ b/src/router/RouterFlow.cpp
@@ -12,8 +12,8 @@
 
 namespace {
 
-    // First attempts differ by this much in the time that callers give them; less is a returning caller's.
-    constexpr Millis returningMargin { 40 };
+    // Waiting requests are tried again together, at most once in this time.
+    constexpr Millis waitingInterval { 4 };
 
     constexpr std::string_view retryAfterStart = "0.500";
 
@@ -37,15 +37,14 @@
     std::unordered_map<RoutedRequest*, std::unique_ptr<RoutedRequest>> requests;
     std::vector<std::unique_ptr<RoutedRequest>> retired;
     std::vector<RoutedRequest*> waiting;
-    std::unordered_map<std::string, Millis> longestDeadlines; ///< By route name, as callers send them.
     EventPointer roomEvent;
     EventPointer reaper;
 
     State(RouterFlowContext context, const RouterFlowOptions& options)
         : flowContext(context)
         , flowOptions(options)
-        , roomEvent(event_new(
-              &context.base, -1, 0, [](int, short, void* self) { static_cast<State*>(self)->tryWaiting(); }, this))
+        , roomEvent(evtimer_new(
+              &context.base, [](int, short, void* self) { static_cast<State*>(self)->tryWaiting(); }, this))
         , reaper(event_new(
               &context.base, -1, 0, [](int, short, void* self) { static_cast<State*>(self)->retired.clear(); }, this))
     {
@@ -61,8 +60,10 @@
 
     void roomChanged() override
     {
-        if (!waiting.empty())
-            event_active(roomEvent.get(), EV_TIMEOUT, 0);
+        if (waiting.empty() || evtimer_pending(roomEvent.get(), nullptr))
+            return;
+        timeval delay = toTimeval(waitingInterval);
+        evtimer_add(roomEvent.get(), &delay);
     }
 
     void tryWaiting()
@@ -76,13 +77,6 @@
         }
     }
 
-    [[nodiscard]] bool isReturning(const Route& route, Millis timeLeft) override
-    {
-        Millis& longest = longestDeadlines[route.name];
-        longest = std::max(longest, timeLeft);
-        return timeLeft + returningMargin < longest;
-    }
-
     void finished(RoutedRequest& request) override
     {
         auto found = requests.find(&request);
--- a/src/router/RouterFlow.h
+++ b/src/router/RouterFlow.h
@@ -8,6 +8,7 @@
 #include "router/RequestProtocol.h"
 #include "routing/FleetNews.h"
 #include "routing/FleetPicture.h"
+#include "routing/RefusalMemory.h"
 #include "routing/RetryAllowance.h"
 #include "routing/RoutingTable.h"
 #include "routing/WorkspaceShares.h"
@@ -39,6 +40,8 @@
     CrashGuardState crashes;
     std::vector<PromptNews> sentPrompts; ///< Not yet told to peers.
     std::vector<CrashMark> crashMarks; ///< Not yet told to peers.
+    RefusalMemory refusals;
+    std::vector<std::pair<std::uint64_t, Millis>> newRefusals; ///< Content and first arrival; not yet told to peers.
     bool configurationCurrent { false }; ///< The configuration is known to be the newest, within seconds.
     bool stopping { false };
 };
--- a/src/routing/Admission.cpp
+++ b/src/routing/Admission.cpp
@@ -2,70 +2,73 @@
 
 #include <algorithm>
 #include <cmath>
+#include <limits>
 
 namespace jasminestack {
 
 namespace {
 
+    // Part of the tightest objective that the work ahead of a request may take. The rest is for the request's own
+    // prompt, the engine's first step and the network.
+    constexpr double queueShare = 0.5;
+
+    // The same part for a request that is late in any case: it earns less, and delays all that follow as long.
+    constexpr double lateQueueShare = 0.15;
+
     // A workspace at its fair share may use the whole limit; one above it leaves room for the others, in proportion.
     constexpr double lowestMargin = 0.3;
     constexpr double highestMargin = 1.2;
 
-    // Part of its objective that a request may wait in the daemon for room before it is refused.
-    constexpr std::int64_t patienceDivisor = 8;
-
-    // A request that has missed its objective already, or cannot meet it, waits for a part of its remaining time.
-    constexpr Millis latePatience { 1'000 };
+    // A request that has missed its objective already, or cannot meet it, waits for this part of its remaining time,
+    // but not so long that its caller could not come back once more.
+    constexpr std::int64_t latePatienceDivisor = 6;
+    constexpr Millis latePatience { 2'000 };
 
     constexpr double shortestRetry = 200.0;
     constexpr double longestRetry = 4'000.0;
     constexpr double retryWithoutEndpoint = 1'000.0;
 
-    double workspaceMargin(double pressure) noexcept
-    {
-        return std::clamp(2.0 - pressure, lowestMargin, highestMargin);
-    }
-
-    double baseLimit(const AdmissionInput& input) noexcept
-    {
-        Millis objective = input.tightest > Millis {} ? std::min(input.objective, input.tightest) : input.objective;
-        return static_cast<double>(objective.count) * workspaceMargin(input.pressure) / input.overrun;
-    }
-
-    // Part of the limit that a request which is late in any case may find ahead of it.
-    constexpr double lateWorkAhead = 0.5;
+    double workspaceMargin(double pressure) noexcept { return std::clamp(2.0 - pressure, lowestMargin, highestMargin); }
 
-    bool lateInAnyCase(const AdmissionInput& input) noexcept
-    {
-        return input.alone > baseLimit(input) * (1.0 - lateWorkAhead);
-    }
+}
 
-    Millis patience(const AdmissionInput& input) noexcept
-    {
-        if (input.returning || lateInAnyCase(input))
-            return { std::min(latePatience.count, input.timeLeft.count / patienceDivisor) };
-        return { input.objective.count / patienceDivisor };
-    }
+AdmissionLimits admissionLimits(const AdmissionFacts& facts) noexcept
+{
+    auto objective = static_cast<double>(facts.objective.count);
+    if (facts.tightest == Millis {})
+        return { .ahead = objective, .total = objective, .aheadWhenLate = objective };
+    double tightest = static_cast<double>(std::min(facts.tightest, facts.objective).count);
+    double margin = workspaceMargin(facts.pressure);
+    return { .ahead = tightest * queueShare * margin,
+        .total = (objective - static_cast<double>(facts.age.count)) / facts.overrun,
+        .aheadWhenLate = tightest * lateQueueShare * margin };
+}
 
+bool isLate(const AdmissionLimits& limits, const Prediction& prediction) noexcept
+{
+    return prediction.alone > limits.total;
 }
 
-double admissionLimit(const AdmissionInput& input) noexcept
+bool fits(const AdmissionLimits& limits, const Prediction& prediction) noexcept
 {
-    double limit = baseLimit(input);
-    return lateInAnyCase(input) ? input.alone + limit * lateWorkAhead : limit;
+    if (isLate(limits, prediction))
+        return prediction.ahead + prediction.reread <= limits.aheadWhenLate;
+    return prediction.ahead + prediction.reread <= limits.ahead && prediction.total() <= limits.total;
 }
 
-AdmissionVerdict admit(const AdmissionInput& input) noexcept
+bool mayWait(const AdmissionFacts& facts, const AdmissionLimits& limits, const Prediction& prediction) noexcept
 {
-    if (input.predicted + input.reread <= admissionLimit(input) && input.predicted < static_cast<double>(input.timeLeft.count))
-        return AdmissionVerdict::Send;
-    return input.waited < patience(input) ? AdmissionVerdict::Wait : AdmissionVerdict::Refuse;
+    // Until it is late it may still be sent in time.
+    if (!isLate(limits, prediction))
+        return true;
+    return facts.waited < std::min(latePatience, Millis { facts.timeLeft.count / latePatienceDivisor });
 }
 
-Millis retryDelay(const AdmissionInput& input, Random& random)
+Millis retryDelay(
+    const AdmissionFacts& facts, const AdmissionLimits& limits, const Prediction& prediction, Random& random)
 {
-    double excess = std::isfinite(input.predicted) ? input.predicted - admissionLimit(input) : retryWithoutEndpoint;
-    double base = std::clamp(excess * std::max(input.pressure, 1.0), shortestRetry, longestRetry);
+    double excess = std::isfinite(prediction.ahead) ? prediction.ahead - limits.ahead : retryWithoutEndpoint;
+    double base = std::clamp(excess * std::max(facts.pressure, 1.0), shortestRetry, longestRetry);
     return { static_cast<std::int64_t>(base * (0.75 + 0.75 * random.unit())) };
 }
 
--- a/src/routing/Admission.h
+++ b/src/routing/Admission.h
@@ -6,40 +6,56 @@
 /// \file
 /// \brief Decides whether a request is sent now, waits in its daemon or is refused.
 ///
-/// An engine works in order of arrival, so a request that would be late there also delays all that follow. It is sent
-/// only while the predicted time to its first byte fits the tightest objective of its pool; the workspace's service
-/// relative to its fair share moves that limit.
+/// An engine works in order of arrival, so each request delays all that follow. A short queue keeps an engine busy; a
+/// longer one only makes answers late. A request is therefore sent while the work ahead of it at the endpoint is a
+/// small part of the tightest objective of its pool, and while its first byte is predicted within its own objective.
+/// The workspace's service relative to its fair share moves the first limit, so that workspaces above their share leave
+/// room.
 
 namespace jasminestack {
 
-/// \brief What the decision depends on.
-struct AdmissionInput {
-    double predicted { 0 }; ///< Milliseconds to the first byte at the best endpoint; infinite if there is none.
-    double reread { 0 }; ///< Cost in milliseconds of reading again what another endpoint holds.
-    double alone { 0 }; ///< The same if the endpoint had no other work.
-    double overrun { 1.0 }; ///< Factor that most answers stay below; see LatencyModel.
-    Millis waited {}; ///< Since the request arrived.
+/// \brief What the limits and the verdict depend on, apart from the endpoint.
+struct AdmissionFacts {
     Millis objective {}; ///< The route's latency objective.
-    Millis tightest {}; ///< Tightest objective of the streams in the same pool; 0 if there is none.
-    Millis timeLeft {}; ///< Until the request's deadline.
+    Millis tightest {}; ///< Tightest objective of the streams in the same pool; 0: the request waits behind no prompts.
+    double overrun { 1.0 }; ///< Factor on predictions that most answers stay below; see LatencyModel.
     double pressure { 1.0 }; ///< The workspace's service over its fair share.
-    bool returning { false }; ///< The caller was refused before and came back.
+    Millis waited {}; ///< Since the request arrived.
+    Millis age {}; ///< Since the caller's first attempt arrived; the objective counts from there.
+    Millis timeLeft {}; ///< Until the request's deadline.
 };
 
-enum class AdmissionVerdict : std::uint8_t {
-    Send,
-    Wait,
-    Refuse,
+/// \brief Bounds in milliseconds on what an endpoint is predicted to do.
+struct AdmissionLimits {
+    double ahead { 0 }; ///< Time for the work ahead of the request.
+    double total { 0 }; ///< Time to its first byte.
+    double aheadWhenLate { 0 }; ///< Bound on the work ahead of a request that is late even without it.
 };
 
-[[nodiscard]] AdmissionVerdict admit(const AdmissionInput&) noexcept;
+/// \brief What an endpoint is predicted to do with a request, in milliseconds.
+struct Prediction {
+    double ahead { 0 }; ///< Time for the work ahead of it.
+    double alone { 0 }; ///< Time to its first byte without other work.
+    double reread { 0 }; ///< Charge for reading again what another endpoint holds.
+
+    /// \returns Time to the first byte.
+    [[nodiscard]] double total() const noexcept { return ahead + alone; }
+};
+
+[[nodiscard]] AdmissionLimits admissionLimits(const AdmissionFacts&) noexcept;
+
+/// \returns Whether the request misses its objective even at once and without other work.
+[[nodiscard]] bool isLate(const AdmissionLimits&, const Prediction&) noexcept;
+
+/// \returns Whether an endpoint with this prediction may get the request.
+[[nodiscard]] bool fits(const AdmissionLimits&, const Prediction&) noexcept;
 
-/// \returns The time in milliseconds within which the first byte must be predicted for the request to be sent. A request
-/// that is late even without other work (a very long prompt) may use half of the limit for the work ahead of it.
-[[nodiscard]] double admissionLimit(const AdmissionInput&) noexcept;
+/// \returns Whether a request that fits nowhere now may wait for room.
+/// \param prediction For the best endpoint.
+[[nodiscard]] bool mayWait(const AdmissionFacts&, const AdmissionLimits&, const Prediction& prediction) noexcept;
 
 /// \returns How long a refused caller should stay away: until there will be room, spread so that callers do not return
 /// together.
-[[nodiscard]] Millis retryDelay(const AdmissionInput&, Random&);
+[[nodiscard]] Millis retryDelay(const AdmissionFacts&, const AdmissionLimits&, const Prediction& prediction, Random&);
 
 }
--- a/src/routing/FleetNews.h
+++ b/src/routing/FleetNews.h
@@ -22,6 +22,12 @@
     std::vector<PromptPart> prompt;
 };
 
+/// \brief A request that was refused; its caller may come back to another daemon.
+struct RefusalNews {
+    std::uint64_t contentHash { 0 };
+    std::uint32_t age { 0 }; ///< Milliseconds since its first attempt arrived.
+};
+
 /// \brief What one daemon tells the others.
 struct FleetNews {
     DaemonKey daemon { 0 }; ///< Of this process; a restart gives another one.
@@ -36,6 +42,7 @@
     std::vector<PromptNews> prompts;
     std::vector<WorkspaceRate> rates; ///< All, or empty if not repeated in this message.
     std::vector<CrashMark> crashes;
+    std::vector<RefusalNews> refusals;
     std::vector<std::string> peers; ///< Addresses of daemons that it hears; empty if not repeated.
 };
 
--- a/src/routing/FleetPicture.cpp
+++ b/src/routing/FleetPicture.cpp
@@ -32,6 +32,9 @@
     // Added to the score of endpoints that miss the limit, so that they come after all others.
     constexpr double beyondLimit = 1e9;
 
+    // An endpoint that is still warming up counts as slower by this part of the time left.
+    constexpr double warmupWeight = 0.1;
+
     constexpr double minimumSlowness = 0.5;
     constexpr double maximumSlowness = 20.0;
 
@@ -102,6 +105,15 @@
         return found == picture.byKey.end() ? nullptr : found->second;
     }
 
+    bool isUsable(const EndpointView& view, const ChoiceRules& rules, Millis now)
+    {
+        if (view.registration.draining || now < view.avoidUntil)
+            return false;
+        if (view.losses != 0 && (view.probing || !rules.repeatable))
+            return false;
+        return std::find(rules.avoid.begin(), rules.avoid.end(), view.registration.id) == rules.avoid.end();
+    }
+
     // Milliseconds until a slot is free.
     double slotWait(const EndpointLoad& load, unsigned slots, const PoolView& pool) noexcept
     {
@@ -160,25 +172,20 @@
 }
 
 Choice choose(FleetPicture& picture, const RoutingTable& table, const PoolId& pool, const Work& work,
-    double limit, std::string_view zone, std::span<const EndpointId> avoided, bool repeatable,
-    const PlacementOptions& options, Millis now)
+    const ChoiceRules& rules, Millis now)
 {
-    Choice best;
+    Choice best { .prediction = { .ahead = std::numeric_limits<double>::infinity() } };
     auto members = picture.byPool.find(pool);
     if (members == picture.byPool.end())
         return best;
     const PoolSpec& spec = table.poolSpec(pool);
     const PoolView& learned = picture.pools[pool];
-    double bestScore = std::numeric_limits<double>::infinity();
+    const PlacementOptions& options = rules.options;
     std::vector<std::pair<EndpointView*, std::uint64_t>> usable; // With the prompt tokens that each holds.
     std::uint64_t mostCached = 0;
     std::size_t copies = 0; // Endpoints that hold that much.
     for (EndpointView* view : members->second) {
-        if (view->registration.draining || now < view->avoidUntil)
-            continue;
-        if (view->losses != 0 && (view->probing || !repeatable))
-            continue;
-        if (std::find(avoided.begin(), avoided.end(), view->registration.id) != avoided.end())
+        if (!isUsable(*view, rules, now))
             continue;
         std::uint64_t cached = std::min(work.promptTokens, view->cache.cachedTokens(work.prompt));
         if (cached > mostCached) {
@@ -189,38 +196,43 @@
         usable.emplace_back(view, cached);
     }
     double multiple = rereadMultiple(picture, work.prompt, mostCached, copies, options.usesPerCopy, now);
+    double bestScore = std::numeric_limits<double>::infinity();
     for (const auto& [view, cached] : usable) {
         EndpointLoad load = view->load();
         std::uint64_t unread = work.promptTokens - cached;
-        double ahead = static_cast<double>(load.unreadTokens + unread);
-        double slowness = view->slowness;
-        double predicted = learned.latency.predict(ahead) * slowness + slotWait(load, slotsOf(*view, spec), learned);
+        unsigned slots = slotsOf(*view, spec);
+        const LatencyModel& latency = learned.latency;
+        Prediction prediction {
+            .ahead = static_cast<double>(load.unreadTokens) * latency.perUnit * view->slowness
+                + slotWait(load, slots, learned),
+            .alone = latency.predict(static_cast<double>(unread)) * view->slowness,
+            .reread = multiple * static_cast<double>(mostCached - cached) * latency.perUnit,
+        };
         if (spec.memoryTokens != 0
             && static_cast<double>(load.heldTokens + unread + work.outputTokens)
                 > usableMemory * static_cast<double>(spec.memoryTokens))
-            predicted += learned.holdMilliseconds;
-        double reread = multiple * static_cast<double>(mostCached - cached) * learned.latency.perUnit;
-        double score = predicted + reread;
+            prediction.ahead += learned.holdMilliseconds;
+        bool within = fits(rules.limits, prediction);
         // Ties go to the endpoint with fewer requests, whose steps are shorter.
-        score += learned.latency.base * static_cast<double>(load.running) / slotsOf(*view, spec);
+        double score
+            = prediction.total() + prediction.reread + latency.base * static_cast<double>(load.running) / slots;
         score *= 1.0 + failureWeight * relativeFailures(*view, learned);
-        if (view->registration.availabilityZone != zone)
+        if (view->registration.availabilityZone != rules.availabilityZone)
             score += static_cast<double>(options.crossZoneCost.count);
         if (view->registration.warmupLeft > Millis {})
-            score += static_cast<double>(view->registration.warmupLeft.count) / 10.0;
-        if (predicted + reread > limit)
-            score = beyondLimit + predicted + reread;
+            score += static_cast<double>(view->registration.warmupLeft.count) * warmupWeight;
+        if (!within)
+            score += beyondLimit;
         if (options.leastOutstanding)
             score = load.running;
         if (score >= bestScore)
             continue;
         bestScore = score;
         best = { .endpoint = view,
-            .predicted = predicted,
-            .reread = reread,
-            .alone = learned.latency.predict(static_cast<double>(unread)) * slowness,
+            .prediction = prediction,
+            .fits = within,
             .unreadTokens = unread,
-            .workAhead = ahead };
+            .workAhead = static_cast<double>(load.unreadTokens + unread) };
     }
     return best;
 }
@@ -233,7 +245,7 @@
         .unreadTokens = choice.unreadTokens,
         .heldTokens = choice.unreadTokens + work.outputTokens,
         .workAhead = choice.workAhead,
-        .predicted = choice.predicted,
+        .predicted = choice.prediction.total(),
         .sentAt = now };
     ++view.own.running;
     view.own.unreadTokens += placement.unreadTokens;
--- a/src/routing/FleetPicture.h
+++ b/src/routing/FleetPicture.h
@@ -2,6 +2,7 @@
 
 #include "base/Clock.h"
 #include "base/Identifier.h"
+#include "routing/Admission.h"
 #include "routing/LatencyModel.h"
 #include "routing/PromptCache.h"
 #include "routing/RoutingTable.h"
@@ -14,8 +15,8 @@
 #include <vector>
 
 /// \file
-/// \brief What a daemon believes about the endpoints: their registrations, the work that all daemons have sent them, what
-/// their prefix caches hold, how fast and how healthy they are.
+/// \brief What a daemon believes about the endpoints: their registrations, the work that all daemons have sent them,
+/// what their prefix caches hold, how fast and how healthy they are.
 
 namespace jasminestack {
 
@@ -108,19 +109,24 @@
 /// \brief An endpoint for a request, or none.
 struct Choice {
     EndpointView* endpoint { nullptr };
-    double predicted { 0 }; ///< Milliseconds to the first byte.
-    double reread { 0 }; ///< Cost in milliseconds of reading again what another endpoint holds.
-    double alone { 0 }; ///< The same if the endpoint had no other work.
+    Prediction prediction; ///< Infinite work ahead if there is no endpoint.
+    bool fits { false }; ///< Within the limits.
     std::uint64_t unreadTokens { 0 };
     double workAhead { 0 };
 };
 
+/// \brief Conditions of a choice.
+struct ChoiceRules {
+    AdmissionLimits limits; ///< Endpoints within them go first.
+    std::string_view availabilityZone; ///< Of the daemon.
+    std::span<const EndpointId> avoid; ///< Endpoints that this request was sent to before.
+    bool repeatable { false }; ///< The request may be used to probe an endpoint that failed.
+    PlacementOptions options;
+};
+
 /// \brief Finds the endpoint that answers soonest, counting the work that the choice costs others.
-/// \param limit Milliseconds within which the first byte should come: endpoints that are predicted to keep it go first.
-/// \param avoid Endpoints that this request was sent to before.
-/// \param repeatable Whether the request may be used to probe an endpoint that failed.
-[[nodiscard]] Choice choose(FleetPicture&, const RoutingTable&, const PoolId&, const Work&, double limit,
-    std::string_view zone, std::span<const EndpointId> avoid, bool repeatable, const PlacementOptions&, Millis now);
+[[nodiscard]] Choice choose(
+    FleetPicture&, const RoutingTable&, const PoolId&, const Work&, const ChoiceRules&, Millis now);
 
 /// \brief Records that the request is sent to the chosen endpoint.
 [[nodiscard]] Placement recordSend(FleetPicture&, const Choice&, const Work&, Millis now);
--- /dev/null
+++ b/src/routing/RefusalMemory.cpp
@@ -0,0 +1,29 @@
+#include "routing/RefusalMemory.h"
+
+#include <algorithm>
+
+namespace jasminestack {
+
+void RefusalMemory::record(std::uint64_t contentHash, Millis firstArrival, Millis now)
+{
+    auto [position, added] = m_entries.try_emplace(contentHash, Entry { firstArrival, now });
+    if (!added)
+        position->second = { std::min(position->second.firstArrival, firstArrival), now };
+    m_order.emplace_back(now, contentHash);
+    while (!m_order.empty() && now - m_order.front().first > retention) {
+        auto oldest = m_entries.find(m_order.front().second);
+        if (oldest != m_entries.end() && now - oldest->second.refusedAt > retention)
+            m_entries.erase(oldest);
+        m_order.pop_front();
+    }
+}
+
+std::optional<Millis> RefusalMemory::firstArrival(std::uint64_t contentHash, Millis now) const
+{
+    auto found = m_entries.find(contentHash);
+    if (found == m_entries.end() || now - found->second.refusedAt > retention)
+        return std::nullopt;
+    return found->second.firstArrival;
+}
+
+}
--- a/src/routing/RetryAllowance.cpp
+++ b/src/routing/RetryAllowance.cpp
@@ -42,8 +42,8 @@
         if (age < static_cast<std::int64_t>(slices))
             requests += item.requests;
     }
-    double allowed
-        = usableShare * (bounds.ratio * requests + bounds.slack / static_cast<double>(std::max<std::size_t>(bounds.daemons, 1)));
+    double allowed = usableShare
+        * (bounds.ratio * requests + bounds.slack / static_cast<double>(std::max<std::size_t>(bounds.daemons, 1)));
     if (repeats + 1 > allowed)
         return false;
     ++current.repeats;
