Bind the work ahead by fair share steeply

A margin that falls in proportion still admitted the flood wherever an engine had a short queue. Change: the margin falls with the third power above the fair share; below it, a request may go where twice as much work is ahead, and reading again is charged less.

--- a/src/routing/Admission.cpp
+++ b/src/routing/Admission.cpp
@@ -15,9 +15,11 @@
     // The same part for a request that is late in any case: it earns less, and delays all that follow as long.
     constexpr double lateQueueShare = 0.15;
 
-    // A workspace at its fair share may use the whole limit; one above it leaves room for the others, in proportion.
-    constexpr double lowestMargin = 0.3;
-    constexpr double highestMargin = 1.2;
+    // A workspace at its fair share may use the whole limit. One above it leaves room for the others, steeply so that a
+    // flood cannot fill the engines; one below it may go where the work ahead is twice as long.
+    constexpr double lowestMargin = 0.02;
+    constexpr double highestMargin = 2.0;
+    constexpr double marginExponent = 3.0;
 
     // A request that has missed its objective already, or cannot meet it, waits for this part of its remaining time,
     // but not so long that its caller could not come back once more.
@@ -28,7 +30,12 @@
     constexpr double longestRetry = 4'000.0;
     constexpr double retryWithoutEndpoint = 1'000.0;
 
-    double workspaceMargin(double pressure) noexcept { return std::clamp(2.0 - pressure, lowestMargin, highestMargin); }
+    double workspaceMargin(double pressure) noexcept
+    {
+        if (pressure <= 1.0)
+            return std::min(2.0 - pressure, highestMargin);
+        return std::max(std::pow(pressure, -marginExponent), lowestMargin);
+    }
 
 }
 
@@ -41,7 +48,8 @@
     double margin = workspaceMargin(facts.pressure);
     return { .ahead = tightest * queueShare * margin,
         .total = (objective - static_cast<double>(facts.age.count)) / facts.overrun,
-        .aheadWhenLate = tightest * lateQueueShare * margin };
+        .aheadWhenLate = tightest * lateQueueShare * margin,
+        .rereadWeight = std::min(facts.pressure, 1.0) };
 }
 
 bool isLate(const AdmissionLimits& limits, const Prediction& prediction) noexcept
@@ -51,9 +59,10 @@
 
 bool fits(const AdmissionLimits& limits, const Prediction& prediction) noexcept
 {
+    double charged = prediction.ahead + prediction.reread * limits.rereadWeight;
     if (isLate(limits, prediction))
-        return prediction.ahead + prediction.reread <= limits.aheadWhenLate;
-    return prediction.ahead + prediction.reread <= limits.ahead && prediction.total() <= limits.total;
+        return charged <= limits.aheadWhenLate;
+    return charged <= limits.ahead && prediction.total() <= limits.total;
 }
 
 bool mayWait(const AdmissionFacts& facts, const AdmissionLimits& limits, const Prediction& prediction) noexcept
--- a/src/routing/Admission.h
+++ b/src/routing/Admission.h
@@ -30,6 +30,7 @@
     double ahead { 0 }; ///< Time for the work ahead of the request.
     double total { 0 }; ///< Time to its first byte.
     double aheadWhenLate { 0 }; ///< Bound on the work ahead of a request that is late even without it.
+    double rereadWeight { 1.0 }; ///< Weight of the charge for reading again; less below the fair share.
 };
 
 /// \brief What an endpoint is predicted to do with a request, in milliseconds.
