Take no requests late in a shutdown; model cache eviction; test the router

What arrives after the load balancer has taken the daemon out cannot end within the grace time. Change: from 2.5 s on requests are refused as not run, the listener and idle connections are closed.

--- a/src/router/RouterDaemon.cpp
+++ b/src/router/RouterDaemon.cpp
@@ -31,8 +31,9 @@
     // its time limit.
     constexpr Millis configurationAge { 6'000 };
 
-    // The load balancer needs this long to see that a stopping daemon is not ready; until then connections still come.
-    constexpr Millis balancerTime { 3'000 };
+    // The load balancer asks once a second and takes a daemon out after two misses; until then connections still come.
+    // Requests that arrive later could not end within the grace time.
+    constexpr Millis balancerTime { 2'500 };
 
     // A stopping daemon ends this long before the platform kills it.
     constexpr Millis exitMargin { 300 };
@@ -154,6 +155,8 @@
     void onRoutingTable(std::shared_ptr<const RoutingTable> table) override
     {
         board.table = std::move(table);
+        updateConfigurationAge(clock.now());
+        setPoolProperties(board.picture, *board.table);
         const CallerLimits& limits = board.table->limits;
         server.setLimits({ .maxHeaderBytes = limits.headerBytes,
             .maxBodyBytes = limits.bodyBytes,
@@ -169,6 +172,7 @@
     {
         std::size_t before = board.picture.endpoints.size();
         setRegistrations(board.picture, registrations);
+        setPoolProperties(board.picture, *board.table);
         registrationsKnown = true;
         std::size_t draining = 0;
         for (const Registration& item : registrations)
@@ -193,12 +197,17 @@
             { { "ready", now ? 1 : 0 }, { "configuration", board.table->version } });
     }
 
+    void updateConfigurationAge(Millis now)
+    {
+        board.configurationCurrent = now - source->configurationConfirmedAt() < configurationAge;
+    }
+
     static void onTick(evutil_socket_t, short, void* self) { static_cast<State*>(self)->tick(); }
 
     void tick()
     {
         Millis now = clock.now();
-        board.configurationCurrent = now - source->configurationConfirmedAt() < configurationAge;
+        updateConfigurationAge(now);
         if (now - lastPressure >= pressureInterval) {
             lastPressure = now;
             refreshPressure(board.shares, now);
@@ -222,7 +231,6 @@
         if (phase != Phase::Running)
             return;
         phase = Phase::Stopping;
-        board.stopping = true;
         stopRequested = clock.now();
         server.closeAfterAnswers();
         logEvent(LogLevel::Info, "shutdown_started",
@@ -236,6 +244,7 @@
             return;
         Millis passed = now - stopRequested;
         if (passed >= balancerTime) {
+            board.refusing = true;
             server.closeListener();
             server.closeIdleConnections();
         }
--- a/src/router/RouterFlow.cpp
+++ b/src/router/RouterFlow.cpp
@@ -119,6 +119,10 @@
         state.refuse(request, exchange, ErrorKind::NotReady, "this daemon has no configuration yet");
         return;
     }
+    if (board.refusing) {
+        state.refuse(request, exchange, ErrorKind::ShuttingDown, "this daemon is shutting down");
+        return;
+    }
     auto facts = state.flowContext.protocol.decode(request);
     if (!facts) {
         state.refuse(request, exchange, facts.error().kind, facts.error().message);
--- a/src/router/RouterFlow.h
+++ b/src/router/RouterFlow.h
@@ -43,7 +43,7 @@
     RefusalMemory refusals;
     std::vector<std::pair<std::uint64_t, Millis>> newRefusals; ///< Content and first arrival; not yet told to peers.
     bool configurationCurrent { false }; ///< The configuration is known to be the newest, within seconds.
-    bool stopping { false };
+    bool refusing { false }; ///< This daemon is about to end and takes no further requests.
 };
 
 /// \brief What the request path calls.
--- a/src/routing/FleetPicture.cpp
+++ b/src/routing/FleetPicture.cpp
@@ -20,6 +20,9 @@
     constexpr Millis firstAvoidance { 250 };
     constexpr Millis longestAvoidance { 4'000 };
 
+    // A lost endpoint waits this long for a repeatable request before any request may find out whether it is back.
+    constexpr Millis probeDelay { 1'500 };
+
     // An endpoint that refuses or stalls has more work than this daemon knows of.
     constexpr Millis refusalAvoidance { 100 };
 
@@ -41,6 +44,9 @@
     // Part of an engine's memory that running requests may fill; beyond it requests are preempted.
     constexpr double usableMemory = 0.9;
 
+    // Memory assumed for an engine that does not tell it; bounds the model of its cache.
+    constexpr std::uint64_t assumedMemoryTokens = 500'000;
+
     unsigned slotsOf(const EndpointView& view, const PoolSpec& spec) noexcept
     {
         return std::max(1U, view.registration.slots != 0 ? view.registration.slots : spec.slots);
@@ -95,6 +101,13 @@
         return excess > ordinaryFailures ? excess : 0.0;
     }
 
+    void rememberPrompt(EndpointView& view, std::span<const PromptPart> prompt)
+    {
+        view.cache.insert(prompt);
+        std::uint64_t memory = view.memoryTokens != 0 ? view.memoryTokens : assumedMemoryTokens;
+        view.cache.shrink(static_cast<std::uint64_t>(usableMemory * static_cast<double>(memory)));
+    }
+
     void average(double& value, double sample, double step) noexcept { value += step * (sample - value); }
 
     void subtract(std::uint64_t& value, std::uint64_t amount) noexcept { value -= std::min(value, amount); }
@@ -109,7 +122,9 @@
     {
         if (view.registration.draining || now < view.avoidUntil)
             return false;
-        if (view.losses != 0 && (view.probing || !rules.repeatable))
+        // A request that must not run twice is no probe, unless nothing else has come for a while.
+        bool mayProbe = rules.repeatable || now - view.avoidUntil >= probeDelay;
+        if (view.losses != 0 && (view.probing || !mayProbe))
             return false;
         return std::find(rules.avoid.begin(), rules.avoid.end(), view.registration.id) == rules.avoid.end();
     }
@@ -171,6 +186,12 @@
     indexEndpoints(picture);
 }
 
+void setPoolProperties(FleetPicture& picture, const RoutingTable& table)
+{
+    for (auto& [id, view] : picture.endpoints)
+        view.memoryTokens = table.poolSpec(view.registration.pool).memoryTokens;
+}
+
 Choice choose(FleetPicture& picture, const RoutingTable& table, const PoolId& pool, const Work& work,
     const ChoiceRules& rules, Millis now)
 {
@@ -253,7 +274,7 @@
     view.changed = true;
     if (view.losses != 0)
         view.probing = true;
-    view.cache.insert(work.prompt);
+    rememberPrompt(view, work.prompt);
     countUses(picture, work.prompt, now);
     return placement;
 }
@@ -334,7 +355,7 @@
     countUses(picture, prompt, now);
     auto found = picture.byKey.find(endpoint);
     if (found != picture.byKey.end())
-        found->second->cache.insert(prompt);
+        rememberPrompt(*found->second, prompt);
 }
 
 void dropPeer(FleetPicture& picture, DaemonKey daemon)
--- a/src/routing/FleetPicture.h
+++ b/src/routing/FleetPicture.h
@@ -42,6 +42,7 @@
     EndpointLoad own;
     std::unordered_map<DaemonKey, EndpointLoad> peers;
     PromptCache cache;
+    std::uint64_t memoryTokens { 0 }; ///< That its cache and running requests may hold; 0 if unknown.
     double slowness { 1.0 }; ///< Seen over predicted times, relative to its pool.
     double failureShare { 0.0 }; ///< Of its latest answers, the share that failed.
     unsigned losses { 0 }; ///< Connections refused or lost in a row, without an answer in between.
@@ -78,6 +79,9 @@
 /// \brief Takes over the endpoints that are registered now; those that are missing are removed at once.
 void setRegistrations(FleetPicture&, std::span<const Registration>);
 
+/// \brief Takes over the properties of the pools; call it after each change of registrations or configuration.
+void setPoolProperties(FleetPicture&, const RoutingTable&);
+
 /// \brief A request that is placed or running.
 struct Work {
     std::span<const PromptPart> prompt; ///< Empty for plain requests.
--- /dev/null
+++ b/tests/RouterHarness.h
@@ -0,0 +1,192 @@
+#pragma once
+
+#include "LoopbackHarness.h"
+#include "platform/Protocol.h"
+#include "router/RouterDaemon.h"
+
+#include <cstdio>
+#include <memory>
+#include <string>
+#include <thread>
+
+/// \file
+/// \brief A whole router on loopback with the platform's protocol; the test plays callers and endpoints.
+
+namespace jasminestack::test {
+
+/// \brief A deployment whose documents never change.
+class FixedDeployment final : public DeploymentSource {
+public:
+    std::shared_ptr<const RoutingTable> table;
+    std::vector<Registration> registrations;
+    const Clock* clock { nullptr };
+
+    void start(DeploymentListener& listener) override
+    {
+        if (table)
+            listener.onRoutingTable(table);
+        listener.onRegistrations(registrations);
+    }
+    void leave() override { }
+    [[nodiscard]] DeploymentVersions versions() const override
+    {
+        return { .configuration = table ? table->version : 0, .registrations = 0 };
+    }
+    [[nodiscard]] Millis configurationConfirmedAt() const override { return clock->now(); }
+    [[nodiscard]] Millis registrationsReadAt() const override { return clock->now(); }
+    [[nodiscard]] std::string exportDocuments() const override { return "{}"; }
+    void importDocuments(std::string_view) override { }
+};
+
+/// \brief A router on its own thread with two model engines and one desk, played by the test.
+class LoopbackRouter {
+public:
+    Listener engine1;
+    Listener engine2;
+    Listener desk;
+    RoutingTable table;
+    std::unique_ptr<RouterDaemon> daemon;
+    std::thread thread;
+
+    explicit LoopbackRouter(bool configured = true)
+    {
+        table.version = configured ? 3 : 0;
+        table.authenticates = true;
+        table.workspacesByKey["key-1"] = WorkspaceId { "ws-1" };
+        table.pools[PoolId { "llm" }] = { .id = PoolId { "llm" }, .model = true, .slots = 8 };
+        table.pools[PoolId { "desk" }] = { .id = PoolId { "desk" }, .slots = 8 };
+        addRoute({ .name = "quote",
+            .prefix = "/quote/",
+            .kind = RequestKind::Stream,
+            .pools = { { PoolId { "llm" } } },
+            .maxEndpoints = 2,
+            .resumable = true });
+        addRoute({ .name = "review",
+            .prefix = "/review/",
+            .kind = RequestKind::Stream,
+            .pools = { { PoolId { "llm" } } },
+            .maxEndpoints = 2 });
+        addRoute({ .name = "book",
+            .prefix = "/book/",
+            .kind = RequestKind::NonIdempotent,
+            .pools = { { PoolId { "desk" } } } });
+        addRoute({ .name = "book2",
+            .prefix = "/book/two/",
+            .kind = RequestKind::NonIdempotent,
+            .pools = { { PoolId { "llm" } } },
+            .maxEndpoints = 2 });
+        addRoute({ .name = "check",
+            .prefix = "/check/",
+            .kind = RequestKind::Idempotent,
+            .pools = { { PoolId { "llm" } } },
+            .maxEndpoints = 2,
+            .anonymous = true });
+        indexRoutes(table);
+        start();
+    }
+
+    ~LoopbackRouter()
+    {
+        if (!thread.joinable())
+            return;
+        while (!stopped) {
+            kill(getpid(), SIGTERM);
+            std::this_thread::sleep_for(std::chrono::milliseconds(20));
+        }
+        thread.join();
+    }
+    LoopbackRouter(const LoopbackRouter&) = delete;
+    LoopbackRouter& operator=(const LoopbackRouter&) = delete;
+
+    [[nodiscard]] Socket caller() const { return Socket::connectTo(daemon->callerPort()); }
+
+    [[nodiscard]] static std::string request(
+        std::string_view method, std::string_view target, std::string_view id, std::string_view body = {})
+    {
+        return std::string(method) + " " + std::string(target)
+            + " HTTP/1.1\r\nHost: Shop.example:80\r\nAuthorization: Token key-1\r\nX-Jasminestack-Attempt-Id: "
+            + std::string(id) + "\r\nX-Jasminestack-Deadline-Ms: 5000\r\nX-Jasminestack-Tenant: forged\r\n"
+            + "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + std::string(body);
+    }
+
+    [[nodiscard]] static std::string answer(
+        std::string_view id, std::string_view body, int status = 200, std::string_view extra = "")
+    {
+        return "HTTP/1.1 " + std::to_string(status) + " X\r\nX-Jasminestack-Attempt-Id: " + std::string(id)
+            + "\r\nX-Jasminestack-Server-Signature: sig-" + std::string(id) + "\r\n" + std::string(extra)
+            + "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + std::string(body);
+    }
+
+    [[nodiscard]] static std::string streamHead(std::string_view id)
+    {
+        return "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n"
+               "X-Jasminestack-Attempt-Id: "
+            + std::string(id) + "\r\nX-Jasminestack-Server-Signature: sig-" + std::string(id) + "\r\n\r\n";
+    }
+
+    /// \brief The engine that the next request goes to; accepts its connection.
+    [[nodiscard]] std::pair<Socket, const Listener*> acceptEngine() const
+    {
+        for (int i = 0; i < 2'000; ++i) {
+            if (engine1.pending(5))
+                return { engine1.accept(), &engine1 };
+            if (engine2.pending(5))
+                return { engine2.accept(), &engine2 };
+        }
+        throw std::runtime_error("no engine was called");
+    }
+
+private:
+    void addRoute(Route route)
+    {
+        route.host = "shop.example";
+        route.timeout = Millis { 4'000 };
+        route.latencyObjective = Millis { 1'000 };
+        table.routes[route.host].push_back(std::move(route));
+    }
+
+    static std::string freeAddress() { return Listener().address(); }
+
+    void start()
+    {
+        RouterSettings settings;
+        settings.daemon = { .id = DaemonId { "router-1" }, .availabilityZone = "a" };
+        settings.callers.address = "127.0.0.1:0";
+        settings.health.address = freeAddress();
+        settings.peers.address = freeAddress();
+        settings.retries.slack = 100;
+        settings.shutdown.grace = Millis { 400 };
+        auto source = [this](event_base&, HttpClient&, const Clock& clock, const RouterSettings&) {
+            auto fixed = std::make_unique<FixedDeployment>();
+            fixed->clock = &clock;
+            if (table.version != 0)
+                fixed->table = std::make_shared<RoutingTable>(table);
+            fixed->registrations = { registration("e1", "llm", engine1), registration("e2", "llm", engine2),
+                registration("d1", "desk", desk) };
+            return std::unique_ptr<DeploymentSource>(std::move(fixed));
+        };
+        daemon = std::make_unique<RouterDaemon>(
+            settings, DeploymentAdapter { .source = source, .protocol = std::make_unique<platform::Protocol>() });
+        auto started = daemon->start();
+        if (!started)
+            throw std::runtime_error(started.error().message);
+        daemon->watchSignals({});
+        thread = std::thread([this] {
+            daemon->run();
+            stopped = true;
+        });
+    }
+
+    static Registration registration(const char* id, const char* pool, const Listener& listener)
+    {
+        return { .id = EndpointId { id },
+            .pool = PoolId { pool },
+            .address = listener.address(),
+            .availabilityZone = "a",
+            .slots = 8 };
+    }
+
+    std::atomic<bool> stopped { false };
+};
+
+}
