--- a/src/cli/Cli.cpp
+++ b/src/cli/Cli.cpp
@@ -8,9 +8,11 @@
 #include <absl/flags/reflection.h>
 #include <algorithm>
 #include <iostream>
+#include <limits>
 #include <sstream>
 
 ABSL_FLAG(std::string, settings, "", "file with the daemon's settings");
+ABSL_FLAG(bool, summary, false, "count failures by cause instead of telling one request's story");
 ABSL_FLAG(bool, json, false, "print JSON instead of a table");
 ABSL_FLAG(std::string, admin, "127.0.0.1:8081", "address IP:PORT of a daemon's admin server");
 ABSL_FLAG(std::string, token_file, "", "file with the operator token (else JASMINESTACK_OPERATOR_TOKEN)");
@@ -157,7 +159,7 @@
         std::size_t required = 0;
         std::size_t allowed = 0;
         for (const std::string& word : splitWords(command.arguments)) {
-            ++allowed;
+            allowed = word.ends_with("...]") ? std::numeric_limits<std::size_t>::max() : allowed + 1;
             required += word.front() == '[' ? 0 : 1;
         }
         return count >= required && count <= allowed;
@@ -171,6 +173,8 @@
         { "daemon", "", "run a daemon until it is stopped by SIGTERM", { "settings" }, runDaemonCommand },
         { "router", "", "run a router on a deployment's store until it is stopped by SIGTERM", { "settings" },
             runRouterCommand },
+        { "explain", "[ID] [FILE...]", "print a request's story out of routers' logs (standard input without files)",
+            { "summary" }, runExplain },
         { "check", "FILE", "check settings or a configuration and print every error", { "json" }, runCheck },
         { "workspace create", "ID", "create a workspace and print its API key once",
             withChangeFlags({ "share", "queue-requests", "queue-bytes", "key-hash" }), runWorkspaceCreate },
--- a/src/cli/Commands.h
+++ b/src/cli/Commands.h
@@ -54,6 +54,9 @@
 /// \brief Runs a daemon with the settings of --settings.
 [[nodiscard]] int runDaemonCommand(const std::vector<std::string>& arguments);
 
+/// \brief Prints a request's lines out of daemons' logs, or counts failures by cause (--summary).
+[[nodiscard]] int runExplain(const std::vector<std::string>& arguments);
+
 /// \brief Runs a router on the platform's store with the settings of --settings.
 [[nodiscard]] int runRouterCommand(const std::vector<std::string>& arguments);
 
--- a/src/cli/Flags.h
+++ b/src/cli/Flags.h
@@ -6,6 +6,7 @@
 
 ABSL_DECLARE_FLAG(std::string, settings);
 ABSL_DECLARE_FLAG(bool, json);
+ABSL_DECLARE_FLAG(bool, summary);
 ABSL_DECLARE_FLAG(std::string, admin);
 ABSL_DECLARE_FLAG(std::string, token_file);
 ABSL_DECLARE_FLAG(std::string, author);
--- a/src/config/DocumentCheck.cpp
+++ b/src/config/DocumentCheck.cpp
@@ -1,6 +1,7 @@
 #include "config/DocumentCheck.h"
 
 #include "config/Configuration.h"
+#include "config/RouterSettings.h"
 #include "config/Settings.h"
 
 #include <initializer_list>
@@ -25,6 +26,8 @@
     switch (kind) {
     case DocumentKind::Settings:
         return "settings";
+    case DocumentKind::RouterSettings:
+        return "router settings";
     case DocumentKind::Configuration:
         return "configuration";
     case DocumentKind::Unknown:
@@ -37,15 +40,19 @@
 {
     const JsonNode root = parseJson(text, problems);
     // Settings and configurations have no field in common, so that one known field is enough to tell them apart.
+    const bool router = hasAny(root, { "router", "health", "store", "placement" });
     const bool settings
         = hasAny(root, { "daemon", "callers", "admin", "peers", "log", "hostList", "weightStore", "logging" });
     const bool configuration = hasAny(root, { "workspaces", "pools", "routes", "presets", "presetInForce", "limits" });
-    const DocumentKind kind = settings == configuration ? DocumentKind::Unknown
-        : settings                                      ? DocumentKind::Settings
-                                                        : DocumentKind::Configuration;
+    const DocumentKind kind = router && !configuration ? DocumentKind::RouterSettings
+        : settings == configuration                    ? DocumentKind::Unknown
+        : settings                                     ? DocumentKind::Settings
+                                                       : DocumentKind::Configuration;
     if (!problems.empty())
         return kind;
-    if (kind == DocumentKind::Settings)
+    if (kind == DocumentKind::RouterSettings)
+        (void)readRouterSettings(root, problems);
+    else if (kind == DocumentKind::Settings)
         (void)readSettings(root, problems);
     else if (kind == DocumentKind::Configuration)
         (void)readConfiguration(root, problems);
--- a/src/config/DocumentCheck.h
+++ b/src/config/DocumentCheck.h
@@ -7,9 +7,9 @@
 
 namespace jasminestack {
 
-enum class DocumentKind : std::uint8_t { Unknown, Settings, Configuration };
+enum class DocumentKind : std::uint8_t { Unknown, Settings, RouterSettings, Configuration };
 
-/// \returns "unknown", "settings" or "configuration".
+/// \returns "unknown", "settings", "router settings" or "configuration".
 [[nodiscard]] std::string_view toString(DocumentKind) noexcept;
 
 /// \brief Recognises settings or a configuration by its fields and validates it.
--- a/src/router/RouterFlow.cpp
+++ b/src/router/RouterFlow.cpp
@@ -41,12 +41,13 @@
     EventPointer reaper;
 
     State(RouterFlowContext context, const RouterFlowOptions& options)
-        : flowContext(context)
+        : flowContext(std::move(context))
         , flowOptions(options)
         , roomEvent(evtimer_new(
-              &context.base, [](int, short, void* self) { static_cast<State*>(self)->tryWaiting(); }, this))
+              &flowContext.base, [](int, short, void* self) { static_cast<State*>(self)->tryWaiting(); }, this))
         , reaper(event_new(
-              &context.base, -1, 0, [](int, short, void* self) { static_cast<State*>(self)->retired.clear(); }, this))
+              &flowContext.base, -1, 0, [](int, short, void* self) { static_cast<State*>(self)->retired.clear(); },
+              this))
     {
     }
 
@@ -104,7 +105,7 @@
 };
 
 RouterFlow::RouterFlow(RouterFlowContext context, const RouterFlowOptions& options)
-    : m_state(std::make_unique<State>(context, options))
+    : m_state(std::make_unique<State>(std::move(context), options))
 {
 }
 
--- a/src/routing/PromptCache.cpp
+++ b/src/routing/PromptCache.cpp
@@ -1,5 +1,7 @@
 #include "routing/PromptCache.h"
 
+#include <algorithm>
+
 namespace jasminestack {
 
 std::uint64_t PromptCache::cachedTokens(std::span<const PromptPart> prompt) const noexcept
@@ -16,16 +18,16 @@
 void PromptCache::insert(std::span<const PromptPart> prompt)
 {
     // Leading parts are the most recently used, so that the parts which depend on them are evicted first.
-    for (auto part = prompt.rbegin(); part != prompt.rend(); ++part) {
-        auto found = m_index.find(part->key);
+    std::for_each(prompt.rbegin(), prompt.rend(), [this](const PromptPart& part) {
+        auto found = m_index.find(part.key);
         if (found != m_index.end()) {
             m_parts.splice(m_parts.begin(), m_parts, found->second);
-            continue;
+            return;
         }
-        m_parts.push_front(*part);
-        m_index.emplace(part->key, m_parts.begin());
-        m_tokens += part->tokens;
-    }
+        m_parts.push_front(part);
+        m_index.emplace(part.key, m_parts.begin());
+        m_tokens += part.tokens;
+    });
 }
 
 void PromptCache::shrink(std::uint64_t capacity)
--- /dev/null
+++ b/tests/RouterSettingsTests.cpp
@@ -0,0 +1,50 @@
+#include "config/DocumentCheck.h"
+#include "config/RouterSettings.h"
+
+#include <catch2/catch.hpp>
+
+using namespace jasminestack;
+
+namespace {
+
+const std::string settingsText = R"({ // comments are allowed
+  "router": { "id": "edge-1", "availabilityZone": "gebze" },
+  "callers": { "address": "10.1.0.33:8783" },
+  "health": { "address": "10.1.0.33:8780", "path": "/v1/readyz" },
+  "peers": { "address": "10.1.0.33:8785", "seeds": ["10.2.0.18:8785"] },
+  "store": { "address": "10.200.1.7:8781" },
+  "retries": { "ratio": 0.2, "slack": 54, "windowSeconds": 10 },
+  "shutdown": { "graceSeconds": 8 }
+})";
+
+}
+
+TEST_CASE("a router's settings are read with their defaults", "[router]")
+{
+    auto settings = parseRouterSettings(settingsText, "node.json");
+    REQUIRE(settings);
+    CHECK(settings.value().retries.window == Millis { 10'000 });
+    CHECK(settings.value().shutdown.grace == Millis { 8'000 });
+    CHECK(settings.value().placement.policy == "predicted");
+    CHECK(settings.value().peers.seeds.size() == 1);
+    JsonProblems problems;
+    CHECK(checkDocument(settingsText, problems) == DocumentKind::RouterSettings);
+    CHECK(problems.empty());
+}
+
+// Guards against settings that are silently ignored or that name no place.
+TEST_CASE("wrong router settings are refused with their place", "[router]")
+{
+    auto replaced = [&](std::string_view from, std::string_view to) {
+        std::string text = settingsText;
+        text.replace(text.find(from), from.size(), to);
+        auto parsed = parseRouterSettings(text, "node.json");
+        REQUIRE(!parsed);
+        return parsed.error().message;
+    };
+    CHECK(replaced("10.2.0.18:8785", "seed").find("node.json:5:") != std::string::npos);
+    CHECK(replaced("\"ratio\"", "\"rate\"").find("retries.rate") != std::string::npos);
+    CHECK(
+        replaced("\"windowSeconds\": 10", "\"windowSeconds\": -1").find("retries.windowSeconds") != std::string::npos);
+    CHECK(replaced("\"store\": { \"address\": \"10.200.1.7:8781\" },", "").find("store") != std::string::npos);
+}
