--- a/src/net/CallerServer.cpp
+++ b/src/net/CallerServer.cpp
@@ -326,9 +326,21 @@
             deliver();
     }
 
+    // The caller may have left while its request waited to be read.
+    [[nodiscard]] bool callerLeft() const
+    {
+        char byte = 0;
+        ssize_t length = recv(m_socket.value(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+        return length == 0 || (length < 0 && errno != EAGAIN && errno != EINTR);
+    }
+
     void deliver()
     {
         evtimer_del(m_timer.get());
+        if (callerLeft()) {
+            gone();
+            return;
+        }
         m_phase = Phase::Answering;
         m_request.method = http_method_str(static_cast<http_method>(m_parser.method));
         m_headRequest = m_parser.method == HTTP_HEAD;
--- a/tests/RouterLoopbackTests.cpp
+++ b/tests/RouterLoopbackTests.cpp
@@ -1,6 +1,7 @@
 #include "RouterHarness.h"
 
 #include <catch2/catch.hpp>
+#include <event2/event.h>
 
 using namespace jasminestack;
 using namespace jasminestack::test;
@@ -11,7 +12,7 @@
 
 const std::string lastChunk = "0\r\n\r\n";
 
-std::string event(int id) { return "id: " + std::to_string(id) + "\ndata: token-" + std::to_string(id) + "\n\n"; }
+std::string sse(int id) { return "id: " + std::to_string(id) + "\ndata: token-" + std::to_string(id) + "\n\n"; }
 
 }
 
@@ -108,14 +109,14 @@
     caller.write(LoopbackRouter::request("POST", "/quote/x", "id-1", "prompt"));
     auto [first, firstListener] = router.acceptEngine();
     static_cast<void>(first.readUntil("prompt"));
-    first.write(LoopbackRouter::streamHead("id-1") + chunk(event(1) + event(2) + "id: 3\nda"));
+    first.write(LoopbackRouter::streamHead("id-1") + chunk(sse(1) + sse(2) + "id: 3\nda"));
     static_cast<void>(caller.readUntil("token-2\n\n"));
     first.reset();
     const Listener& other = firstListener == &router.engine1 ? router.engine2 : router.engine1;
     Socket second = other.accept();
     std::string head = second.readUntil("\r\n\r\n");
     CHECK(headerOf(head, "Last-Event-Id") == "2");
-    second.write(LoopbackRouter::streamHead("id-1") + chunk(event(3) + event(4)) + lastChunk);
+    second.write(LoopbackRouter::streamHead("id-1") + chunk(sse(3) + sse(4)) + lastChunk);
     std::string rest = caller.readUntil(lastChunk);
     CHECK(rest.find("token-3\n\n") != std::string::npos);
     CHECK(rest.find("id: 3\nda\n") == std::string::npos);
@@ -130,7 +131,7 @@
     caller.write(LoopbackRouter::request("POST", "/review/x", "id-1", "prompt"));
     auto [engine, listener] = router.acceptEngine();
     static_cast<void>(engine.readUntil("prompt"));
-    engine.write(LoopbackRouter::streamHead("id-1") + chunk(event(1)));
+    engine.write(LoopbackRouter::streamHead("id-1") + chunk(sse(1)));
     static_cast<void>(caller.readUntil("token-1\n\n"));
     engine.reset();
     CHECK(caller.readToEnd().find(lastChunk) == std::string::npos);
@@ -254,7 +255,7 @@
     auto [engine, listener] = router.acceptEngine();
     static_cast<void>(engine.readUntil("prompt"));
     if (begun) {
-        engine.write(LoopbackRouter::streamHead("id-1") + chunk(event(1)));
+        engine.write(LoopbackRouter::streamHead("id-1") + chunk(sse(1)));
         static_cast<void>(caller.readUntil("token-1\n\n"));
     }
     caller.close();
@@ -276,3 +277,37 @@
     second.write(LoopbackRouter::answer("id-1", failsToo ? "also bad" : "good", failsToo ? 500 : 200));
     CHECK(caller.readUntil(failsToo ? "also bad" : "good").starts_with(failsToo ? "HTTP/1.1 500" : "HTTP/1.1 200"));
 }
+
+// Guards against work for a caller who left while its request waited in the socket of a busy daemon.
+TEST_CASE("a request whose caller has already left is not handled", "[router]")
+{
+    struct Recorder final : CallerHandler {
+        int requests { 0 };
+        void onRequest(CallerRequest, CallerExchange& exchange) override
+        {
+            ++requests;
+            exchange.sendWhole({ .status = 200 }, "ok");
+        }
+    };
+    std::unique_ptr<event_base, decltype(&event_base_free)> base(event_base_new(), event_base_free);
+    Recorder recorder;
+    CallerServer server(*base, recorder, { .address = "127.0.0.1:0" });
+    REQUIRE(server.listen());
+    auto turn = [&] {
+        for (int i = 0; i < 20; ++i) {
+            event_base_loop(base.get(), EVLOOP_NONBLOCK);
+            std::this_thread::sleep_for(std::chrono::milliseconds(1));
+        }
+    };
+    // The loop does not run between the request and the close, as in a process that has no processor time.
+    Socket left = Socket::connectTo(server.port());
+    left.write(LoopbackRouter::request("POST", "/book/x", "id-1", "order"));
+    left.close();
+    turn();
+    CHECK(recorder.requests == 0);
+    Socket stays = Socket::connectTo(server.port());
+    stays.write(LoopbackRouter::request("POST", "/book/x", "id-2", "order"));
+    turn();
+    CHECK(recorder.requests == 1);
+    CHECK(stays.readUntil("ok").starts_with("HTTP/1.1 200"));
+}
