--- a/src/router/FleetExchange.cpp
+++ b/src/router/FleetExchange.cpp
@@ -35,9 +35,6 @@
     constexpr Millis shortestInterval { 3 };
     constexpr Millis longestInterval { 100 };
 
-    // The same for all daemons, so that a crash is not forgotten at one of them earlier than at the others.
-    constexpr CrashGuardOptions crashOptions { .losses = 3, .quarantine = { 60'000 }, .forgetAfter = { 60'000 } };
-
 }
 
 FleetExchange::FleetExchange(Context context, FleetExchangeOptions options)
@@ -203,7 +200,7 @@
     for (const PromptNews& prompt : news.prompts)
         notePeerPrompt(board.picture, prompt.endpoint, prompt.prompt, now);
     for (const CrashMark& mark : news.crashes)
-        onCrashMark(board.crashes, crashOptions, mark, now);
+        onCrashMark(board.crashes, crashGuardOptions, mark, now);
     for (const RefusalNews& refusal : news.refusals)
         board.refusals.record(refusal.contentHash, now - Millis { refusal.age }, now);
     if (news.sequence < peer.sequence)
--- a/src/router/RoutedRequest.cpp
+++ b/src/router/RoutedRequest.cpp
@@ -1,15 +1,10 @@
 #include "router/RoutedRequest.h"
 
 #include "base/Hash.h"
-#include "net/HttpResponseParser.h"
 #include "observe/Logging.h"
 
 #include <algorithm>
-#include <array>
-#include <cmath>
-#include <cstdio>
 #include <event2/event.h>
-#include <limits>
 
 namespace jasminestack {
 
@@ -37,37 +32,12 @@
     constexpr Millis retryAfterFault { 300 };
     constexpr Millis retryAfterCrashes { 2'000 };
 
-    // Crash marks: the third loss ends the content's repeats everywhere.
-    constexpr CrashGuardOptions crashOptions { .losses = 3, .quarantine = { 60'000 }, .forgetAfter = { 60'000 } };
-
     // Losses of an endpoint within this time are taken for one.
     constexpr Millis lossWindow { 2'000 };
 
     // Output tokens cost an engine about twice as much as prompt tokens.
     constexpr double outputCost = 2.0;
 
-    bool isSuccess(int status) noexcept { return status >= 200 && status < 300; }
-
-    bool isServerError(int status) noexcept { return status >= 500; }
-
-    // Statuses that promise that the request has not run.
-    bool promisesNotRun(int status) noexcept
-    {
-        return status == 408 || status == 421 || status == 429 || status == 503;
-    }
-
-    bool isEventStream(const EndpointHead& head) noexcept
-    {
-        return findHeader(head.headers, "Content-Type").starts_with("text/event-stream");
-    }
-
-    std::string formatSeconds(Millis span)
-    {
-        std::array<char, 32> text {};
-        int length = std::snprintf(text.data(), text.size(), "%.3f", span.seconds());
-        return { text.data(), static_cast<std::size_t>(length) };
-    }
-
 }
 
 RoutedRequest::RoutedRequest(RoutedRequestOwner& owner, Start start, CallerExchange& caller)
@@ -288,7 +258,7 @@
         armTimer();
         return;
     }
-    if (!mayRepeat()) {
+    if (!takeRepeat()) {
         m_lastProgress = time; // Without another attempt, waiting on is the best that can be done.
         armTimer();
         return;
@@ -299,196 +269,6 @@
     tryElsewhere("stalled");
 }
 
-void RoutedRequest::onSent() { }
-
-void RoutedRequest::onHead(const EndpointHead& head)
-{
-    m_lastProgress = now();
-    AnswerFacts facts = m_owner.context().protocol.inspect(head);
-    EndpointEnd broken { .bytesMayHaveLeft = true, .answered = true, .error = ErrorKind::AnswerMismatch };
-    if (!facts.echoedId.empty() && facts.echoedId != m_facts.id) {
-        dropExchange();
-        attemptFailed(ErrorKind::AnswerMismatch, broken, "foreign_answer");
-        return;
-    }
-    m_head = head;
-    if (facts.notExecuted && !isSuccess(head.status)) {
-        m_relay = Relay::Refusal;
-        return;
-    }
-    if (isSuccess(head.status) && (!facts.isSigned || facts.encoded)) {
-        dropExchange();
-        attemptFailed(ErrorKind::AnswerMismatch, broken, facts.encoded ? "encoded_answer" : "unsigned_answer");
-        return;
-    }
-    if (m_answerBegun && !isSuccess(head.status)) {
-        dropExchange();
-        attemptFailed(ErrorKind::AnswerTruncated, broken, "resume_rejected");
-        return;
-    }
-    bool events = isSuccess(head.status) && m_route.kind == RequestKind::Stream && isEventStream(head);
-    m_relay = events ? Relay::Events : Relay::Whole;
-    if (!events)
-        recordFirstByte(m_owner.context().board.picture, m_placement, now());
-}
-
-void RoutedRequest::onBody(std::string_view chunk)
-{
-    m_lastProgress = now();
-    switch (m_relay) {
-    case Relay::Undecided:
-    case Relay::Refusal:
-        break;
-    case Relay::Events:
-        relayEvents(chunk);
-        break;
-    case Relay::Passing:
-        sendToCaller(chunk);
-        break;
-    case Relay::Whole:
-        m_body.append(chunk);
-        if (m_body.size() > m_owner.options().wholeBytes) {
-            m_relay = Relay::Passing;
-            beginAnswer();
-            sendToCaller(std::exchange(m_body, {}));
-        }
-        break;
-    }
-}
-
-void RoutedRequest::relayEvents(std::string_view chunk)
-{
-    if (!m_placement.firstByteSeen) {
-        recordFirstByte(m_owner.context().board.picture, m_placement, now());
-        m_owner.context().boardChanged();
-        m_owner.roomChanged();
-    }
-    std::string_view ready = m_events.feed(chunk);
-    if (!ready.empty()) {
-        beginAnswer();
-        sendToCaller(ready);
-    }
-    if (m_events.broken() && m_stage == Stage::Running) {
-        dropExchange();
-        attemptFailed(ErrorKind::AnswerTruncated,
-            { .bytesMayHaveLeft = true, .answered = true, .error = ErrorKind::AnswerTruncated }, "events_out_of_order");
-    }
-}
-
-void RoutedRequest::beginAnswer()
-{
-    if (std::exchange(m_answerBegun, true))
-        return;
-    m_firstByteAt = now();
-    m_status = m_head.status;
-    if (m_caller)
-        m_caller->startStream(headForCaller(m_head));
-}
-
-void RoutedRequest::sendToCaller(std::string_view bytes)
-{
-    if (!m_caller)
-        return;
-    m_caller->sendChunk(bytes);
-    if (!m_paused && m_caller->bufferedBytes() > m_owner.options().highWater) {
-        m_paused = true;
-        m_owner.context().transport.setPaused(m_exchange, true);
-    }
-}
-
-void RoutedRequest::onCallerDrained()
-{
-    if (!std::exchange(m_paused, false))
-        return;
-    m_lastProgress = now();
-    m_owner.context().transport.setPaused(m_exchange, false);
-}
-
-void RoutedRequest::onCallerGone()
-{
-    m_caller = nullptr;
-    if (m_stage == Stage::Ended)
-        return;
-    bool sent = m_exchange != 0;
-    // A request that must not run twice goes on: closing its connection would leave its outcome unknown.
-    if (sent && m_route.kind == RequestKind::NonIdempotent) {
-        onCallerDrained();
-        return;
-    }
-    dropExchange();
-    attemptEnded(EndpointOutcome::Cancelled);
-    finish("caller_gone");
-}
-
-void RoutedRequest::onEnd(const EndpointEnd& end)
-{
-    m_exchange = 0;
-    if (m_relay == Relay::Refusal) {
-        attemptRefused();
-        return;
-    }
-    if (!end.complete) {
-        attemptFailed(end.error, end, answerFor(end.error).name);
-        return;
-    }
-    if (m_relay == Relay::Events) {
-        finishStream();
-        return;
-    }
-    if (m_relay == Relay::Passing) {
-        attemptEnded(EndpointOutcome::Answered);
-        if (m_caller)
-            std::exchange(m_caller, nullptr)->endStream();
-        finish("ok");
-        return;
-    }
-    answerWhole();
-}
-
-void RoutedRequest::finishStream()
-{
-    beginAnswer(); // A stream may be empty.
-    if (std::string rest = m_events.takeRest(); !rest.empty())
-        sendToCaller(rest);
-    attemptEnded(EndpointOutcome::Answered);
-    if (auto mark = onContentCompleted(m_owner.context().board.crashes, m_contentHash))
-        m_owner.context().board.crashMarks.push_back(*mark);
-    if (m_caller)
-        std::exchange(m_caller, nullptr)->endStream();
-    finish("ok");
-}
-
-void RoutedRequest::answerWhole()
-{
-    m_mayHaveRun = true;
-    if (isServerError(m_head.status)) {
-        attemptEnded(EndpointOutcome::Failed);
-        // A status that promises "not run" is not passed on when the endpoint has not said so itself.
-        if (!promisesNotRun(m_head.status)) {
-            m_failedHead = headForCaller(m_head);
-            m_failedBody = std::move(m_body);
-        }
-        if (mayRepeat()) {
-            tryElsewhere("endpoint_error");
-            return;
-        }
-    } else {
-        attemptEnded(EndpointOutcome::Answered);
-    }
-    if (promisesNotRun(m_head.status)) {
-        giveUp("ambiguous_refusal");
-        return;
-    }
-    if (auto mark = onContentCompleted(m_owner.context().board.crashes, m_contentHash))
-        m_owner.context().board.crashMarks.push_back(*mark);
-    m_firstByteAt = now();
-    m_status = m_head.status;
-    bool failed = isServerError(m_status);
-    if (m_caller)
-        std::exchange(m_caller, nullptr)->sendWhole(headForCaller(m_head), failed ? m_failedBody : m_body);
-    finish(failed ? "endpoint_error" : "ok");
-}
-
 void RoutedRequest::attemptEnded(EndpointOutcome outcome)
 {
     if (!std::exchange(m_placed, false))
@@ -503,7 +283,7 @@
     RouterBoard& board = m_owner.context().board;
     std::int64_t window = m_owner.context().clock.wallTime().count / lossWindow.count;
     std::uint64_t eventId = hash64(m_placement.endpoint.value, static_cast<std::uint64_t>(window));
-    board.crashMarks.push_back(onContentLost(board.crashes, crashOptions, m_contentHash, eventId, now()));
+    board.crashMarks.push_back(onContentLost(board.crashes, crashGuardOptions, m_contentHash, eventId, now()));
 }
 
 void RoutedRequest::attemptFailed(ErrorKind kind, const EndpointEnd& end, std::string_view cause)
@@ -524,7 +304,7 @@
     if (lost)
         noteLoss();
     attemptEnded(lost && !end.answered ? EndpointOutcome::Lost : EndpointOutcome::Failed);
-    if (mayRepeat())
+    if (takeRepeat())
         tryElsewhere(cause);
     else
         giveUp(cause);
@@ -540,7 +320,7 @@
         giveUp("refused_by_endpoint");
 }
 
-bool RoutedRequest::mayRepeat() const
+bool RoutedRequest::takeRepeat() const
 {
     if (!m_route.repeatable() || m_sends >= m_route.maxEndpoints || timeLeft() < shortestAttempt || !m_caller)
         return false;
@@ -590,74 +370,4 @@
     endWith({ .kind = kind, .cause = cause, .retryAfter = retryAfterFault });
 }
 
-void RoutedRequest::endWith(const Failure& failure)
-{
-    m_status = m_mayHaveRun ? answerFor(failure.kind).httpStatus : 503;
-    logEvent(LogLevel::Warning, "request_failed",
-        { { "request", m_facts.id }, { "workspace", m_workspace.value }, { "route", m_route.name },
-            { "pool", m_pool.value }, { "cause", failure.cause }, { "status", m_status },
-            { "may_have_run", m_mayHaveRun ? 1 : 0 }, { "endpoint", m_placement.endpoint.value }, { "sends", m_sends },
-            { "predicted_ms", std::isfinite(m_predicted) ? static_cast<std::int64_t>(m_predicted) : -1 },
-            { "age_ms", (now() - m_request.arrivedAt).count }, { "left_ms", timeLeft().count },
-            { "pressure", pressure(m_owner.context().board.shares, m_workspace) }, { "returning", m_returning ? 1 : 0 },
-            { "events", m_events.events() }, { "configuration", m_table->version },
-            { "retry_after_ms", failure.retryAfter.count } });
-    if (CallerExchange* caller = std::exchange(m_caller, nullptr)) {
-        if (m_answerBegun) {
-            caller->abort();
-        } else {
-            CallerHead head { .status = m_status, .headers = { { "Content-Type", "application/json" } } };
-            if (!m_mayHaveRun)
-                head.headers.emplace_back("Retry-After", formatSeconds(failure.retryAfter));
-            caller->sendWhole(head,
-                R"({"error":{"kind":")" + std::string(answerFor(failure.kind).name) + R"(","cause":")"
-                    + std::string(failure.cause) + R"(","run_status":")"
-                    + std::string(toString(m_mayHaveRun ? RunStatus::Unknown : RunStatus::NotRun)) + "\"}}\n");
-        }
-    }
-    finish(failure.cause);
-}
-
-void RoutedRequest::finish(std::string_view outcome)
-{
-    if (std::exchange(m_waitingListed, false))
-        m_owner.stopWaiting(*this);
-    m_stage = Stage::Ended;
-    evtimer_del(m_timer.get());
-    RouterFlowContext& context = m_owner.context();
-    Millis total = now() - m_request.arrivedAt;
-    context.metrics.add(Counter::Requests, { m_workspace.value, outcome });
-    context.metrics.observe(Histogram::TotalSeconds, { m_pool.value }, total.seconds());
-    std::int64_t firstByte = m_firstByteAt == Millis {} ? -1 : (m_firstByteAt - m_request.arrivedAt).count;
-    if (firstByte >= 0)
-        context.metrics.observe(Histogram::FirstByteSeconds, { m_pool.value }, static_cast<double>(firstByte) / 1000.0);
-    logEvent(LogLevel::Info, "request_done",
-        { { "request", m_facts.id }, { "workspace", m_workspace.value }, { "route", m_route.name },
-            { "outcome", outcome }, { "status", m_status }, { "endpoint", m_placement.endpoint.value },
-            { "sends", m_sends }, { "queued_ms", m_queued.count },
-            { "predicted_ms", std::isfinite(m_predicted) ? static_cast<std::int64_t>(m_predicted) : -1 },
-            { "ahead", static_cast<std::int64_t>(m_placement.workAhead) }, { "unread", m_placement.unreadTokens },
-            { "prompt", m_facts.promptTokens }, { "first_ms", firstByte }, { "total_ms", total.count },
-            { "events", m_events.events() }, { "returning", m_returning ? 1 : 0 },
-            { "objective_ms", m_route.latencyObjective.count },
-            { "caller_ms", m_facts.timeLeft.value_or(Millis {}).count }, { "configuration", m_table->version } });
-    m_owner.finished(*this);
-}
-
-void RoutedRequest::dropExchange()
-{
-    if (m_exchange != 0)
-        m_owner.context().transport.cancel(std::exchange(m_exchange, 0));
-}
-
-CallerHead RoutedRequest::headForCaller(const EndpointHead& endpoint)
-{
-    CallerHead head { .status = endpoint.status };
-    for (const auto& header : endpoint.headers) {
-        if (!isConnectionHeader(header.first))
-            head.headers.push_back(header);
-    }
-    return head;
-}
-
 }
--- a/src/router/RoutedRequest.h
+++ b/src/router/RoutedRequest.h
@@ -67,7 +67,7 @@
 
     void onCallerGone() override;
     void onCallerDrained() override;
-    void onSent() override;
+    void onSent() override { }
     void onHead(const EndpointHead&) override;
     void onBody(std::string_view chunk) override;
     void onEnd(const EndpointEnd&) override;
@@ -94,7 +94,8 @@
     [[nodiscard]] Work work() const;
     [[nodiscard]] AdmissionFacts admissionFacts() const;
     [[nodiscard]] Choice chooseEndpoint(const AdmissionLimits&) const;
-    [[nodiscard]] bool mayRepeat() const;
+    /// \brief Takes one repeat from the allowance if the request may be sent to another endpoint.
+    [[nodiscard]] bool takeRepeat() const;
     [[nodiscard]] PoolId choosePool() const;
     void send(const Choice&);
     void refuseForLoad(const AdmissionFacts&, const AdmissionLimits&, const Choice&);
--- a/src/router/RouterDaemon.cpp
+++ b/src/router/RouterDaemon.cpp
@@ -25,7 +25,7 @@
     constexpr Millis tickInterval { 50 };
     constexpr Millis logFlushInterval { 200 };
     constexpr Millis pressureInterval { 100 };
-    constexpr Millis settingsCheckInterval { 1'000 };
+    constexpr Millis housekeepingInterval { 1'000 };
 
     // Without news from the store for longer, this daemon may have missed a configuration. Covers one held read with
     // its time limit.
@@ -97,7 +97,7 @@
     Millis stopRequested {};
     Millis lastLogFlush {};
     Millis lastPressure {};
-    Millis lastSettingsCheck {};
+    Millis lastHousekeeping {};
 
     State(const RouterSettings& theSettings, DeploymentAdapter theAdapter)
         : settings(theSettings)
@@ -218,10 +218,11 @@
             lastLogFlush = now;
             flushLog();
         }
-        if (now - lastSettingsCheck >= settingsCheckInterval) {
-            lastSettingsCheck = now;
+        if (now - lastHousekeeping >= housekeepingInterval) {
+            lastHousekeeping = now;
             metrics.set(Gauge::MembersAlive, {}, static_cast<double>(exchange.livePeers() + 1));
             checkSettings(false);
+            expireSuspects(board.crashes, crashGuardOptions, now);
         }
         advanceShutdown(now);
     }
--- a/src/router/RouterFlow.h
+++ b/src/router/RouterFlow.h
@@ -32,6 +32,11 @@
     bool admitAll { false }; ///< Baseline: no request is refused or held because of predicted times.
 };
 
+/// \brief When a content counts as crashing its endpoints; the same at all daemons.
+inline constexpr CrashGuardOptions crashGuardOptions {
+    .losses = 3, .quarantine = { 60'000 }, .forgetAfter = { 60'000 }
+};
+
 /// \brief State that the request path shares with the exchange between daemons (the blackboard).
 struct RouterBoard {
     std::shared_ptr<const RoutingTable> table { std::make_shared<RoutingTable>() };
--- a/src/routing/RoutingTable.h
+++ b/src/routing/RoutingTable.h
@@ -39,10 +39,8 @@
     Millis latencyObjective { 1'000 }; ///< Time to the first event of a stream, or to the whole answer.
     Millis eventGapObjective { 0 }; ///< Longest pause between events; 0 if the route has none.
     unsigned maxEndpoints { 1 }; ///< Endpoints that one request may be sent to.
-    unsigned rank { 0 }; ///< 0 is the most urgent.
     bool anonymous { false }; ///< Needs no API key.
     bool resumable { false }; ///< Streams continue on another endpoint after their last event.
-    bool promptAffinity { false }; ///< Requests name the parts of their prompt.
 
     /// \returns Whether a request may run again after it may have run.
     [[nodiscard]] bool repeatable() const noexcept
@@ -56,7 +54,6 @@
     PoolId id;
     bool model { false }; ///< Its endpoints read prompts and keep a prefix cache.
     unsigned slots { 1 }; ///< Requests that an endpoint runs at once, unless its registration says otherwise.
-    unsigned maxConnections { 0 }; ///< Connections that an endpoint accepts from all daemons together; 0 if unknown.
     std::uint64_t memoryTokens { 0 }; ///< Tokens that an endpoint's running requests and prefix cache may hold.
 };
 
@@ -76,7 +73,6 @@
     std::unordered_map<std::string, WorkspaceId> workspacesByKey;
     bool authenticates { false }; ///< Routes need an API key unless they are anonymous.
     CallerLimits limits;
-    double tokensPerSecond { 0 }; ///< What all endpoints together produce; 0 if unknown.
 
     /// \returns The route of \p host with the longest prefix of \p path, or nullptr.
     [[nodiscard]] const Route* routeFor(std::string_view host, std::string_view path) const;
