--- a/src/config/RouterSettings.cpp
+++ b/src/config/RouterSettings.cpp
@@ -58,6 +58,10 @@
             placement.number("usesPerCopy", settings.placement.usesPerCopy, 0.0, 100.0);
             placement.millis("crossZoneCostMs", settings.placement.crossZoneCost, 0, oneMinute);
         }
+        {
+            ObjectReader coordination = root.object("coordination");
+            coordination.integer("fromDaemons", settings.coordination.fromDaemons, 2U, 100'000U);
+        }
         {
             ObjectReader shutdown = root.object("shutdown");
             readSeconds(shutdown, "graceSeconds", settings.shutdown.grace);
@@ -75,6 +79,7 @@
         ObjectReader daemon = reader.object("router", Presence::Required);
         daemon.identifier("id", settings.daemon.id.value, Presence::Required);
         daemon.identifier("availabilityZone", settings.daemon.availabilityZone, Presence::Required);
+        daemon.number("processorShare", settings.daemon.processorShare, 0.01, 1'024.0);
     }
     readAddresses(reader, settings, problems);
     readPolicy(reader, settings);
--- a/src/config/RouterSettings.h
+++ b/src/config/RouterSettings.h
@@ -18,6 +18,7 @@
     struct Daemon {
         DaemonId id;
         std::string availabilityZone;
+        double processorShare { 1.0 }; ///< Cores that the process may use; daemons with more coordinate more shards.
     } daemon;
 
     struct Callers {
@@ -52,6 +53,10 @@
         Millis crossZoneCost { 15 };
     } placement;
 
+    struct Coordination {
+        unsigned fromDaemons { 17 }; ///< Fleets of at least this many daemons place requests through coordinators.
+    } coordination;
+
     struct Shutdown {
         Millis grace { 8'000 }; ///< From SIGTERM to the end of the process.
     } shutdown;
--- a/src/router/FleetExchange.cpp
+++ b/src/router/FleetExchange.cpp
@@ -2,6 +2,8 @@
 
 #include "observe/Logging.h"
 #include "router/FleetNewsCodec.h"
+#include "router/PlacementCodec.h"
+#include "routing/Shards.h"
 
 #include <algorithm>
 #include <event2/event.h>
@@ -26,6 +28,18 @@
     // Registrations of the store are read at intervals, so a short lag behind a peer is ordinary.
     constexpr Millis registrationLag { 900 };
 
+    // With coordinators: daemons that share no shard tell each other only that they live.
+    constexpr Millis helloInterval { 3'000 };
+
+    // A peer is silent after this many of the intervals that it promised.
+    constexpr std::int64_t promisesMissed = 3;
+
+    // A coordinator that did not answer gets no questions for this time, and until it is heard again.
+    constexpr Millis suspicion { 1'000 };
+
+    // A coordinator hears of each change at once: its decisions are as good as its picture.
+    constexpr Millis coordinatedFlush { 3 };
+
     constexpr Millis documentTimeout { 1'000 };
     constexpr Millis crashRepeat { 1'500 };
 
@@ -66,8 +80,10 @@
     if (address == m_options.address || address.empty())
         return;
     auto [position, added] = m_peers.try_emplace(address);
-    if (added)
-        position->second.firstKnown = m_context.clock.now();
+    if (!added)
+        return;
+    position->second.firstKnown = m_context.clock.now();
+    m_helloSoon = true;
 }
 
 void FleetExchange::setAnnounced(const std::vector<std::string>& addresses)
@@ -83,20 +99,98 @@
 
 std::size_t FleetExchange::possibleDaemons() const { return m_peers.size() + 1; }
 
+bool FleetExchange::isLive(const Peer& peer) const
+{
+    if (peer.lastHeard == Millis {})
+        return false;
+    Millis limit = std::max(silenceLimit, Millis { peer.promised.count * promisesMissed });
+    return m_context.clock.now() - peer.lastHeard < limit;
+}
+
 std::size_t FleetExchange::livePeers() const
 {
-    Millis now = m_context.clock.now();
-    return static_cast<std::size_t>(std::count_if(m_peers.begin(), m_peers.end(), [&](const auto& entry) {
-        return entry.second.lastHeard != Millis {} && now - entry.second.lastHeard < silenceLimit;
-    }));
+    return static_cast<std::size_t>(
+        std::count_if(m_peers.begin(), m_peers.end(), [&](const auto& entry) { return isLive(entry.second); }));
 }
 
 Millis FleetExchange::flushInterval() const
 {
+    if (coordinated())
+        return coordinatedFlush;
     Millis interval { static_cast<std::int64_t>(livePeers()) * 1'000 / messagesPerSecond };
     return std::clamp(interval, shortestInterval, longestInterval);
 }
 
+bool FleetExchange::isCandidate(const Peer& peer) const
+{
+    if (!isLive(peer) || !peer.mayCoordinate)
+        return false;
+    bool suspected = peer.suspectedAt != Millis {}
+        && (m_context.clock.now() - peer.suspectedAt < suspicion || peer.lastHeard <= peer.suspectedAt);
+    return !suspected;
+}
+
+void FleetExchange::refreshCoordinators()
+{
+    std::map<ShardKey, std::string> assignment;
+    if (coordinated()) {
+        std::vector<CoordinatorCandidate> candidates;
+        if (m_mayCoordinate)
+            candidates.push_back({ .address = m_options.address, .processorShare = m_options.processorShare });
+        for (const auto& [address, peer] : m_peers) {
+            if (isCandidate(peer))
+                candidates.push_back({ .address = address, .processorShare = peer.processorShare });
+        }
+        std::vector<ShardKey> shards;
+        for (const auto& [shard, members] : m_context.board.picture.byShard)
+            shards.push_back(shard);
+        assignment = assignCoordinators(shards, candidates);
+    }
+    if (assignment == m_assignment)
+        return;
+    std::size_t own = 0;
+    for (const auto& [shard, address] : assignment)
+        own += address == m_options.address ? 1U : 0U;
+    m_assignment = std::move(assignment);
+    m_coordinators.clear();
+    for (const auto& [shard, address] : m_assignment)
+        m_coordinators.insert(address);
+    logEvent(LogLevel::Info, "coordinators_changed",
+        { { "shards", m_assignment.size() }, { "coordinators", m_coordinators.size() }, { "own_shards", own } });
+    m_helloSoon = true;
+    m_lastRepeat = {}; // New coordinators need this daemon's loads at once.
+}
+
+std::string FleetExchange::coordinatorOf(ShardKey shard) const
+{
+    auto found = m_assignment.find(shard);
+    return found == m_assignment.end() || found->second == m_options.address ? std::string() : found->second;
+}
+
+void FleetExchange::suspect(const std::string& address)
+{
+    auto found = m_peers.find(address);
+    if (found == m_peers.end())
+        return;
+    found->second.suspectedAt = m_context.clock.now();
+    refreshCoordinators();
+}
+
+std::string FleetExchange::addressOf(DaemonKey daemon) const
+{
+    auto found
+        = std::find_if(m_peers.begin(), m_peers.end(), [&](const auto& entry) { return entry.second.key == daemon; });
+    return found == m_peers.end() ? std::string() : found->first;
+}
+
+void FleetExchange::setMayCoordinate(bool may)
+{
+    if (std::exchange(m_mayCoordinate, may) == may)
+        return;
+    refreshCoordinators();
+    m_helloSoon = true;
+}
+
 void FleetExchange::flushSoon()
 {
     if (m_flushArmed)
@@ -107,16 +201,8 @@
     evtimer_add(m_flushTimer.get(), &span);
 }
 
-void FleetExchange::send(bool all)
+FleetNews FleetExchange::freshNews(Millis nextWithin)
 {
-    RouterBoard& board = m_context.board;
-    Millis now = m_context.clock.now();
-    m_lastSent = now;
-    for (const CrashMark& mark : board.crashMarks)
-        m_recentCrashes.emplace_back(now, mark);
-    board.crashMarks.clear();
-    std::erase_if(m_recentCrashes, [&](const auto& item) { return now - item.first > crashRepeat; });
-
     DeploymentVersions versions = m_context.source.versions();
     FleetNews news { .daemon = m_options.key,
         .daemonId = m_options.daemonId,
@@ -125,25 +211,61 @@
         .configurationVersion = versions.configuration,
         .registrationsPosition = versions.registrations,
         .leaving = m_leaving,
-        .complete = all,
-        .prompts = std::move(board.sentPrompts) };
+        .mayCoordinate = m_mayCoordinate,
+        .processorShare = m_options.processorShare,
+        .nextWithin = nextWithin };
+    for (const auto& [time, mark] : m_recentCrashes)
+        news.crashes.push_back(mark);
+    return news;
+}
+
+void FleetExchange::transmit(const std::string& address, const FleetNews& news)
+{
+    std::string bytes = encodeFleetNews(news);
+    m_context.transport.send(address, bytes);
+    m_context.metrics.add(Counter::ControlBytes, { "sent", "fleet_news" }, static_cast<double>(bytes.size()));
+    m_context.metrics.add(Counter::ControlMessages, { "sent", "fleet_news" }, 1.0);
+}
+
+void FleetExchange::send(bool all)
+{
+    RouterBoard& board = m_context.board;
+    Millis now = m_context.clock.now();
+    m_lastSent = now;
+    m_helloSoon = m_helloSoon || !board.crashMarks.empty();
+    for (const CrashMark& mark : board.crashMarks)
+        m_recentCrashes.emplace_back(now, mark);
+    board.crashMarks.clear();
+    std::erase_if(m_recentCrashes, [&](const auto& item) { return now - item.first > crashRepeat; });
+    if (coordinated())
+        sendToCoordinators(all);
+    else
+        sendToAll(all);
     board.sentPrompts.clear();
+    board.newRefusals.clear();
+    board.answers.clear();
+}
+
+void FleetExchange::sendToAll(bool all)
+{
+    RouterBoard& board = m_context.board;
+    Millis now = m_context.clock.now();
+    FleetNews news = freshNews(repeatInterval);
+    news.complete = all;
+    news.prompts = std::move(board.sentPrompts);
     for (const auto& [contentHash, firstArrival] : board.newRefusals)
         news.refusals.push_back(
             { .contentHash = contentHash, .age = static_cast<std::uint32_t>((now - firstArrival).count) });
-    board.newRefusals.clear();
     for (auto& [id, view] : board.picture.endpoints) {
         bool changed = std::exchange(view.changed, false);
         if (all ? view.own == EndpointLoad {} : !changed)
             continue;
         news.loads.push_back({ .endpoint = view.key, .load = view.own });
     }
-    for (const auto& [time, mark] : m_recentCrashes)
-        news.crashes.push_back(mark);
     if (all) {
         news.rates = ownRates(board.shares, now);
         for (const auto& [address, peer] : m_peers) {
-            if (peer.lastHeard != Millis {} && now - peer.lastHeard < silenceLimit)
+            if (isLive(peer))
                 news.peers.push_back(address);
         }
     }
@@ -151,8 +273,7 @@
     std::size_t receivers = 0;
     for (const auto& [address, peer] : m_peers) {
         // Daemons that are not heard get the repeated state only.
-        bool live = peer.lastHeard != Millis {} && now - peer.lastHeard < silenceLimit;
-        if (!live && !all)
+        if (!all && !isLive(peer))
             continue;
         m_context.transport.send(address, bytes);
         ++receivers;
@@ -162,16 +283,104 @@
     m_context.metrics.add(Counter::ControlMessages, { "sent", "fleet_news" }, static_cast<double>(receivers));
 }
 
+void FleetExchange::sendToCoordinators(bool all)
+{
+    RouterBoard& board = m_context.board;
+    std::map<std::string, FleetNews> messages;
+    auto messageFor = [&](const EndpointView& view) -> FleetNews* {
+        std::string address = coordinatorOf(view.shard);
+        return address.empty() ? nullptr : &messages[address];
+    };
+    for (auto& [id, view] : board.picture.endpoints) {
+        bool changed = std::exchange(view.changed, false);
+        if (all ? view.own == EndpointLoad {} : !changed)
+            continue;
+        if (FleetNews* news = messageFor(view))
+            news->loads.push_back({ .endpoint = view.key, .load = view.own });
+    }
+    auto forEndpoint = [&](EndpointKey endpoint) -> FleetNews* {
+        auto found = board.picture.byKey.find(endpoint);
+        return found == board.picture.byKey.end() ? nullptr : messageFor(*found->second);
+    };
+    for (const AnswerReport& answer : board.answers) {
+        if (FleetNews* news = forEndpoint(answer.endpoint))
+            news->answers.push_back(answer);
+    }
+    for (PromptNews& prompt : board.sentPrompts) {
+        if (FleetNews* news = forEndpoint(prompt.endpoint))
+            news->prompts.push_back(std::move(prompt));
+    }
+    std::vector<WorkspaceRate> rates;
+    if (all) {
+        for (const std::string& address : m_coordinators) {
+            if (address != m_options.address)
+                messages[address];
+        }
+        if (coordinatesSomething())
+            rates = ownRates(board.shares, m_context.clock.now());
+    }
+    for (auto& [address, message] : messages) {
+        FleetNews news = freshNews(repeatInterval);
+        news.complete = all;
+        news.loads = std::move(message.loads);
+        news.answers = std::move(message.answers);
+        news.prompts = std::move(message.prompts);
+        news.rates = rates;
+        if (auto peer = m_peers.find(address); peer != m_peers.end())
+            news.grantsSeen = m_context.grantsSeen(peer->second.key);
+        transmit(address, news);
+    }
+}
+
+void FleetExchange::sayHello(bool withPeers)
+{
+    FleetNews news = freshNews(coordinatesSomething() ? repeatInterval : helloInterval);
+    if (withPeers) {
+        for (const auto& [address, peer] : m_peers) {
+            if (isLive(peer))
+                news.peers.push_back(address);
+        }
+    }
+    for (const auto& [address, peer] : m_peers) {
+        if (!m_coordinators.contains(address) || !isLive(peer))
+            transmit(address, news);
+    }
+}
+
+void FleetExchange::reject(const Error& error)
+{
+    m_context.metrics.add(Counter::PeerRejected, { "malformed" });
+    logEvent(LogLevel::Warning, "peer_message_rejected", { { "reason", error.message } });
+}
+
 void FleetExchange::onMessage(std::string_view bytes)
 {
-    m_context.metrics.add(Counter::ControlBytes, { "received", "fleet_news" }, static_cast<double>(bytes.size()));
-    auto decoded = decodeFleetNews(bytes);
-    if (!decoded) {
-        m_context.metrics.add(Counter::PeerRejected, { "malformed" });
-        logEvent(LogLevel::Warning, "peer_message_rejected", { { "reason", decoded.error().message } });
+    m_context.metrics.add(Counter::ControlBytes, { "received", "peer" }, static_cast<double>(bytes.size()));
+    if (isPlacementAsk(bytes)) {
+        auto ask = decodePlacementAsk(bytes, m_context.clock.now());
+        if (ask)
+            m_context.onAsk(ask.value());
+        else
+            reject(ask.error());
+        return;
+    }
+    if (isPlacementReply(bytes)) {
+        auto reply = decodePlacementReply(bytes);
+        if (reply)
+            m_context.onReply(reply.value());
+        else
+            reject(reply.error());
         return;
     }
-    const FleetNews& news = decoded.value();
+    auto news = decodeFleetNews(bytes);
+    if (news)
+        onNews(news.value());
+    else
+        reject(news.error());
+}
+
+void FleetExchange::onNews(const FleetNews& news)
+{
     if (news.daemon == m_options.key)
         return;
     addPeer(news.address);
@@ -181,21 +390,31 @@
     apply(news, found->second);
 }
 
+void FleetExchange::forgetProcess(Peer& peer)
+{
+    dropPeer(m_context.board.picture, peer.key);
+    m_context.board.shares.peers.erase(peer.key);
+    peer.silent = true;
+}
+
 void FleetExchange::apply(const FleetNews& news, Peer& peer)
 {
     RouterBoard& board = m_context.board;
     Millis now = m_context.clock.now();
     if (peer.key != news.daemon) {
         // Another process: what the earlier one had at the endpoints has ended with it.
-        dropPeer(board.picture, peer.key);
-        board.shares.peers.erase(peer.key);
+        forgetProcess(peer);
         peer.key = news.daemon;
         peer.sequence = 0;
+        peer.suspectedAt = {};
         logEvent(LogLevel::Info, "peer_started", { { "peer", news.daemonId }, { "address", news.address } });
-    } else if (now - peer.lastHeard >= silenceLimit && peer.lastHeard != Millis {}) {
+        if (coordinated())
+            transmit(news.address, freshNews(coordinatesSomething() ? repeatInterval : helloInterval));
+    } else if (peer.silent && peer.lastHeard != Millis {}) {
         logEvent(LogLevel::Info, "peer_regained",
             { { "peer", news.daemonId }, { "silent_ms", (now - peer.lastHeard).count } });
     }
+    peer.silent = false;
     peer.lastHeard = now;
     for (const PromptNews& prompt : news.prompts)
         notePeerPrompt(board.picture, prompt.endpoint, prompt.prompt, now);
@@ -203,13 +422,26 @@
         onCrashMark(board.crashes, crashGuardOptions, mark, now);
     for (const RefusalNews& refusal : news.refusals)
         board.refusals.record(refusal.contentHash, now - Millis { refusal.age }, now);
-    if (news.sequence < peer.sequence)
-        return; // Overtaken by a newer message.
+    for (const AnswerReport& answer : news.answers)
+        learn(board.picture, answer, now);
+    if (news.sequence >= peer.sequence) // Otherwise it was overtaken by a newer message.
+        applyState(news, peer);
+}
+
+void FleetExchange::applyState(const FleetNews& news, Peer& peer)
+{
+    RouterBoard& board = m_context.board;
+    Millis now = m_context.clock.now();
     peer.sequence = news.sequence;
+    peer.promised = news.nextWithin;
+    peer.processorShare = news.processorShare;
+    peer.mayCoordinate = news.mayCoordinate && !news.leaving;
     if (news.complete)
         dropPeer(board.picture, news.daemon);
     for (const LoadNews& item : news.loads)
         setPeerLoad(board.picture, news.daemon, item.endpoint, item.load);
+    if (news.grantsSeen != 0)
+        confirmGrants(board.picture, news.daemon, news.grantsSeen);
     if (!news.rates.empty())
         board.shares.peers[news.daemon] = news.rates;
     for (const std::string& address : news.peers)
@@ -220,8 +452,7 @@
     else if (peer.aheadSince == Millis {})
         peer.aheadSince = now;
     if (news.leaving) {
-        dropPeer(board.picture, news.daemon);
-        board.shares.peers.erase(news.daemon);
+        forgetProcess(peer);
         peer.lastHeard = {};
         logEvent(LogLevel::Info, "peer_left", { { "peer", news.daemonId } });
     }
@@ -245,8 +476,7 @@
     Millis now = m_context.clock.now();
     auto source = std::find_if(m_peers.begin(), m_peers.end(), [&](const auto& entry) {
         const Peer& peer = entry.second;
-        return peer.aheadSince != Millis {} && now - peer.aheadSince >= aheadTolerance
-            && now - peer.lastHeard < silenceLimit && isAhead(peer);
+        return peer.aheadSince != Millis {} && now - peer.aheadSince >= aheadTolerance && isLive(peer) && isAhead(peer);
     });
     if (source == m_peers.end())
         return;
@@ -275,12 +505,10 @@
     for (auto entry = m_peers.begin(); entry != m_peers.end();) {
         Peer& peer = entry->second;
         bool heard = peer.lastHeard != Millis {};
-        if (heard && peer.key != 0 && now - peer.lastHeard >= silenceLimit
-            && m_context.board.shares.peers.contains(peer.key)) {
+        if (!peer.silent && !isLive(peer)) {
             logEvent(LogLevel::Warning, "peer_silent",
                 { { "address", entry->first }, { "silent_ms", (now - peer.lastHeard).count } });
-            dropPeer(m_context.board.picture, peer.key);
-            m_context.board.shares.peers.erase(peer.key);
+            forgetProcess(peer);
         }
         if (isAhead(peer)) {
             if (peer.aheadSince == Millis {})
@@ -295,16 +523,30 @@
             ++entry;
     }
     fetchFromPeer();
+    refreshCoordinators();
     if (now - m_lastRepeat >= repeatInterval) {
         m_lastRepeat = now;
         send(true);
     }
+    if (!coordinated())
+        return;
+    expireGrants(m_context.board.picture, now);
+    bool due = now - m_lastHello >= (coordinatesSomething() ? repeatInterval : helloInterval);
+    if (due || std::exchange(m_helloSoon, false)) {
+        m_lastHello = now;
+        bool withPeers = now - m_lastPeerList >= helloInterval;
+        if (withPeers)
+            m_lastPeerList = now;
+        sayHello(withPeers);
+    }
 }
 
 void FleetExchange::leave()
 {
     m_leaving = true;
     send(true);
+    if (coordinated())
+        sayHello(false);
 }
 
 }
--- a/src/router/FleetExchange.h
+++ b/src/router/FleetExchange.h
@@ -7,6 +7,7 @@
 #include "router/DeploymentSource.h"
 #include "router/RouterFlow.h"
 #include "routing/FleetNews.h"
+#include "routing/PlacementMessages.h"
 
 #include <functional>
 #include <map>
@@ -22,10 +23,15 @@
     std::string address; ///< "IP:PORT" for messages and documents.
     std::vector<std::string> seeds;
     DaemonKey key { 0 }; ///< Of this process.
+    double processorShare { 1.0 }; ///< Cores that this process may use.
+    unsigned coordinateFrom { 17 }; ///< Fleets of at least this many daemons place requests through coordinators.
 };
 
 /// \brief Tells the other daemons what this one has sent to the endpoints, and takes over what they tell. Changes leave
 /// within milliseconds, and all state is repeated a few times a second, so that lost messages do no lasting harm.
+///
+/// In a small fleet each daemon tells all others. In a large one it tells the coordinator of each shard what concerns
+/// that shard's endpoints (see Shards.h), and the others only that it lives.
 class FleetExchange {
 public:
     struct Context {
@@ -37,6 +43,9 @@
         DeploymentSource& source;
         Metrics& metrics;
         std::function<void()> pictureChanged; ///< Loads have gone down somewhere.
+        std::function<void(const PlacementAsk&)> onAsk;
+        std::function<void(const PlacementReply&)> onReply;
+        std::function<std::uint64_t(DaemonKey)> grantsSeen; ///< See PlacementClient.
     };
 
     FleetExchange(Context, FleetExchangeOptions);
@@ -55,6 +64,24 @@
     /// \brief Tells all peers that this daemon is leaving.
     void leave();
 
+    /// \brief Tells all peers whether this daemon can place the requests of others.
+    void setMayCoordinate(bool);
+
+    /// \returns Whether requests are placed by coordinators.
+    [[nodiscard]] bool coordinated() const { return possibleDaemons() >= m_options.coordinateFrom; }
+
+    /// \returns The address of the daemon that places the shard's requests; empty if it is this one.
+    [[nodiscard]] std::string coordinatorOf(ShardKey) const;
+
+    /// \brief The daemon at \p address does not answer: another one takes its shards until it is heard again.
+    void suspect(const std::string& address);
+
+    /// \returns The address of a daemon's process, or an empty string.
+    [[nodiscard]] std::string addressOf(DaemonKey) const;
+
+    /// \brief The endpoints' shards have changed.
+    void refreshCoordinators();
+
     /// \returns Daemons that may be alive, with this one.
     [[nodiscard]] std::size_t possibleDaemons() const;
 
@@ -70,17 +97,34 @@
         std::uint64_t sequence { 0 };
         Millis lastHeard {}; ///< 0 if never.
         Millis firstKnown {};
+        Millis promised {}; ///< Longest time between its messages.
         DeploymentVersions versions;
         Millis aheadSince {}; ///< Since when its documents are newer than this daemon's; 0 if they are not.
+        Millis suspectedAt {}; ///< When it last did not answer; 0 if never.
+        double processorShare { 1.0 };
+        bool mayCoordinate { false };
         bool announced { false };
+        bool silent { true }; ///< Nothing of what it told counts.
     };
 
     void send(bool all);
+    void sendToAll(bool all);
+    void sendToCoordinators(bool all);
+    void sayHello(bool withPeers);
+    void transmit(const std::string& address, const FleetNews&);
+    [[nodiscard]] FleetNews freshNews(Millis nextWithin);
     void onMessage(std::string_view bytes);
+    void onNews(const FleetNews&);
     void apply(const FleetNews&, Peer&);
+    void applyState(const FleetNews&, Peer&);
+    void reject(const Error&);
     void addPeer(const std::string& address);
+    void forgetProcess(Peer&);
     void fetchFromPeer();
     [[nodiscard]] bool isAhead(const Peer&) const;
+    [[nodiscard]] bool isLive(const Peer&) const;
+    [[nodiscard]] bool isCandidate(const Peer&) const;
+    [[nodiscard]] bool coordinatesSomething() const { return m_coordinators.contains(m_options.address); }
     [[nodiscard]] Millis flushInterval() const;
 
     Context m_context;
@@ -93,7 +137,13 @@
     bool m_flushArmed { false };
     bool m_fetching { false };
     bool m_leaving { false };
+    bool m_mayCoordinate { false };
+    bool m_helloSoon { false }; ///< All peers should hear something at once.
+    Millis m_lastHello {};
+    Millis m_lastPeerList {};
     std::vector<std::pair<Millis, CrashMark>> m_recentCrashes; ///< Repeated for a while.
+    std::map<ShardKey, std::string> m_assignment; ///< Address of each shard's coordinator.
+    std::set<std::string> m_coordinators; ///< Addresses in \c m_assignment.
 };
 
 }
--- a/src/router/FleetNewsCodec.cpp
+++ b/src/router/FleetNewsCodec.cpp
@@ -2,11 +2,19 @@
 
 #include "net/MessagePack.h"
 
+#include <algorithm>
+
 namespace jasminestack {
 
 namespace {
 
-    constexpr std::uint64_t formatVersion = 1;
+    constexpr std::uint64_t formatVersion = 2;
+
+    // A message in this array length is fleet news; see PlacementCodec.cpp for the others.
+    constexpr std::uint32_t fieldCount = 20;
+
+    // A peer that promises its next message later than this is not believed.
+    constexpr std::uint64_t longestPromise = 60'000;
 
     // Items in any list of a message at most, against memory use by a broken message.
     constexpr std::size_t maxItems = 10'000;
@@ -57,6 +65,21 @@
         return news;
     }
 
+    AnswerReport readAnswer(ArrayReader& list)
+    {
+        ArrayReader row = list.nested();
+        AnswerReport report { .endpoint = row.unsignedValue() };
+        report.ended = row.boolean();
+        std::uint32_t outcome = row.smallValue();
+        if (outcome > static_cast<std::uint32_t>(EndpointOutcome::Cancelled))
+            throw msgpack::type_error();
+        report.outcome = static_cast<EndpointOutcome>(outcome);
+        report.workAhead = row.unsignedValue();
+        report.milliseconds = row.smallValue();
+        row.finish();
+        return report;
+    }
+
     WorkspaceRate readRate(ArrayReader& list)
     {
         ArrayReader row = list.nested();
@@ -92,7 +115,7 @@
 {
     StringBuffer buffer;
     msgpack::packer<StringBuffer> packer(buffer);
-    packer.pack_array(15);
+    packer.pack_array(fieldCount);
     packer.pack(formatVersion);
     packer.pack(news.daemon);
     packer.pack(news.daemonId);
@@ -101,6 +124,10 @@
     packer.pack(news.configurationVersion);
     packer.pack(news.registrationsPosition);
     packer.pack(news.leaving);
+    packer.pack(news.mayCoordinate);
+    packer.pack(static_cast<float>(news.processorShare));
+    packer.pack(static_cast<std::uint64_t>(news.nextWithin.count));
+    packer.pack(news.grantsSeen);
     packer.pack(news.complete);
     packList(packer, news.loads, [&](const LoadNews& item) {
         packer.pack_array(4);
@@ -109,6 +136,14 @@
         packer.pack(item.load.unreadTokens);
         packer.pack(item.load.heldTokens);
     });
+    packList(packer, news.answers, [&](const AnswerReport& item) {
+        packer.pack_array(5);
+        packer.pack(item.endpoint);
+        packer.pack(item.ended);
+        packer.pack(static_cast<unsigned>(item.outcome));
+        packer.pack(item.workAhead);
+        packer.pack(item.milliseconds);
+    });
     packList(packer, news.prompts, [&](const PromptNews& item) {
         packer.pack_array(static_cast<std::uint32_t>(1 + 2 * item.prompt.size()));
         packer.pack(item.endpoint);
@@ -153,8 +188,13 @@
         news.configurationVersion = reader.unsignedValue();
         news.registrationsPosition = reader.signedValue();
         news.leaving = reader.boolean();
+        news.mayCoordinate = reader.boolean();
+        news.processorShare = reader.number();
+        news.nextWithin = Millis { static_cast<std::int64_t>(std::min(reader.unsignedValue(), longestPromise)) };
+        news.grantsSeen = reader.unsignedValue();
         news.complete = reader.boolean();
         news.loads = readList(reader.nested(), readLoad);
+        news.answers = readList(reader.nested(), readAnswer);
         news.prompts = readList(reader.nested(), readPrompt);
         news.rates = readList(reader.nested(), readRate);
         news.crashes = readList(reader.nested(), readCrash);
--- /dev/null
+++ b/src/router/PlacementClient.h
@@ -0,0 +1,85 @@
+#pragma once
+
+#include "base/Clock.h"
+#include "net/Interfaces.h"
+#include "net/Socket.h"
+#include "observe/Metrics.h"
+#include "routing/PlacementMessages.h"
+
+#include <functional>
+#include <map>
+#include <optional>
+#include <string>
+
+struct event_base;
+
+namespace jasminestack {
+
+/// \brief Receives the outcome of one question; one call, never inside ask().
+class PlacementListener {
+public:
+    virtual ~PlacementListener() = default;
+
+    /// \brief The coordinator has decided: any answer but Queued.
+    virtual void onPlacement(const PlacementReply&) = 0;
+
+    /// \brief No coordinator answers; the daemon has to decide by itself.
+    virtual void onPlacementUnanswered() = 0;
+};
+
+/// \brief Asks coordinators where requests go. Repeats a question whose answer does not come, and turns to another
+/// coordinator once before it gives up.
+class PlacementClient {
+public:
+    struct Context {
+        event_base& base;
+        const Clock& clock;
+        PeerTransport& transport;
+        Metrics& metrics;
+        std::function<std::string(ShardKey)> coordinatorOf; ///< Empty: this daemon itself.
+        std::function<void(const std::string&)> suspect; ///< The daemon at this address does not answer.
+        DaemonKey key { 0 }; ///< Of this process.
+    };
+
+    explicit PlacementClient(Context);
+    PlacementClient(const PlacementClient&) = delete;
+    PlacementClient& operator=(const PlacementClient&) = delete;
+
+    /// \returns The question's id, or nothing if this daemon coordinates the shard itself.
+    [[nodiscard]] std::optional<AskId> ask(ShardKey, const PlacementQuery&, PlacementListener&);
+
+    /// \brief The request has ended; its listener is not called any more.
+    void withdraw(AskId);
+
+    void onReply(const PlacementReply&);
+
+    /// \returns The number of the latest grant that was received from a coordinator's process.
+    [[nodiscard]] std::uint64_t grantsSeen(DaemonKey coordinator) const;
+
+    /// \returns Questions without an answer.
+    [[nodiscard]] std::size_t open() const noexcept { return m_open.size(); }
+
+private:
+    struct Question {
+        PlacementAsk ask;
+        PlacementListener* listener { nullptr };
+        std::string coordinator; ///< Address.
+        unsigned sends { 0 }; ///< Without an answer.
+        bool secondCoordinator { false };
+        Millis due {}; ///< When it is sent again.
+    };
+
+    void send(Question&, Millis pause);
+    void arm();
+    void onTimer();
+    /// \returns Whether the question is still open.
+    [[nodiscard]] bool repeat(Question&);
+
+    Context m_context;
+    EventPointer m_timer;
+    std::map<AskId, Question> m_open;
+    std::map<DaemonKey, std::uint64_t> m_grantsSeen;
+    AskId m_lastId { 0 };
+};
+
+}
--- /dev/null
+++ b/src/router/PlacementCodec.cpp
@@ -0,0 +1,189 @@
+#include "router/PlacementCodec.h"
+
+#include "net/MessagePack.h"
+
+namespace jasminestack {
+
+namespace {
+
+    // First bytes of the messages: msgpack arrays of a length that fleet news never have.
+    constexpr unsigned char arrayOfFour = 0x94;
+    constexpr unsigned char arrayOfThree = 0x93;
+
+    constexpr std::uint64_t formatVersion = 1;
+
+    // Items in any list of a message at most, against memory use by a broken message.
+    constexpr std::size_t maxItems = 1'000;
+
+    bool startsWith(std::string_view bytes, unsigned char first) noexcept
+    {
+        return !bytes.empty() && static_cast<unsigned char>(bytes.front()) == first;
+    }
+
+    Error rejected(const char* message) { return { .kind = ErrorKind::PeerMessageRejected, .message = message }; }
+
+    void packQuery(msgpack::packer<StringBuffer>& packer, const PlacementQuery& query, Millis now)
+    {
+        packer.pack_array(14);
+        packer.pack(query.pool.value);
+        packer.pack(query.workspace);
+        packer.pack(query.contentHash);
+        packer.pack(query.availabilityZone);
+        packer.pack_array(static_cast<std::uint32_t>(2 * query.prompt.size()));
+        for (const PromptPart& part : query.prompt) {
+            packer.pack(part.key);
+            packer.pack(part.tokens);
+        }
+        packer.pack(query.promptTokens);
+        packer.pack(query.outputTokens);
+        packer.pack(query.avoid);
+        packer.pack(query.stream);
+        packer.pack(query.repeatable);
+        packer.pack(query.objective.count);
+        packer.pack((now - query.arrivedAt).count);
+        packer.pack((now - query.firstArrival).count);
+        packer.pack((query.deadline - now).count);
+    }
+
+    // No time of a request is further away than this; excludes overflow by a broken message.
+    constexpr std::int64_t longestSpan = 1'000'000'000;
+
+    Millis readSpan(ArrayReader& row)
+    {
+        std::int64_t count = row.signedValue();
+        if (count < -longestSpan || count > longestSpan)
+            throw msgpack::type_error();
+        return { count };
+    }
+
+    void checkCount(const ArrayReader& list)
+    {
+        if (list.remaining() > maxItems)
+            throw msgpack::type_error();
+    }
+
+    PlacementQuery readQuery(ArrayReader row, Millis now)
+    {
+        PlacementQuery query { .pool = PoolId { std::string(row.text()) } };
+        query.workspace = row.unsignedValue();
+        query.contentHash = row.unsignedValue();
+        query.availabilityZone = row.text();
+        ArrayReader prompt = row.nested();
+        checkCount(prompt);
+        while (!prompt.atEnd()) {
+            std::uint64_t key = prompt.unsignedValue();
+            query.prompt.push_back({ .key = key, .tokens = prompt.smallValue() });
+        }
+        query.promptTokens = row.unsignedValue();
+        query.outputTokens = row.unsignedValue();
+        ArrayReader avoid = row.nested();
+        checkCount(avoid);
+        while (!avoid.atEnd())
+            query.avoid.push_back(avoid.unsignedValue());
+        query.stream = row.boolean();
+        query.repeatable = row.boolean();
+        query.objective = readSpan(row);
+        query.arrivedAt = now - readSpan(row);
+        query.firstArrival = now - readSpan(row);
+        query.deadline = now + readSpan(row);
+        row.finish();
+        return query;
+    }
+
+}
+
+bool isPlacementAsk(std::string_view bytes) noexcept { return startsWith(bytes, arrayOfFour); }
+
+bool isPlacementReply(std::string_view bytes) noexcept { return startsWith(bytes, arrayOfThree); }
+
+std::string encodePlacementAsk(const PlacementAsk& ask, Millis now)
+{
+    StringBuffer buffer;
+    msgpack::packer<StringBuffer> packer(buffer);
+    packer.pack_array(4);
+    packer.pack(formatVersion);
+    packer.pack(ask.daemon);
+    packer.pack(ask.id);
+    packer.pack_array(ask.withdrawn ? 1 : 2);
+    packer.pack(ask.shard);
+    if (!ask.withdrawn)
+        packQuery(packer, ask.query, now);
+    return std::move(buffer.bytes);
+}
+
+Result<PlacementAsk> decodePlacementAsk(std::string_view bytes, Millis now)
+{
+    try {
+        msgpack::object_handle handle = msgpack::unpack(bytes.data(), bytes.size());
+        ArrayReader reader(handle.get());
+        if (reader.unsignedValue() != formatVersion)
+            return rejected("another version of the format");
+        PlacementAsk ask;
+        ask.daemon = reader.unsignedValue();
+        ask.id = reader.unsignedValue();
+        ArrayReader body = reader.nested();
+        ask.shard = body.unsignedValue();
+        ask.withdrawn = body.atEnd();
+        if (!ask.withdrawn)
+            ask.query = readQuery(body.nested(), now);
+        body.finish();
+        reader.finish();
+        return ask;
+    } catch (const std::exception& fault) {
+        return rejected(fault.what());
+    }
+}
+
+std::string encodePlacementReply(const PlacementReply& reply)
+{
+    StringBuffer buffer;
+    msgpack::packer<StringBuffer> packer(buffer);
+    packer.pack_array(3);
+    packer.pack(formatVersion);
+    packer.pack(reply.coordinator);
+    packer.pack_array(10);
+    packer.pack(reply.id);
+    packer.pack(static_cast<unsigned>(reply.answer));
+    packer.pack(reply.grantNumber);
+    packer.pack(reply.endpoint);
+    packer.pack(reply.unreadTokens);
+    packer.pack(reply.workAhead);
+    packer.pack(reply.predicted.count);
+    packer.pack(reply.retryAfter.count);
+    packer.pack(reply.late);
+    packer.pack(reply.returning);
+    return std::move(buffer.bytes);
+}
+
+Result<PlacementReply> decodePlacementReply(std::string_view bytes)
+{
+    try {
+        msgpack::object_handle handle = msgpack::unpack(bytes.data(), bytes.size());
+        ArrayReader reader(handle.get());
+        if (reader.unsignedValue() != formatVersion)
+            return rejected("another version of the format");
+        PlacementReply reply;
+        reply.coordinator = reader.unsignedValue();
+        ArrayReader row = reader.nested();
+        reply.id = row.unsignedValue();
+        std::uint64_t answer = row.unsignedValue();
+        if (answer > static_cast<std::uint64_t>(PlacementAnswer::Quarantined))
+            return rejected("an unknown answer");
+        reply.answer = static_cast<PlacementAnswer>(answer);
+        reply.grantNumber = row.unsignedValue();
+        reply.endpoint = row.unsignedValue();
+        reply.unreadTokens = row.unsignedValue();
+        reply.workAhead = row.unsignedValue();
+        reply.predicted = readSpan(row);
+        reply.retryAfter = readSpan(row);
+        reply.late = row.boolean();
+        reply.returning = row.boolean();
+        row.finish();
+        reader.finish();
+        return reply;
+    } catch (const std::exception& fault) {
+        return rejected(fault.what());
+    }
+}
+
+}
--- /dev/null
+++ b/src/router/PlacementCoordinator.h
@@ -0,0 +1,53 @@
+#pragma once
+
+#include "net/Interfaces.h"
+#include "router/PlacementQueue.h"
+#include "router/RouterFlow.h"
+#include "routing/PlacementMessages.h"
+
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+
+namespace jasminestack {
+
+/// \brief Places the requests of other daemons in the shards that this daemon coordinates. Each question gets one
+/// answer, also if it is repeated; a waiting request is dropped when its daemon no longer asks.
+class PlacementCoordinator {
+public:
+    struct Context {
+        const Clock& clock;
+        Random& random;
+        RouterBoard& board;
+        PlacementQueue& queue;
+        PeerTransport& transport;
+        Metrics& metrics;
+        std::function<std::string(DaemonKey)> addressOf; ///< Empty if the daemon is unknown.
+        std::function<PlacementOptions()> options;
+        DaemonKey key { 0 }; ///< Of this process.
+    };
+
+    explicit PlacementCoordinator(Context);
+    ~PlacementCoordinator();
+    PlacementCoordinator(const PlacementCoordinator&) = delete;
+    PlacementCoordinator& operator=(const PlacementCoordinator&) = delete;
+
+    void onAsk(const PlacementAsk&);
+
+    /// \brief Forgets answered questions and those that are no longer asked.
+    void tick();
+
+private:
+    class Question;
+    using QuestionKey = std::pair<DaemonKey, AskId>;
+
+    void reply(Question&, PlacementReply);
+
+    Context m_context;
+    std::map<QuestionKey, std::unique_ptr<Question>> m_questions;
+    std::map<DaemonKey, std::uint64_t> m_grants; ///< Number of the latest grant.
+};
+
+}
--- a/src/router/RoutedRequest.cpp
+++ b/src/router/RoutedRequest.cpp
@@ -2,6 +2,7 @@
 
 #include "base/Hash.h"
 #include "observe/Logging.h"
+#include "routing/Shards.h"
 
 #include <algorithm>
 #include <event2/event.h>
@@ -26,18 +27,12 @@
     // A stream whose events pause for this many times the allowed gap has lost its endpoint.
     constexpr std::int64_t gapFactor = 7;
 
-    // A waiting request is tried again after this time even if nothing has changed that this daemon knows of.
-    constexpr Millis waitingPoll { 25 };
-
     constexpr Millis retryAfterFault { 300 };
     constexpr Millis retryAfterCrashes { 2'000 };
 
     // Losses of an endpoint within this time are taken for one.
     constexpr Millis lossWindow { 2'000 };
 
-    // Output tokens cost an engine about twice as much as prompt tokens.
-    constexpr double outputCost = 2.0;
-
 }
 
 RoutedRequest::RoutedRequest(RoutedRequestOwner& owner, Start start, CallerExchange& caller)
@@ -57,14 +52,15 @@
         m_deadline = m_request.arrivedAt + *m_facts.timeLeft;
         m_limitedByCaller = true;
     }
-    m_contentHash = hash64(m_request.body, hash64(m_request.target, hash64(m_workspace.value)));
-    m_firstArrival = m_request.arrivedAt;
+    m_query = makeQuery();
     // Requests without a body are too alike to be recognised.
-    if (auto first = owner.context().board.refusals.firstArrival(m_contentHash, m_request.arrivedAt);
+    if (auto first = owner.context().board.refusals.firstArrival(m_query.contentHash, m_request.arrivedAt);
         first && !m_request.body.empty()) {
-        m_firstArrival = *first;
+        m_query.firstArrival = *first;
         m_returning = true;
     }
+    if (owner.options().coordinated)
+        m_shard = shardFor(owner.context().board.picture, m_pool, localityKey(m_query.prompt, hash64(m_facts.id)));
     caller.attach(*this);
 }
 
@@ -88,118 +84,176 @@
     return m_route.pools.back().pool;
 }
 
-Work RoutedRequest::work() const
+PlacementQuery RoutedRequest::makeQuery() const
 {
-    return { .prompt = m_facts.prompt, .promptTokens = m_facts.promptTokens, .outputTokens = m_facts.outputTokens };
+    bool stream = m_route.kind == RequestKind::Stream;
+    return { .pool = m_pool,
+        .workspace = workspaceKey(m_workspace),
+        .contentHash = hash64(m_request.body, hash64(m_request.target, hash64(m_workspace.value))),
+        .availabilityZone = m_owner.options().availabilityZone,
+        .prompt = m_facts.prompt,
+        .promptTokens = m_facts.promptTokens,
+        .outputTokens = m_facts.outputTokens,
+        .stream = stream,
+        .repeatable = m_route.repeatable(),
+        // A plain answer that comes late is still worth most of its time limit.
+        .objective = stream ? m_route.latencyObjective : Millis { m_route.timeout.count / 2 },
+        .arrivedAt = m_request.arrivedAt,
+        .firstArrival = m_request.arrivedAt,
+        .deadline = m_deadline };
 }
 
 void RoutedRequest::begin()
 {
     RouterFlowContext& context = m_owner.context();
-    Millis time = now();
-    m_owner.allowance().recordRequest(m_pool, m_owner.options().retries, time);
-    if (m_facts.promptTokens != 0)
-        recordAsked(context.board.shares, m_workspace,
-            static_cast<double>(m_facts.promptTokens) + outputCost * static_cast<double>(m_facts.outputTokens), time);
-    if (crashVerdict(context.board.crashes, m_contentHash, time) == CrashVerdict::Quarantined) {
+    m_owner.allowance().recordRequest(m_pool, m_owner.options().retries, now());
+    if (crashVerdict(context.board.crashes, m_query.contentHash, now()) == CrashVerdict::Quarantined) {
         endWith(
             { .kind = ErrorKind::RequestQuarantined, .cause = "crashes_endpoints", .retryAfter = retryAfterCrashes });
         return;
     }
+    if (m_shard != 0 && context.coordinators)
+        m_ask = context.coordinators->ask(m_shard, m_query, *this);
+    if (m_ask) {
+        m_stage = Stage::Asking;
+        armTimer();
+        return;
+    }
+    if (m_facts.promptTokens != 0)
+        recordAsked(context.board.shares, m_query.workspace, chargedTokens(m_query), now());
     place();
 }
 
-AdmissionFacts RoutedRequest::admissionFacts() const
+PlacementInputs RoutedRequest::placementInputs(ShardKey shard) const
 {
     RouterFlowContext& context = m_owner.context();
-    bool stream = m_route.kind == RequestKind::Stream;
-    // A plain answer that comes late is still worth most of its time limit, and no engine reads prompts behind it.
-    Millis objective = stream ? m_route.latencyObjective : Millis { m_route.timeout.count / 2 };
-    return { .objective = objective,
-        .tightest = stream ? m_table->tightestObjective(m_pool) : Millis {},
-        .overrun = context.board.picture.pools[m_pool].latency.overrun,
-        .pressure = pressure(context.board.shares, m_workspace),
-        .waited = now() - m_request.arrivedAt,
-        .age = now() - m_firstArrival,
-        .timeLeft = timeLeft() };
+    return { .picture = context.board.picture,
+        .table = *m_table,
+        .shares = context.board.shares,
+        .options = m_owner.options().placement,
+        .admitAll = m_owner.options().admitAll,
+        .shard = shard };
 }
 
-Choice RoutedRequest::chooseEndpoint(const AdmissionLimits& limits) const
+Choice RoutedRequest::chooseOther() const
 {
-    const RouterFlowOptions& options = m_owner.options();
-    return choose(m_owner.context().board.picture, *m_table, m_pool, work(),
-        { .limits = limits,
-            .availabilityZone = options.availabilityZone,
-            .avoid = m_tried,
-            .repeatable = m_route.repeatable(),
-            .options = options.placement },
-        now());
+    Choice choice = bestEndpoint(placementInputs(m_shard), m_query, now());
+    return choice.endpoint || m_shard == 0 ? choice : bestEndpoint(placementInputs(0), m_query, now());
 }
 
 void RoutedRequest::place()
 {
+    RouterFlowContext& context = m_owner.context();
     if (timeLeft() < shortestAttempt) {
         giveUp("deadline_in_queue");
         return;
     }
-    AdmissionFacts facts = admissionFacts();
-    AdmissionLimits limits = admissionLimits(facts);
-    Choice choice = chooseEndpoint(limits);
-    m_late = isLate(limits, choice.prediction);
-    if (choice.endpoint && (choice.fits || m_owner.options().admitAll)) {
-        send(choice);
-    } else if (mayWait(facts, limits, choice.prediction)) {
+    PlacementDecision decision = decidePlacement(placementInputs(m_shard), m_query, context.random, now());
+    m_late = decision.late;
+    switch (decision.verdict) {
+    case PlacementVerdict::Send:
+        if (m_facts.promptTokens != 0)
+            recordServed(context.board.shares, m_query.workspace, chargedTokens(m_query), now());
+        send(decision.choice);
+        break;
+    case PlacementVerdict::Wait:
         if (!std::exchange(m_waitingListed, true))
-            m_owner.wait(*this);
+            context.queue.add(*this);
         armTimer();
-    } else {
-        refuseForLoad(facts, limits, choice);
+        break;
+    case PlacementVerdict::Refuse:
+        m_predicted = decision.choice.prediction.total();
+        context.board.refusals.record(m_query.contentHash, m_query.firstArrival, now());
+        context.board.newRefusals.emplace_back(m_query.contentHash, m_query.firstArrival);
+        context.boardChanged();
+        refuseForLoad(decision.choice.endpoint != nullptr, decision.retryAfter);
+        break;
     }
 }
 
-std::tuple<bool, bool, double, std::int64_t> RoutedRequest::waitingOrder() const
+WaitingOrder RoutedRequest::waitingOrder() const
 {
-    return { m_late, !m_returning, pressure(m_owner.context().board.shares, m_workspace), m_firstArrival.count };
+    return jasminestack::waitingOrder(m_query, m_owner.context().board.shares, m_late);
 }
 
-void RoutedRequest::refuseForLoad(const AdmissionFacts& facts, const AdmissionLimits& limits, const Choice& choice)
+void RoutedRequest::onPlacement(const PlacementReply& reply)
 {
-    m_predicted = choice.prediction.total();
-    RouterBoard& board = m_owner.context().board;
-    board.refusals.record(m_contentHash, m_firstArrival, now());
-    board.newRefusals.emplace_back(m_contentHash, m_firstArrival);
-    m_owner.context().boardChanged();
-    endWith({ .kind = choice.endpoint ? ErrorKind::DeadlineUnreachable : ErrorKind::EndpointUnavailable,
-        .cause = choice.endpoint ? "no_room" : "no_endpoint",
-        .retryAfter = retryDelay(facts, limits, choice.prediction, m_owner.context().random) });
+    m_ask.reset();
+    m_late = reply.late;
+    m_returning = reply.returning;
+    m_predicted = static_cast<double>(reply.predicted.count);
+    switch (reply.answer) {
+    case PlacementAnswer::Quarantined:
+        endWith(
+            { .kind = ErrorKind::RequestQuarantined, .cause = "crashes_endpoints", .retryAfter = retryAfterCrashes });
+        return;
+    case PlacementAnswer::Refused:
+        refuseForLoad(true, reply.retryAfter);
+        return;
+    case PlacementAnswer::Queued:
+    case PlacementAnswer::Granted:
+        break;
+    }
+    auto& byKey = m_owner.context().board.picture.byKey;
+    auto found = byKey.find(reply.endpoint);
+    if (found == byKey.end() || found->second->registration.draining) {
+        // The coordinator has not heard yet that the endpoint leaves, or this daemon has not heard of a new one.
+        onPlacementUnanswered();
+        return;
+    }
+    m_granted = true;
+    send({ .endpoint = found->second,
+        .prediction = { .ahead = m_predicted },
+        .fits = true,
+        .unreadTokens = reply.unreadTokens,
+        .workAhead = static_cast<double>(reply.workAhead) });
 }
 
-void RoutedRequest::send(const Choice& choice)
+void RoutedRequest::onPlacementUnanswered()
+{
+    m_ask.reset();
+    m_stage = Stage::Waiting;
+    place();
+}
+
+void RoutedRequest::stopPlacing()
 {
     RouterFlowContext& context = m_owner.context();
     if (std::exchange(m_waitingListed, false))
-        m_owner.stopWaiting(*this);
+        context.queue.remove(*this);
+    if (m_ask)
+        context.coordinators->withdraw(*m_ask);
+    m_ask.reset();
+}
+
+void RoutedRequest::refuseForLoad(bool anyEndpoint, Millis retryAfter)
+{
+    endWith({ .kind = anyEndpoint ? ErrorKind::DeadlineUnreachable : ErrorKind::EndpointUnavailable,
+        .cause = anyEndpoint ? "no_room" : "no_endpoint",
+        .retryAfter = retryAfter });
+}
+
+void RoutedRequest::send(const Choice& choice)
+{
+    RouterFlowContext& context = m_owner.context();
+    stopPlacing();
     Millis time = now();
     m_stage = Stage::Running;
     m_relay = Relay::Undecided;
     m_body.clear();
     m_head = {};
     m_lastProgress = time;
-    if (m_sends == 0 && m_connectFailures == 0) {
+    if (m_sends == 0 && m_connectFailures == 0)
         m_queued = time - m_request.arrivedAt;
-        if (m_facts.promptTokens != 0)
-            recordServed(context.board.shares, m_workspace,
-                static_cast<double>(m_facts.promptTokens) + outputCost * static_cast<double>(m_facts.outputTokens),
-                time);
-    }
     m_predicted = choice.prediction.total();
     Registration endpoint = choice.endpoint->registration;
-    m_placement = recordSend(context.board.picture, choice, work(), time);
+    m_placement = recordSend(context.board.picture, choice, m_query.work(), time);
     m_placed = true;
-    if (!m_facts.prompt.empty())
+    // The coordinator already knows what it has granted.
+    if (!std::exchange(m_granted, false) && !m_facts.prompt.empty())
         context.board.sentPrompts.push_back({ .endpoint = m_placement.key, .prompt = m_facts.prompt });
     context.boardChanged();
-    m_tried.push_back(endpoint.id);
+    m_query.avoid.push_back(m_placement.key);
     ++m_sends;
 
     EndpointRequest request = context.protocol.encode(m_request, m_facts,
@@ -220,9 +274,7 @@
 {
     Millis time = now();
     Millis due = m_deadline;
-    if (m_stage == Stage::Waiting)
-        due = std::min(due, time + waitingPoll);
-    else if (m_route.repeatable() && m_relay != Relay::Passing)
+    if (m_stage == Stage::Running && m_route.repeatable() && m_relay != Relay::Passing)
         due = std::min(due, m_lastProgress + stallLimit());
     timeval span = toTimeval(std::max(due - time, Millis { 1 }));
     evtimer_add(m_timer.get(), &span);
@@ -245,11 +297,10 @@
         giveUp(m_limitedByCaller ? "caller_deadline" : "route_timeout");
         return;
     }
-    if (m_stage == Stage::Waiting) {
-        place();
-        return;
-    }
-    checkStall(time);
+    if (m_stage == Stage::Running)
+        checkStall(time);
+    else
+        armTimer();
 }
 
 void RoutedRequest::checkStall(Millis time)
@@ -273,9 +324,12 @@
 {
     if (!std::exchange(m_placed, false))
         return;
-    recordEnd(m_owner.context().board.picture, m_placement, outcome, now());
-    m_owner.context().boardChanged();
-    m_owner.roomChanged();
+    RouterFlowContext& context = m_owner.context();
+    recordEnd(context.board.picture, m_placement, outcome, now());
+    if (outcome != EndpointOutcome::Cancelled)
+        context.board.answers.push_back(reportEnd(m_placement, outcome, now()));
+    context.boardChanged();
+    context.queue.roomChanged();
 }
 
 void RoutedRequest::noteLoss()
@@ -283,7 +337,7 @@
     RouterBoard& board = m_owner.context().board;
     std::int64_t window = m_owner.context().clock.wallTime().count / lossWindow.count;
     std::uint64_t eventId = hash64(m_placement.endpoint.value, static_cast<std::uint64_t>(window));
-    board.crashMarks.push_back(onContentLost(board.crashes, crashGuardOptions, m_contentHash, eventId, now()));
+    board.crashMarks.push_back(onContentLost(board.crashes, crashGuardOptions, m_query.contentHash, eventId, now()));
 }
 
 void RoutedRequest::attemptFailed(ErrorKind kind, const EndpointEnd& end, std::string_view cause)
@@ -325,7 +379,7 @@
     if (!m_route.repeatable() || m_sends >= m_route.maxEndpoints || timeLeft() < shortestAttempt || !m_caller)
         return false;
     const CrashGuardState& crashes = m_owner.context().board.crashes;
-    auto suspect = crashes.suspects.find(m_contentHash);
+    auto suspect = crashes.suspects.find(m_query.contentHash);
     if (suspect != crashes.suspects.end() && suspect->second.events.size() >= lossesAgainstRepeat)
         return false;
     return m_owner.allowance().take(m_pool, m_owner.options().retries, now());
@@ -334,7 +388,7 @@
 void RoutedRequest::tryElsewhere(std::string_view cause)
 {
     RouterFlowContext& context = m_owner.context();
-    Choice choice = chooseEndpoint(admissionLimits(admissionFacts()));
+    Choice choice = chooseOther();
     logEvent(LogLevel::Info, "request_repeated",
         { { "request", m_facts.id }, { "cause", cause }, { "from", m_placement.endpoint.value },
             { "to", choice.endpoint ? choice.endpoint->registration.id.value : std::string("none") },
@@ -350,6 +404,7 @@
 
 void RoutedRequest::giveUp(std::string_view cause)
 {
+    stopPlacing();
     if (m_exchange != 0) {
         m_mayHaveRun = true;
         dropExchange();
--- a/src/router/RoutedRequest.h
+++ b/src/router/RoutedRequest.h
@@ -4,9 +4,11 @@
 #include "net/Interfaces.h"
 #include "net/Socket.h"
 #include "router/EventSplitter.h"
+#include "router/PlacementClient.h"
+#include "router/PlacementQueue.h"
 #include "router/RequestProtocol.h"
 #include "router/RouterFlow.h"
-#include "routing/Admission.h"
+#include "routing/PlacementDecision.h"
 
 #include <memory>
 #include <optional>
@@ -29,18 +31,14 @@
     [[nodiscard]] virtual const RouterFlowOptions& options() const noexcept = 0;
     [[nodiscard]] virtual RetryAllowance& allowance() noexcept = 0;
 
-    /// \brief Puts the request among those that are tried again when there may be room.
-    virtual void wait(RoutedRequest&) = 0;
-    virtual void stopWaiting(RoutedRequest&) = 0;
-
-    /// \brief A request has left an endpoint or has been read by it.
-    virtual void roomChanged() = 0;
-
     /// \brief Removes the request; it is destroyed later, outside its own calls.
     virtual void finished(RoutedRequest&) = 0;
 };
 
-class RoutedRequest final : public CallerListener, public EndpointListener {
+class RoutedRequest final : public CallerListener,
+                            public EndpointListener,
+                            public PlacementListener,
+                            public WaitingPlacement {
 public:
     struct Start {
         CallerRequest request;
@@ -58,12 +56,11 @@
     /// \brief Takes the first step: sends the request, lets it wait or refuses it.
     void begin();
 
-    /// \brief Tries again to send a waiting request.
-    void place();
+    [[nodiscard]] WaitingOrder waitingOrder() const override;
+    void place() override;
 
-    /// \returns The key by which waiting requests are served: those that can still meet their objective first, then
-    /// returning callers, then workspaces that are furthest below their fair share, then by arrival.
-    [[nodiscard]] std::tuple<bool, bool, double, std::int64_t> waitingOrder() const;
+    void onPlacement(const PlacementReply&) override;
+    void onPlacementUnanswered() override;
 
     void onCallerGone() override;
     void onCallerDrained() override;
@@ -73,7 +70,12 @@
     void onEnd(const EndpointEnd&) override;
 
 private:
-    enum class Stage : std::uint8_t { Waiting, Running, Ended };
+    enum class Stage : std::uint8_t {
+        Waiting, ///< For room at an endpoint, in this daemon.
+        Asking, ///< For the coordinator's decision.
+        Running,
+        Ended,
+    };
     enum class Relay : std::uint8_t {
         Undecided, ///< No head yet.
         Refusal, ///< The endpoint does not run the request; its answer is read to the end.
@@ -91,14 +93,15 @@
 
     [[nodiscard]] Millis now() const;
     [[nodiscard]] Millis timeLeft() const { return m_deadline - now(); }
-    [[nodiscard]] Work work() const;
-    [[nodiscard]] AdmissionFacts admissionFacts() const;
-    [[nodiscard]] Choice chooseEndpoint(const AdmissionLimits&) const;
+    [[nodiscard]] PlacementQuery makeQuery() const;
+    [[nodiscard]] PlacementInputs placementInputs(ShardKey shard) const;
+    [[nodiscard]] Choice chooseOther() const;
+    void stopPlacing();
     /// \brief Takes one repeat from the allowance if the request may be sent to another endpoint.
     [[nodiscard]] bool takeRepeat() const;
     [[nodiscard]] PoolId choosePool() const;
     void send(const Choice&);
-    void refuseForLoad(const AdmissionFacts&, const AdmissionLimits&, const Choice&);
+    void refuseForLoad(bool anyEndpoint, Millis retryAfter);
     void attemptEnded(EndpointOutcome);
     void attemptFailed(ErrorKind kind, const EndpointEnd& end, std::string_view cause);
     void attemptRefused();
@@ -109,6 +112,7 @@
     void checkStall(Millis now);
     [[nodiscard]] Millis stallLimit() const;
     void noteLoss();
+    void noteFirstByte();
     void relayEvents(std::string_view chunk);
     void beginAnswer();
     void sendToCaller(std::string_view bytes);
@@ -130,15 +134,16 @@
     EventPointer m_timer;
     Millis m_deadline; ///< Final answer by then: the route's time limit or the caller's deadline.
     bool m_limitedByCaller { false }; ///< The caller's deadline is the earlier one.
-    std::uint64_t m_contentHash { 0 };
-    Millis m_firstArrival {}; ///< Of the caller's first attempt, as far as the fleet knows it.
+    PlacementQuery m_query;
+    ShardKey m_shard { 0 }; ///< Of its endpoints, where coordinators place requests; 0: all endpoints of the pool.
+    std::optional<AskId> m_ask; ///< Open question to a coordinator.
+    bool m_granted { false }; ///< A coordinator has chosen the endpoint and knows its load.
     bool m_late { false }; ///< It misses its objective, wherever it is sent.
     bool m_returning { false }; ///< The caller was refused before.
 
     Stage m_stage { Stage::Waiting };
     Relay m_relay { Relay::Undecided };
     bool m_waitingListed { false };
-    std::vector<EndpointId> m_tried;
     unsigned m_sends { 0 }; ///< Endpoints that the request may have reached.
     unsigned m_connectFailures { 0 };
     bool m_mayHaveRun { false };
--- a/src/router/RoutedRequestAnswer.cpp
+++ b/src/router/RoutedRequestAnswer.cpp
@@ -63,7 +63,18 @@
     bool events = isSuccess(head.status) && m_route.kind == RequestKind::Stream && isEventStream(head);
     m_relay = events ? Relay::Events : Relay::Whole;
     if (!events)
-        recordFirstByte(m_owner.context().board.picture, m_placement, now());
+        noteFirstByte();
+}
+
+void RoutedRequest::noteFirstByte()
+{
+    if (m_placement.firstByteSeen)
+        return;
+    RouterFlowContext& context = m_owner.context();
+    context.board.answers.push_back(reportFirstByte(m_placement, now()));
+    recordFirstByte(context.board.picture, m_placement, now());
+    context.boardChanged();
+    context.queue.roomChanged();
 }
 
 void RoutedRequest::onBody(std::string_view chunk)
@@ -92,11 +103,7 @@
 
 void RoutedRequest::relayEvents(std::string_view chunk)
 {
-    if (!m_placement.firstByteSeen) {
-        recordFirstByte(m_owner.context().board.picture, m_placement, now());
-        m_owner.context().boardChanged();
-        m_owner.roomChanged();
-    }
+    noteFirstByte();
     std::string_view ready = m_events.feed(chunk);
     if (!ready.empty()) {
         beginAnswer();
@@ -185,7 +192,7 @@
     if (std::string rest = m_events.takeRest(); !rest.empty())
         sendToCaller(rest);
     attemptEnded(EndpointOutcome::Answered);
-    if (auto mark = onContentCompleted(m_owner.context().board.crashes, m_contentHash))
+    if (auto mark = onContentCompleted(m_owner.context().board.crashes, m_query.contentHash))
         m_owner.context().board.crashMarks.push_back(*mark);
     if (m_caller)
         std::exchange(m_caller, nullptr)->endStream();
@@ -213,7 +220,7 @@
         giveUp("ambiguous_refusal");
         return;
     }
-    if (auto mark = onContentCompleted(m_owner.context().board.crashes, m_contentHash))
+    if (auto mark = onContentCompleted(m_owner.context().board.crashes, m_query.contentHash))
         m_owner.context().board.crashMarks.push_back(*mark);
     m_firstByteAt = now();
     m_status = m_head.status;
@@ -232,9 +239,9 @@
             { "may_have_run", m_mayHaveRun ? 1 : 0 }, { "endpoint", m_placement.endpoint.value }, { "sends", m_sends },
             { "predicted_ms", std::isfinite(m_predicted) ? static_cast<std::int64_t>(m_predicted) : -1 },
             { "age_ms", (now() - m_request.arrivedAt).count }, { "left_ms", timeLeft().count },
-            { "pressure", pressure(m_owner.context().board.shares, m_workspace) }, { "returning", m_returning ? 1 : 0 },
-            { "events", m_events.events() }, { "configuration", m_table->version },
-            { "retry_after_ms", failure.retryAfter.count } });
+            { "pressure", pressure(m_owner.context().board.shares, m_query.workspace) },
+            { "returning", m_returning ? 1 : 0 }, { "events", m_events.events() },
+            { "configuration", m_table->version }, { "retry_after_ms", failure.retryAfter.count } });
     if (CallerExchange* caller = std::exchange(m_caller, nullptr)) {
         if (m_answerBegun) {
             caller->abort();
@@ -253,8 +260,7 @@
 
 void RoutedRequest::finish(std::string_view outcome)
 {
-    if (std::exchange(m_waitingListed, false))
-        m_owner.stopWaiting(*this);
+    stopPlacing();
     m_stage = Stage::Ended;
     evtimer_del(m_timer.get());
     RouterFlowContext& context = m_owner.context();
--- a/src/router/RouterDaemon.cpp
+++ b/src/router/RouterDaemon.cpp
@@ -9,6 +9,9 @@
 #include "observe/Metrics.h"
 #include "router/DeploymentSource.h"
 #include "router/FleetExchange.h"
+#include "router/PlacementClient.h"
+#include "router/PlacementCoordinator.h"
+#include "router/PlacementQueue.h"
 #include "router/RouterFlow.h"
 
 #include <array>
@@ -81,10 +84,14 @@
     std::unique_ptr<DeploymentSource> source;
     Metrics metrics;
     RouterBoard board;
+    DaemonKey key; ///< Of this process.
     EndpointClient transport;
+    UdpTransport peers;
+    PlacementQueue queue;
+    PlacementClient placements;
+    PlacementCoordinator coordinator;
     RouterFlow flow;
     CallerServer server;
-    UdpTransport peers;
     FleetExchange exchange;
     HttpListener listener;
     EventPointer tickTimer;
@@ -105,7 +112,26 @@
         , base(event_base_new())
         , http(*base)
         , source(adapter.source(*base, http, clock, settings))
+        , key(hash64(settings.daemon.id.value, systemSeed()))
         , transport(*base, clock, { .idleLimit = endpointIdleLimit, .idlePerAddress = idlePerEndpoint })
+        , peers(*base)
+        , queue(*base)
+        , placements({ .base = *base,
+              .clock = clock,
+              .transport = peers,
+              .metrics = metrics,
+              .coordinatorOf = [this](ShardKey shard) { return exchange.coordinatorOf(shard); },
+              .suspect = [this](const std::string& address) { exchange.suspect(address); },
+              .key = key })
+        , coordinator({ .clock = clock,
+              .random = random,
+              .board = board,
+              .queue = queue,
+              .transport = peers,
+              .metrics = metrics,
+              .addressOf = [this](DaemonKey daemon) { return exchange.addressOf(daemon); },
+              .options = [this] { return flowOptions(settings).placement; },
+              .key = key })
         , flow({ .base = *base,
                    .clock = clock,
                    .random = random,
@@ -113,10 +139,11 @@
                    .transport = transport,
                    .protocol = *adapter.protocol,
                    .metrics = metrics,
+                   .queue = queue,
+                   .coordinators = &placements,
                    .boardChanged = [this] { exchange.flushSoon(); } },
               flowOptions(settings))
         , server(*base, flow, { .address = settings.callers.address, .writeTimeout = settings.callers.writeTimeout })
-        , peers(*base)
         , exchange({ .base = *base,
                        .clock = clock,
                        .board = board,
@@ -124,11 +151,16 @@
                        .http = http,
                        .source = *source,
                        .metrics = metrics,
-                       .pictureChanged = [this] { flow.retryWaiting(); } },
+                       .pictureChanged = [this] { queue.roomChanged(); },
+                       .onAsk = [this](const PlacementAsk& ask) { coordinator.onAsk(ask); },
+                       .onReply = [this](const PlacementReply& reply) { placements.onReply(reply); },
+                       .grantsSeen = [this](DaemonKey daemon) { return placements.grantsSeen(daemon); } },
               { .daemonId = settings.daemon.id.value,
                   .address = settings.peers.address,
                   .seeds = settings.peers.seeds,
-                  .key = hash64(settings.daemon.id.value, systemSeed()) })
+                  .key = key,
+                  .processorShare = settings.daemon.processorShare,
+                  .coordinateFrom = settings.coordination.fromDaemons })
         , listener(*base, [this](std::string_view path) { return answer(path); })
         , tickTimer(event_new(base.get(), -1, EV_PERSIST, onTick, this))
     {
@@ -180,8 +212,9 @@
         logEvent(LogLevel::Info, "endpoints_changed",
             { { "count", registrations.size() }, { "before", before }, { "draining", draining },
                 { "position", source->versions().registrations } });
+        exchange.refreshCoordinators();
         updateReadiness();
-        flow.retryWaiting();
+        queue.roomChanged();
     }
 
     void onPeerAddresses(const std::vector<std::string>& addresses) override { exchange.setAnnounced(addresses); }
@@ -192,6 +225,7 @@
         if (now == wasReady)
             return;
         wasReady = now;
+        exchange.setMayCoordinate(now);
         metrics.set(Gauge::Ready, {}, now ? 1 : 0);
         logEvent(LogLevel::Info, "readiness_changed",
             { { "ready", now ? 1 : 0 }, { "configuration", board.table->version } });
@@ -211,9 +245,10 @@
         if (now - lastPressure >= pressureInterval) {
             lastPressure = now;
             refreshPressure(board.shares, now);
-            flow.setDaemons(exchange.possibleDaemons());
+            flow.setFleet(exchange.possibleDaemons(), exchange.coordinated());
         }
         exchange.tick();
+        coordinator.tick();
         if (now - lastLogFlush >= logFlushInterval) {
             lastLogFlush = now;
             flushLog();
--- a/src/router/RouterFlow.cpp
+++ b/src/router/RouterFlow.cpp
@@ -12,9 +12,6 @@
 
 namespace {
 
-    // Waiting requests are tried again together, at most once in this time.
-    constexpr Millis waitingInterval { 4 };
-
     constexpr std::string_view retryAfterStart = "0.500";
 
     std::string errorText(ErrorKind kind, std::string_view message)
@@ -36,15 +33,11 @@
     RetryAllowance retryAllowance;
     std::unordered_map<RoutedRequest*, std::unique_ptr<RoutedRequest>> requests;
     std::vector<std::unique_ptr<RoutedRequest>> retired;
-    std::vector<RoutedRequest*> waiting;
-    EventPointer roomEvent;
     EventPointer reaper;
 
     State(RouterFlowContext context, const RouterFlowOptions& options)
         : flowContext(std::move(context))
         , flowOptions(options)
-        , roomEvent(evtimer_new(
-              &flowContext.base, [](int, short, void* self) { static_cast<State*>(self)->tryWaiting(); }, this))
         , reaper(event_new(
               &flowContext.base, -1, 0, [](int, short, void* self) { static_cast<State*>(self)->retired.clear(); },
               this))
@@ -55,29 +48,6 @@
     [[nodiscard]] const RouterFlowOptions& options() const noexcept override { return flowOptions; }
     [[nodiscard]] RetryAllowance& allowance() noexcept override { return retryAllowance; }
 
-    void wait(RoutedRequest& request) override { waiting.push_back(&request); }
-
-    void stopWaiting(RoutedRequest& request) override { std::erase(waiting, &request); }
-
-    void roomChanged() override
-    {
-        if (waiting.empty() || evtimer_pending(roomEvent.get(), nullptr))
-            return;
-        timeval delay = toTimeval(waitingInterval);
-        evtimer_add(roomEvent.get(), &delay);
-    }
-
-    void tryWaiting()
-    {
-        std::vector<RoutedRequest*> order = waiting;
-        std::sort(order.begin(), order.end(),
-            [](const RoutedRequest* a, const RoutedRequest* b) { return a->waitingOrder() < b->waitingOrder(); });
-        for (RoutedRequest* request : order) {
-            if (std::find(waiting.begin(), waiting.end(), request) != waiting.end())
-                request->place();
-        }
-    }
-
     void finished(RoutedRequest& request) override
     {
         auto found = requests.find(&request);
@@ -166,16 +136,19 @@
     return errorText(kind, message);
 }
 
-void RouterFlow::retryWaiting() { m_state->roomChanged(); }
-
 void RouterFlow::setOptions(const RouterFlowOptions& options)
 {
     std::size_t daemons = m_state->flowOptions.retries.daemons;
+    bool coordinated = m_state->flowOptions.coordinated;
     m_state->flowOptions = options;
-    m_state->flowOptions.retries.daemons = daemons;
+    setFleet(daemons, coordinated);
 }
 
-void RouterFlow::setDaemons(std::size_t count) { m_state->flowOptions.retries.daemons = count; }
+void RouterFlow::setFleet(std::size_t daemons, bool coordinated)
+{
+    m_state->flowOptions.retries.daemons = daemons;
+    m_state->flowOptions.coordinated = coordinated;
+}
 
 std::size_t RouterFlow::active() const noexcept { return m_state->requests.size(); }
 
--- a/src/router/RouterFlow.h
+++ b/src/router/RouterFlow.h
@@ -21,6 +21,9 @@
 
 namespace jasminestack {
 
+class PlacementClient;
+class PlacementQueue;
+
 /// \brief Limits of the request path.
 struct RouterFlowOptions {
     std::string availabilityZone;
@@ -30,6 +33,7 @@
     std::size_t highWater { 64U << 10U }; ///< Bytes buffered for a caller above which its endpoint is not read.
     std::size_t wholeBytes { 256U << 10U }; ///< Answers up to this size reach the caller only when complete.
     bool admitAll { false }; ///< Baseline: no request is refused or held because of predicted times.
+    bool coordinated { false }; ///< Requests are placed by the coordinators of their shards.
 };
 
 /// \brief When a content counts as crashing its endpoints; the same at all daemons.
@@ -44,6 +48,7 @@
     WorkspaceShares shares;
     CrashGuardState crashes;
     std::vector<PromptNews> sentPrompts; ///< Not yet told to peers.
+    std::vector<AnswerReport> answers; ///< Not yet told to coordinators.
     std::vector<CrashMark> crashMarks; ///< Not yet told to peers.
     RefusalMemory refusals;
     std::vector<std::pair<std::uint64_t, Millis>> newRefusals; ///< Content and first arrival; not yet told to peers.
@@ -60,6 +65,8 @@
     EndpointTransport& transport;
     const RequestProtocol& protocol;
     Metrics& metrics;
+    PlacementQueue& queue;
+    PlacementClient* coordinators { nullptr }; ///< None: this daemon places all its requests itself.
     std::function<void()> boardChanged; ///< This daemon's load at an endpoint has changed; peers should hear of it.
 };
 
@@ -75,14 +82,11 @@
     void onRequest(CallerRequest, CallerExchange&) override;
     std::string onUnreadable(ErrorKind, std::string_view message) override;
 
-    /// \brief The fleet's picture has changed; waiting requests may have room now.
-    void retryWaiting();
-
     /// \brief Takes over changed settings for later decisions.
     void setOptions(const RouterFlowOptions&);
 
-    /// \brief Sets how many daemons share the fleet's retries.
-    void setDaemons(std::size_t count);
+    /// \brief Sets how many daemons share the fleet's retries, and whether coordinators place requests.
+    void setFleet(std::size_t daemons, bool coordinated);
 
     /// \returns Requests in progress.
     [[nodiscard]] std::size_t active() const noexcept;
--- a/src/routing/FleetNews.h
+++ b/src/routing/FleetNews.h
@@ -37,8 +37,13 @@
     std::uint64_t configurationVersion { 0 };
     std::int64_t registrationsPosition { -1 };
     bool leaving { false };
+    bool mayCoordinate { false }; ///< It can place the requests of others: it is ready and not stopping.
+    double processorShare { 1.0 }; ///< Cores that it may use.
+    Millis nextWithin {}; ///< The receiver hears from it again within this time.
+    std::uint64_t grantsSeen { 0 }; ///< Latest of the receiver's grants that \c loads include.
     bool complete { false }; ///< Endpoints without an entry in \c loads have no load of this daemon.
     std::vector<LoadNews> loads; ///< Those that have changed, or all.
+    std::vector<AnswerReport> answers; ///< At the receiver's endpoints, since the last message.
     std::vector<PromptNews> prompts;
     std::vector<WorkspaceRate> rates; ///< All, or empty if not repeated in this message.
     std::vector<CrashMark> crashes;
--- a/src/routing/FleetPicture.cpp
+++ b/src/routing/FleetPicture.cpp
@@ -1,6 +1,7 @@
 #include "routing/FleetPicture.h"
 
 #include "base/Hash.h"
+#include "routing/Shards.h"
 
 #include <algorithm>
 #include <cmath>
@@ -23,6 +24,12 @@
     // A lost endpoint waits this long for a repeatable request before any request may find out whether it is back.
     constexpr Millis probeDelay { 1'500 };
 
+    // A probe whose end was not reported has ended by then.
+    constexpr Millis probeLimit { 5'000 };
+
+    // A peer's next report follows within its flush interval; this covers lost datagrams and a paused peer.
+    constexpr Millis grantConfirmation { 500 };
+
     // An endpoint that refuses or stalls has more work than this daemon knows of.
     constexpr Millis refusalAvoidance { 100 };
 
@@ -124,9 +131,10 @@
             return false;
         // A request that must not run twice is no probe, unless nothing else has come for a while.
         bool mayProbe = rules.repeatable || now - view.avoidUntil >= probeDelay;
-        if (view.losses != 0 && (view.probing || !mayProbe))
+        bool probed = view.probing && now - view.probeStarted < probeLimit;
+        if (view.losses != 0 && (probed || !mayProbe))
             return false;
-        return std::find(rules.avoid.begin(), rules.avoid.end(), view.registration.id) == rules.avoid.end();
+        return std::find(rules.avoid.begin(), rules.avoid.end(), view.key) == rules.avoid.end();
     }
 
     // Milliseconds until a slot is free.
@@ -140,25 +148,109 @@
     void indexEndpoints(FleetPicture& picture)
     {
         picture.byPool.clear();
+        picture.byShard.clear();
         picture.byKey.clear();
         for (auto& [id, view] : picture.endpoints) {
             picture.byPool[view.registration.pool].push_back(&view);
             picture.byKey[view.key] = &view;
         }
+        for (auto& [pool, members] : picture.byPool) {
+            unsigned shards = shardCount(members.size());
+            for (EndpointView* view : members) {
+                view->shard = shardOf(pool, view->registration.id, shards);
+                picture.byShard[view->shard].push_back(view);
+            }
+        }
+    }
+
+    void add(EndpointLoad& sum, const EndpointLoad& load) noexcept
+    {
+        sum.running += load.running;
+        sum.unreadTokens += load.unreadTokens;
+        sum.heldTokens += load.heldTokens;
+    }
+
+    void remove(EndpointLoad& sum, const EndpointLoad& load) noexcept
+    {
+        sum.running -= load.running;
+        sum.unreadTokens -= load.unreadTokens;
+        sum.heldTokens -= load.heldTokens;
+    }
+
+    template <typename Predicate> void eraseGrants(EndpointView& view, Predicate ended)
+    {
+        std::erase_if(view.grants, [&](const PendingGrant& grant) {
+            if (!ended(grant))
+                return false;
+            remove(view.others, grant.load);
+            return true;
+        });
+    }
+
+    void startProbe(EndpointView& view, Millis now)
+    {
+        if (view.losses == 0)
+            return;
+        view.probing = true;
+        view.probeStarted = now;
+    }
+
+    const std::vector<EndpointView*>* candidates(const FleetPicture& picture, const PoolId& pool, ShardKey shard)
+    {
+        if (auto found = picture.byShard.find(shard); found != picture.byShard.end())
+            return &found->second;
+        auto found = picture.byPool.find(pool);
+        return found == picture.byPool.end() ? nullptr : &found->second;
     }
 
     void avoid(EndpointView& view, Millis span, Millis now) { view.avoidUntil = std::max(view.avoidUntil, now + span); }
 
+    void learnFirstByte(EndpointView& view, PoolView& pool, double workAhead, double taken, Millis now)
+    {
+        view.lastAnswer = now;
+        double expected = std::max(pool.latency.predict(workAhead), 1.0);
+        average(view.slowness, std::clamp(taken / expected, minimumSlowness, maximumSlowness), endpointStep);
+        addSample(pool.latency, workAhead, taken / std::max(view.slowness, 1.0));
+    }
+
+    void learnEnd(EndpointView& view, PoolView& pool, EndpointOutcome outcome, double held, Millis now)
+    {
+        view.probing = false;
+        switch (outcome) {
+        case EndpointOutcome::Answered:
+            view.losses = 0;
+            pool.holdMilliseconds
+                = pool.holdMilliseconds == 0 ? held : pool.holdMilliseconds + poolStep * (held - pool.holdMilliseconds);
+            break;
+        case EndpointOutcome::Refused:
+            view.losses = 0;
+            avoid(view, refusalAvoidance, now);
+            break;
+        case EndpointOutcome::Failed:
+            break;
+        case EndpointOutcome::Lost: {
+            Millis span { std::min(firstAvoidance.count << std::min(view.losses, 5U), longestAvoidance.count) };
+            ++view.losses;
+            avoid(view, span, now);
+            break;
+        }
+        case EndpointOutcome::Stalled:
+            avoid(view, firstAvoidance, now);
+            break;
+        case EndpointOutcome::Cancelled:
+            return;
+        }
+        double failed = outcome == EndpointOutcome::Answered ? 0.0 : 1.0;
+        average(view.failureShare, failed, endpointStep);
+        average(pool.failureShare, failed, poolStep);
+    }
+
 }
 
 EndpointLoad EndpointView::load() const noexcept
 {
     EndpointLoad sum = own;
-    for (const auto& [daemon, load] : peers) {
-        sum.running += load.running;
-        sum.unreadTokens += load.unreadTokens;
-        sum.heldTokens += load.heldTokens;
-    }
+    add(sum, others);
     return sum;
 }
 
@@ -196,8 +288,8 @@
     const ChoiceRules& rules, Millis now)
 {
     Choice best { .prediction = { .ahead = std::numeric_limits<double>::infinity() } };
-    auto members = picture.byPool.find(pool);
-    if (members == picture.byPool.end())
+    const std::vector<EndpointView*>* members = candidates(picture, pool, rules.shard);
+    if (!members)
         return best;
     const PoolSpec& spec = table.poolSpec(pool);
     const PoolView& learned = picture.pools[pool];
@@ -205,7 +297,7 @@
     std::vector<std::pair<EndpointView*, std::uint64_t>> usable; // With the prompt tokens that each holds.
     std::uint64_t mostCached = 0;
     std::size_t copies = 0; // Endpoints that hold that much.
-    for (EndpointView* view : members->second) {
+    for (EndpointView* view : *members) {
         if (!isUsable(*view, rules, now))
             continue;
         std::uint64_t cached = std::min(work.promptTokens, view->cache.cachedTokens(work.prompt));
@@ -272,13 +364,68 @@
     view.own.unreadTokens += placement.unreadTokens;
     view.own.heldTokens += placement.heldTokens;
     view.changed = true;
-    if (view.losses != 0)
-        view.probing = true;
+    startProbe(view, now);
     rememberPrompt(view, work.prompt);
     countUses(picture, work.prompt, now);
     return placement;
 }
 
+void recordGrant(
+    FleetPicture& picture, const Choice& choice, const Work& work, DaemonKey peer, std::uint64_t number, Millis now)
+{
+    EndpointView& view = *choice.endpoint;
+    PendingGrant grant { .daemon = peer,
+        .number = number,
+        .load
+        = { .running = 1, .unreadTokens = choice.unreadTokens, .heldTokens = choice.unreadTokens + work.outputTokens },
+        .grantedAt = now };
+    add(view.others, grant.load);
+    view.grants.push_back(grant);
+    startProbe(view, now);
+    rememberPrompt(view, work.prompt);
+    countUses(picture, work.prompt, now);
+}
+
+void confirmGrants(FleetPicture& picture, DaemonKey peer, std::uint64_t number)
+{
+    for (auto& [id, view] : picture.endpoints)
+        eraseGrants(view, [&](const PendingGrant& grant) { return grant.daemon == peer && grant.number <= number; });
+}
+
+void expireGrants(FleetPicture& picture, Millis now)
+{
+    for (auto& [id, view] : picture.endpoints)
+        eraseGrants(view, [&](const PendingGrant& grant) { return now - grant.grantedAt >= grantConfirmation; });
+}
+
+AnswerReport reportFirstByte(const Placement& placement, Millis now)
+{
+    return { .endpoint = placement.key,
+        .workAhead = static_cast<std::uint64_t>(placement.workAhead),
+        .milliseconds = static_cast<std::uint32_t>((now - placement.sentAt).count) };
+}
+
+AnswerReport reportEnd(const Placement& placement, EndpointOutcome outcome, Millis now)
+{
+    return { .endpoint = placement.key,
+        .ended = true,
+        .outcome = outcome,
+        .milliseconds = static_cast<std::uint32_t>((now - placement.sentAt).count) };
+}
+
+void learn(FleetPicture& picture, const AnswerReport& report, Millis now)
+{
+    auto found = picture.byKey.find(report.endpoint);
+    if (found == picture.byKey.end())
+        return;
+    EndpointView& view = *found->second;
+    PoolView& pool = picture.pools[view.registration.pool];
+    if (report.ended)
+        learnEnd(view, pool, report.outcome, report.milliseconds, now);
+    else
+        learnFirstByte(view, pool, static_cast<double>(report.workAhead), report.milliseconds, now);
+}
+
 void recordFirstByte(FleetPicture& picture, Placement& placement, Millis now)
 {
     if (placement.firstByteSeen)
@@ -289,12 +436,7 @@
         return;
     subtract(view->own.unreadTokens, placement.unreadTokens);
     view->changed = true;
-    view->lastAnswer = now;
-    auto taken = static_cast<double>((now - placement.sentAt).count);
-    PoolView& pool = picture.pools[view->registration.pool];
-    double expected = std::max(pool.latency.predict(placement.workAhead), 1.0);
-    average(view->slowness, std::clamp(taken / expected, minimumSlowness, maximumSlowness), endpointStep);
-    addSample(pool.latency, placement.workAhead, taken / std::max(view->slowness, 1.0));
+    learn(picture, reportFirstByte(placement, now), now);
 }
 
 void recordEnd(FleetPicture& picture, const Placement& placement, EndpointOutcome outcome, Millis now)
@@ -307,36 +449,7 @@
         subtract(view->own.unreadTokens, placement.unreadTokens);
     subtract(view->own.heldTokens, placement.heldTokens);
     view->changed = true;
-    view->probing = false;
-    PoolView& pool = picture.pools[view->registration.pool];
-    auto held = static_cast<double>((now - placement.sentAt).count);
-    switch (outcome) {
-    case EndpointOutcome::Answered:
-        view->losses = 0;
-        pool.holdMilliseconds
-            = pool.holdMilliseconds == 0 ? held : pool.holdMilliseconds + poolStep * (held - pool.holdMilliseconds);
-        break;
-    case EndpointOutcome::Refused:
-        view->losses = 0;
-        avoid(*view, refusalAvoidance, now);
-        break;
-    case EndpointOutcome::Failed:
-        break;
-    case EndpointOutcome::Lost: {
-        Millis span { std::min(firstAvoidance.count << std::min(view->losses, 5U), longestAvoidance.count) };
-        ++view->losses;
-        avoid(*view, span, now);
-        break;
-    }
-    case EndpointOutcome::Stalled:
-        avoid(*view, firstAvoidance, now);
-        break;
-    case EndpointOutcome::Cancelled:
-        return;
-    }
-    double failed = outcome == EndpointOutcome::Answered ? 0.0 : 1.0;
-    average(view->failureShare, failed, endpointStep);
-    average(pool.failureShare, failed, poolStep);
+    learn(picture, reportEnd(placement, outcome, now), now);
 }
 
 void setPeerLoad(FleetPicture& picture, DaemonKey daemon, EndpointKey endpoint, const EndpointLoad& load)
@@ -344,10 +457,14 @@
     auto found = picture.byKey.find(endpoint);
     if (found == picture.byKey.end())
         return;
+    EndpointView& view = *found->second;
+    EndpointLoad& known = view.peers[daemon];
+    remove(view.others, known);
+    add(view.others, load);
     if (load == EndpointLoad {})
-        found->second->peers.erase(daemon);
+        view.peers.erase(daemon);
     else
-        found->second->peers[daemon] = load;
+        known = load;
 }
 
 void notePeerPrompt(FleetPicture& picture, EndpointKey endpoint, std::span<const PromptPart> prompt, Millis now)
@@ -360,8 +477,13 @@
 
 void dropPeer(FleetPicture& picture, DaemonKey daemon)
 {
-    for (auto& [id, view] : picture.endpoints)
-        view.peers.erase(daemon);
+    for (auto& [id, view] : picture.endpoints) {
+        auto known = view.peers.find(daemon);
+        if (known == view.peers.end())
+            continue;
+        remove(view.others, known->second);
+        view.peers.erase(known);
+    }
 }
 
 }
--- a/src/routing/FleetPicture.h
+++ b/src/routing/FleetPicture.h
@@ -26,6 +26,9 @@
 /// \brief Identifies an endpoint's process in messages: its id and the time of its start.
 using EndpointKey = std::uint64_t;
 
+/// \brief Identifies a group of a pool's endpoints whose requests one daemon places; see Shards.h.
+using ShardKey = std::uint64_t;
+
 /// \brief Work that one daemon has at an endpoint.
 struct EndpointLoad {
     std::uint32_t running { 0 }; ///< Requests sent and not ended.
@@ -35,12 +38,23 @@
     [[nodiscard]] friend bool operator==(const EndpointLoad&, const EndpointLoad&) = default;
 };
 
+/// \brief Work that a peer was allowed to send and has not reported as its own load yet.
+struct PendingGrant {
+    DaemonKey daemon { 0 };
+    std::uint64_t number { 0 }; ///< Counts the grants to that daemon.
+    EndpointLoad load;
+    Millis grantedAt {};
+};
+
 /// \brief One endpoint. Written by the functions below only.
 struct EndpointView {
     Registration registration;
     EndpointKey key { 0 };
+    ShardKey shard { 0 };
     EndpointLoad own;
     std::unordered_map<DaemonKey, EndpointLoad> peers;
+    std::vector<PendingGrant> grants;
+    EndpointLoad others; ///< Sum of \c peers and \c grants.
     PromptCache cache;
     std::uint64_t memoryTokens { 0 }; ///< That its cache and running requests may hold; 0 if unknown.
     double slowness { 1.0 }; ///< Seen over predicted times, relative to its pool.
@@ -49,6 +63,7 @@
     Millis avoidUntil {}; ///< Gets no work before this time.
     Millis lastAnswer {};
     bool probing { false }; ///< One request finds out whether it works again.
+    Millis probeStarted {};
     bool changed { false }; ///< Its own load has changed since the last message to peers.
 
     /// \returns The load of all daemons.
@@ -72,6 +87,7 @@
     std::unordered_map<std::uint64_t, PartUse> partUses; ///< By part key; all daemons' sends.
     std::map<EndpointId, EndpointView> endpoints;
     std::unordered_map<PoolId, std::vector<EndpointView*>> byPool;
+    std::unordered_map<ShardKey, std::vector<EndpointView*>> byShard;
     std::unordered_map<EndpointKey, EndpointView*> byKey;
     std::unordered_map<PoolId, PoolView> pools;
 };
@@ -123,8 +139,9 @@
 struct ChoiceRules {
     AdmissionLimits limits; ///< Endpoints within them go first.
     std::string_view availabilityZone; ///< Of the daemon.
-    std::span<const EndpointId> avoid; ///< Endpoints that this request was sent to before.
+    std::span<const EndpointKey> avoid; ///< Endpoints that this request was sent to before.
     bool repeatable { false }; ///< The request may be used to probe an endpoint that failed.
+    ShardKey shard { 0 }; ///< Only its endpoints; 0: all endpoints of the pool.
     PlacementOptions options;
 };
 
@@ -135,6 +152,15 @@
 /// \brief Records that the request is sent to the chosen endpoint.
 [[nodiscard]] Placement recordSend(FleetPicture&, const Choice&, const Work&, Millis now);
 
+/// \brief Counts a chosen endpoint as loaded on behalf of a peer until the peer reports the load itself.
+void recordGrant(FleetPicture&, const Choice&, const Work&, DaemonKey peer, std::uint64_t number, Millis now);
+
+/// \brief The peer's reports include its grants up to \p number.
+void confirmGrants(FleetPicture&, DaemonKey peer, std::uint64_t number);
+
+/// \brief Drops grants that were not confirmed in time: the grant or its report was lost, or the peer has ended.
+void expireGrants(FleetPicture&, Millis now);
+
 /// \brief The first byte or event of the answer has come.
 void recordFirstByte(FleetPicture&, Placement&, Millis now);
 
@@ -151,6 +177,24 @@
 /// \brief Removes the request from its endpoint's load and learns from the outcome.
 void recordEnd(FleetPicture&, const Placement&, EndpointOutcome, Millis now);
 
+/// \brief What a peer has seen of an endpoint.
+struct AnswerReport {
+    EndpointKey endpoint { 0 };
+    bool ended { false }; ///< The request has ended; otherwise its first byte has come.
+    EndpointOutcome outcome { EndpointOutcome::Answered }; ///< If it has ended.
+    std::uint64_t workAhead { 0 }; ///< Of a first byte: units of work when the request was sent, with its own.
+    std::uint32_t milliseconds { 0 }; ///< From its sending to the first byte or to the end.
+};
+
+/// \returns What peers should learn from a first byte that has just come.
+[[nodiscard]] AnswerReport reportFirstByte(const Placement&, Millis now);
+
+/// \returns What peers should learn from a request's end.
+[[nodiscard]] AnswerReport reportEnd(const Placement&, EndpointOutcome, Millis now);
+
+/// \brief Learns from a peer's report as from an answer of this daemon's own.
+void learn(FleetPicture&, const AnswerReport&, Millis now);
+
 /// \brief A peer's load at an endpoint.
 void setPeerLoad(FleetPicture&, DaemonKey, EndpointKey, const EndpointLoad&);
 
--- /dev/null
+++ b/src/routing/PlacementDecision.cpp
@@ -0,0 +1,72 @@
+#include "routing/PlacementDecision.h"
+
+namespace jasminestack {
+
+namespace {
+
+    // Cost of an output token in prompt tokens, as the operators' throughput figure counts them.
+    constexpr double outputCost = 2.0;
+
+    AdmissionFacts admissionFacts(const PlacementInputs& inputs, const PlacementQuery& query, Millis now)
+    {
+        // No engine reads prompts behind a plain request, so its wait is bounded by its own objective only.
+        return { .objective = query.objective,
+            .tightest = query.stream ? inputs.table.tightestObjective(query.pool) : Millis {},
+            .overrun = inputs.picture.pools[query.pool].latency.overrun,
+            .pressure = pressure(inputs.shares, query.workspace),
+            .waited = now - query.arrivedAt,
+            .age = now - query.firstArrival,
+            .timeLeft = query.deadline - now };
+    }
+
+    Choice chooseWithin(
+        const PlacementInputs& inputs, const PlacementQuery& query, const AdmissionLimits& limits, Millis now)
+    {
+        return choose(inputs.picture, inputs.table, query.pool, query.work(),
+            { .limits = limits,
+                .availabilityZone = query.availabilityZone,
+                .avoid = query.avoid,
+                .repeatable = query.repeatable,
+                .shard = inputs.shard,
+                .options = inputs.options },
+            now);
+    }
+
+}
+
+PlacementDecision decidePlacement(
+    const PlacementInputs& inputs, const PlacementQuery& query, Random& random, Millis now)
+{
+    AdmissionFacts facts = admissionFacts(inputs, query, now);
+    AdmissionLimits limits = admissionLimits(facts);
+    PlacementDecision decision { .choice = chooseWithin(inputs, query, limits, now) };
+    const Choice& choice = decision.choice;
+    decision.late = isLate(limits, choice.prediction);
+    if (choice.endpoint && (choice.fits || inputs.admitAll)) {
+        decision.verdict = PlacementVerdict::Send;
+    } else if (mayWait(facts, limits, choice.prediction)) {
+        decision.verdict = PlacementVerdict::Wait;
+    } else {
+        decision.verdict = PlacementVerdict::Refuse;
+        decision.retryAfter = retryDelay(facts, limits, choice.prediction, random);
+    }
+    return decision;
+}
+
+Choice bestEndpoint(const PlacementInputs& inputs, const PlacementQuery& query, Millis now)
+{
+    return chooseWithin(inputs, query, admissionLimits(admissionFacts(inputs, query, now)), now);
+}
+
+WaitingOrder waitingOrder(const PlacementQuery& query, const WorkspaceShares& shares, bool late) noexcept
+{
+    bool returning = query.firstArrival < query.arrivedAt;
+    return { late, !returning, pressure(shares, query.workspace), query.firstArrival.count };
+}
+
+double chargedTokens(const PlacementQuery& query) noexcept
+{
+    return static_cast<double>(query.promptTokens) + outputCost * static_cast<double>(query.outputTokens);
+}
+
+}
--- a/src/routing/WorkspaceShares.cpp
+++ b/src/routing/WorkspaceShares.cpp
@@ -28,16 +28,16 @@
 
 WorkspaceKey workspaceKey(const WorkspaceId& workspace) noexcept { return hash64(workspace.value); }
 
-void recordAsked(WorkspaceShares& shares, const WorkspaceId& workspace, double tokens, Millis now)
+void recordAsked(WorkspaceShares& shares, WorkspaceKey workspace, double tokens, Millis now)
 {
-    auto& counter = shares.own[workspaceKey(workspace)];
+    auto& counter = shares.own[workspace];
     decay(counter, now);
     counter.asked += tokens / rateWindow.seconds();
 }
 
-void recordServed(WorkspaceShares& shares, const WorkspaceId& workspace, double tokens, Millis now)
+void recordServed(WorkspaceShares& shares, WorkspaceKey workspace, double tokens, Millis now)
 {
-    auto& counter = shares.own[workspaceKey(workspace)];
+    auto& counter = shares.own[workspace];
     decay(counter, now);
     counter.served += tokens / rateWindow.seconds();
 }
@@ -103,9 +103,9 @@
     }
 }
 
-double pressure(const WorkspaceShares& shares, const WorkspaceId& workspace) noexcept
+double pressure(const WorkspaceShares& shares, WorkspaceKey workspace) noexcept
 {
-    auto found = shares.pressure.find(workspaceKey(workspace));
+    auto found = shares.pressure.find(workspace);
     return found == shares.pressure.end() ? 1.0 : found->second;
 }
 
--- a/src/routing/WorkspaceShares.h
+++ b/src/routing/WorkspaceShares.h
@@ -41,10 +41,10 @@
 [[nodiscard]] WorkspaceKey workspaceKey(const WorkspaceId&) noexcept;
 
 /// \brief Adds a request's tokens to what its workspace asked for.
-void recordAsked(WorkspaceShares&, const WorkspaceId&, double tokens, Millis now);
+void recordAsked(WorkspaceShares&, WorkspaceKey, double tokens, Millis now);
 
 /// \brief Adds a request's tokens to what its workspace was served.
-void recordServed(WorkspaceShares&, const WorkspaceId&, double tokens, Millis now);
+void recordServed(WorkspaceShares&, WorkspaceKey, double tokens, Millis now);
 
 /// \returns This daemon's rates, for its peers.
 [[nodiscard]] std::vector<WorkspaceRate> ownRates(WorkspaceShares&, Millis now);
@@ -54,7 +54,7 @@
 void refreshPressure(WorkspaceShares&, Millis now);
 
 /// \returns What the workspace is served over its fair share; 1 while nothing is contended.
-[[nodiscard]] double pressure(const WorkspaceShares&, const WorkspaceId&) noexcept;
+[[nodiscard]] double pressure(const WorkspaceShares&, WorkspaceKey) noexcept;
 
 /// \brief Max-min fair division of \p capacity: nobody gets more than it demands, and nobody who gets less than its
 /// demand gets less than another.
--- a/tests/RoutingPolicyTests.cpp
+++ b/tests/RoutingPolicyTests.cpp
@@ -237,13 +237,13 @@
     WorkspaceId flood { "flood" };
     WorkspaceId small { "small" };
     Millis now { 1'000 };
-    recordAsked(shares, small, 1'000, now);
-    recordServed(shares, small, 500, now);
+    recordAsked(shares, workspaceKey(small), 1'000, now);
+    recordServed(shares, workspaceKey(small), 500, now);
     for (DaemonKey peer = 1; peer <= 4; ++peer)
         shares.peers[peer] = { { .workspace = workspaceKey(flood), .asked = 2'000, .served = 1'000 } };
     refreshPressure(shares, now);
-    CHECK(pressure(shares, flood) > 1.0);
-    CHECK(pressure(shares, small) < 1.0);
+    CHECK(pressure(shares, workspaceKey(flood)) > 1.0);
+    CHECK(pressure(shares, workspaceKey(small)) < 1.0);
 }
 
 // Guards against retries beyond the fleet's bound, summed over daemons that do not hear each other.
