Handle events by priority and refuse streams without processor time

Ruled out: the coordinators (their daemons answered others within milliseconds); endpoints (7.3 of 15 M tokens a second begun).

--- a/src/base/Clock.cpp
+++ b/src/base/Clock.cpp
@@ -1,10 +1,19 @@
 #include "base/Clock.h"
 
+#include <array>
 #include <chrono>
+#include <cstdio>
 #include <ctime>
 
 namespace jasminestack {
 
+std::string formatSeconds(Millis span)
+{
+    std::array<char, 32> text {};
+    int length = std::snprintf(text.data(), text.size(), "%.3f", span.seconds());
+    return { text.data(), static_cast<std::size_t>(length) };
+}
+
 Millis SystemClock::now() const noexcept
 {
     // CLOCK_BOOTTIME also counts while the host is suspended, so a lease cannot outlive a suspend unnoticed.
--- a/src/base/Clock.h
+++ b/src/base/Clock.h
@@ -2,6 +2,7 @@
 
 #include <compare>
 #include <cstdint>
+#include <string>
 
 namespace jasminestack {
 
@@ -26,6 +27,9 @@
     [[nodiscard]] constexpr double seconds() const noexcept { return static_cast<double>(count) / 1000.0; }
 };
 
+/// \returns Seconds with three decimals, as headers have them.
+[[nodiscard]] std::string formatSeconds(Millis span);
+
 /// \brief Source of time. The daemon uses SystemClock, tests use FakeClock.
 class Clock {
 public:
--- a/src/base/Error.cpp
+++ b/src/base/Error.cpp
@@ -20,6 +20,7 @@
         ErrorAnswer { ErrorKind::QueueFull, "queue_full", 429, true },
         ErrorAnswer { ErrorKind::DeadlineExceeded, "deadline_exceeded", 504, true },
         ErrorAnswer { ErrorKind::DeadlineUnreachable, "deadline_unreachable", 503, true },
+        ErrorAnswer { ErrorKind::RouterOverloaded, "router_overloaded", 503, true },
         ErrorAnswer { ErrorKind::ShuttingDown, "shutting_down", 503, true },
         ErrorAnswer { ErrorKind::NotReady, "not_ready", 503, true },
         ErrorAnswer { ErrorKind::PresetRefuses, "preset_refuses", 503, true },
--- a/src/base/Error.h
+++ b/src/base/Error.h
@@ -31,6 +31,7 @@
     QueueFull,
     DeadlineExceeded,
     DeadlineUnreachable,
+    RouterOverloaded,
     ShuttingDown,
     NotReady,
     PresetRefuses,
--- a/src/config/RouterSettings.cpp
+++ b/src/config/RouterSettings.cpp
@@ -79,6 +79,7 @@
         ObjectReader daemon = reader.object("router", Presence::Required);
         daemon.identifier("id", settings.daemon.id.value, Presence::Required);
         daemon.identifier("availabilityZone", settings.daemon.availabilityZone, Presence::Required);
+        daemon.integer("maxDescriptors", settings.daemon.maxDescriptors, 256U, 10'000'000U);
         daemon.number("processorShare", settings.daemon.processorShare, 0.01, 1'024.0);
     }
     readAddresses(reader, settings, problems);
--- a/src/net/CallerServer.cpp
+++ b/src/net/CallerServer.cpp
@@ -1,8 +1,10 @@
 #include "net/CallerServer.h"
 
+#include "net/EventPriority.h"
 #include "net/HttpClient.h"
 #include "net/HttpResponseParser.h"
 #include "net/Socket.h"
+#include "observe/Logging.h"
 
 #include <algorithm>
 #include <arpa/inet.h>
@@ -73,6 +75,7 @@
     std::unique_ptr<evconnlistener, ListenerDeleter> listener;
     std::uint16_t port { 0 };
     bool closeAfterAnswers { false };
+    bool full { false }; ///< No further connections are accepted for now.
     std::unordered_map<Connection*, std::unique_ptr<Connection>> connections;
     std::vector<std::unique_ptr<Connection>> closed; ///< Destroyed outside their own calls.
     EventPointer reaper;
@@ -96,6 +99,23 @@
             event_active(reaper.get(), EV_TIMEOUT, 0);
         closed.push_back(std::move(found->second));
         connections.erase(found);
+        limitConnections();
+    }
+
+    // Stops accepting at the limit, and goes on when a twentieth of the connections is free again.
+    void limitConnections()
+    {
+        if (options.maxConnections == 0 || !listener)
+            return;
+        if (!full && connections.size() >= options.maxConnections) {
+            full = true;
+            evconnlistener_disable(listener.get());
+            logEvent(LogLevel::Warning, "caller_connections_full", { { "connections", connections.size() } });
+        } else if (full && connections.size() <= options.maxConnections - options.maxConnections / 20) {
+            full = false;
+            evconnlistener_enable(listener.get());
+            logEvent(LogLevel::Info, "caller_connections_accepted", { { "connections", connections.size() } });
+        }
     }
 
     static void onReap(evutil_socket_t, short, void* argument) { static_cast<State*>(argument)->closed.clear(); }
@@ -111,6 +131,7 @@
         , m_writable(event_new(&owner.base, m_socket.value(), EV_WRITE | EV_PERSIST, onWritable, this))
         , m_timer(evtimer_new(&owner.base, onTimer, this))
     {
+        setPriority(*m_readable, EventPriority::NewWork);
         configureConnection(m_socket.value(), callerSilence);
         http_parser_init(&m_parser, HTTP_REQUEST);
         m_parser.data = this;
@@ -527,6 +548,7 @@
     auto connection = std::make_unique<Connection>(state, Descriptor(descriptor));
     Connection* key = connection.get();
     state.connections.emplace(key, std::move(connection));
+    state.limitConnections();
 }
 
 CallerServer::CallerServer(event_base& base, CallerHandler& handler, const CallerServerOptions& options)
--- /dev/null
+++ b/src/net/EventPriority.cpp
@@ -0,0 +1,35 @@
+#include "net/EventPriority.h"
+
+#include <event2/event.h>
+
+namespace jasminestack {
+
+namespace {
+
+    // Events of requests that are handled before the loop looks for control messages again.
+    constexpr int eventsPerTurn = 32;
+
+    struct ConfigDeleter {
+        void operator()(event_config* config) const noexcept { event_config_free(config); }
+    };
+
+}
+
+void EventBaseDeleter::operator()(event_base* base) const noexcept { event_base_free(base); }
+
+EventBasePointer makePrioritizedBase()
+{
+    std::unique_ptr<event_config, ConfigDeleter> config(event_config_new());
+    event_config_set_max_dispatch_interval(config.get(), nullptr, eventsPerTurn, static_cast<int>(EventPriority::Work));
+    EventBasePointer base(event_base_new_with_config(config.get()));
+    event_base_priority_init(base.get(), static_cast<int>(EventPriority::Count));
+    return base;
+}
+
+void setPriority(event& item, EventPriority priority) noexcept
+{
+    // Fails on loops with fewer priorities, which is as documented.
+    (void)event_priority_set(&item, static_cast<int>(priority));
+}
+
+}
--- a/src/net/UdpTransport.cpp
+++ b/src/net/UdpTransport.cpp
@@ -1,5 +1,6 @@
 #include "net/UdpTransport.h"
 
+#include "net/EventPriority.h"
 #include "net/HttpClient.h"
 
 #include <arpa/inet.h>
@@ -15,7 +16,7 @@
     constexpr std::size_t maxDatagramBytes = 64U << 10U;
 
     // Datagrams read in one turn of the event loop at most, so that they do not delay the streams.
-    constexpr int datagramsPerTurn = 32;
+    constexpr int datagramsPerTurn = 128;
 
     std::optional<sockaddr_in> parseAddress(std::string_view address)
     {
@@ -49,6 +50,7 @@
     m_readable.reset(event_new(
         &m_base, m_socket.value(), EV_READ | EV_PERSIST,
         [](int, short, void* argument) { static_cast<UdpTransport*>(argument)->receive(); }, this));
+    setPriority(*m_readable, EventPriority::Control);
     event_add(m_readable.get(), nullptr);
     return ok();
 }
--- a/src/router/FleetExchange.cpp
+++ b/src/router/FleetExchange.cpp
@@ -1,5 +1,6 @@
 #include "router/FleetExchange.h"
 
+#include "net/EventPriority.h"
 #include "observe/Logging.h"
 #include "router/FleetNewsCodec.h"
 #include "router/PlacementCodec.h"
@@ -63,6 +64,7 @@
           },
           this))
 {
+    setPriority(*m_flushTimer, EventPriority::Control);
 }
 
 FleetExchange::~FleetExchange() = default;
--- a/src/router/PlacementClient.cpp
+++ b/src/router/PlacementClient.cpp
@@ -1,5 +1,6 @@
 #include "router/PlacementClient.h"
 
+#include "net/EventPriority.h"
 #include "observe/Logging.h"
 #include "router/PlacementCodec.h"
 
@@ -28,6 +29,7 @@
     , m_timer(evtimer_new(
           &m_context.base, [](int, short, void* self) { static_cast<PlacementClient*>(self)->onTimer(); }, this))
 {
+    setPriority(*m_timer, EventPriority::Control);
 }
 
 std::optional<AskId> PlacementClient::ask(ShardKey shard, const PlacementQuery& query, PlacementListener& listener)
--- a/src/router/PlacementQueue.cpp
+++ b/src/router/PlacementQueue.cpp
@@ -1,5 +1,7 @@
 #include "router/PlacementQueue.h"
 
+#include "net/EventPriority.h"
+
 #include <algorithm>
 #include <event2/event.h>
 #include <utility>
@@ -20,6 +22,7 @@
     : m_timer(evtimer_new(
         &base, [](int, short, void* self) { static_cast<PlacementQueue*>(self)->tryWaiting(); }, this))
 {
+    setPriority(*m_timer, EventPriority::Control);
 }
 
 void PlacementQueue::add(WaitingPlacement& item)
--- a/src/router/RoutedRequestAnswer.cpp
+++ b/src/router/RoutedRequestAnswer.cpp
@@ -2,9 +2,7 @@
 #include "observe/Logging.h"
 #include "router/RoutedRequest.h"
 
-#include <array>
 #include <cmath>
-#include <cstdio>
 #include <event2/event.h>
 
 namespace jasminestack {
@@ -26,13 +24,6 @@
         return findHeader(head.headers, "Content-Type").starts_with("text/event-stream");
     }
 
-    std::string formatSeconds(Millis span)
-    {
-        std::array<char, 32> text {};
-        int length = std::snprintf(text.data(), text.size(), "%.3f", span.seconds());
-        return { text.data(), static_cast<std::size_t>(length) };
-    }
-
 }
 
 void RoutedRequest::onHead(const EndpointHead& head)
--- a/src/router/RouterDaemon.cpp
+++ b/src/router/RouterDaemon.cpp
@@ -3,6 +3,7 @@
 #include "base/Hash.h"
 #include "net/CallerServer.h"
 #include "net/EndpointClient.h"
+#include "net/EventPriority.h"
 #include "net/HttpListener.h"
 #include "net/UdpTransport.h"
 #include "observe/Logging.h"
@@ -45,10 +46,6 @@
     constexpr std::size_t idlePerEndpoint = 48;
     constexpr Millis endpointIdleLimit { 30'000 };
 
-    struct EventBaseDeleter {
-        void operator()(event_base* base) const noexcept { event_base_free(base); }
-    };
-
     RouterFlowOptions flowOptions(const RouterSettings& settings)
     {
         RouterFlowOptions options { .availabilityZone = settings.daemon.availabilityZone,
@@ -61,6 +58,14 @@
         return options;
     }
 
+    // Descriptors that connections of callers may take; the others are for endpoints, peers and the store.
+    constexpr double callerDescriptors = 0.6;
+
+    std::size_t maxCallers(const RouterSettings& settings)
+    {
+        return static_cast<std::size_t>(callerDescriptors * settings.daemon.maxDescriptors);
+    }
+
     std::optional<std::string> readFile(const std::string& path)
     {
         std::ifstream file(path);
@@ -79,7 +84,7 @@
     DeploymentAdapter adapter;
     SystemClock clock;
     Random random { systemSeed() };
-    std::unique_ptr<event_base, EventBaseDeleter> base;
+    EventBasePointer base;
     HttpClient http;
     std::unique_ptr<DeploymentSource> source;
     Metrics metrics;
@@ -95,6 +100,8 @@
     FleetExchange exchange;
     HttpListener listener;
     EventPointer tickTimer;
+    EventPointer lagProbe; ///< Runs after the events of callers that were ready before it.
+    Millis probeStarted {}; ///< 0 while no probe is under way.
     std::array<EventPointer, 3> signals;
     std::string settingsPath;
     std::int64_t settingsModified { 0 };
@@ -109,7 +116,7 @@
     State(const RouterSettings& theSettings, DeploymentAdapter theAdapter)
         : settings(theSettings)
         , adapter(std::move(theAdapter))
-        , base(event_base_new())
+        , base(makePrioritizedBase())
         , http(*base)
         , source(adapter.source(*base, http, clock, settings))
         , key(hash64(settings.daemon.id.value, systemSeed()))
@@ -143,7 +150,10 @@
                    .coordinators = &placements,
                    .boardChanged = [this] { exchange.flushSoon(); } },
               flowOptions(settings))
-        , server(*base, flow, { .address = settings.callers.address, .writeTimeout = settings.callers.writeTimeout })
+        , server(*base, flow,
+              { .address = settings.callers.address,
+                  .writeTimeout = settings.callers.writeTimeout,
+                  .maxConnections = maxCallers(settings) })
         , exchange({ .base = *base,
                        .clock = clock,
                        .board = board,
@@ -163,7 +173,10 @@
                   .coordinateFrom = settings.coordination.fromDaemons })
         , listener(*base, [this](std::string_view path) { return answer(path); })
         , tickTimer(event_new(base.get(), -1, EV_PERSIST, onTick, this))
+        , lagProbe(event_new(base.get(), -1, 0, onLagProbe, this))
     {
+        setPriority(*tickTimer, EventPriority::Control);
+        setPriority(*lagProbe, EventPriority::NewWork);
         timeval interval = toTimeval(tickInterval);
         event_add(tickTimer.get(), &interval);
     }
@@ -195,7 +208,8 @@
             .headTimeout = limits.headerTime,
             .readTimeout = std::max(limits.idleTime, limits.headerTime),
             .idleTimeout = limits.idleTime,
-            .writeTimeout = settings.callers.writeTimeout });
+            .writeTimeout = settings.callers.writeTimeout,
+            .maxConnections = maxCallers(settings) });
         metrics.set(Gauge::ConfigurationVersion, {}, static_cast<double>(board.table->version));
         updateReadiness();
     }
@@ -236,11 +250,28 @@
         board.configurationCurrent = now - source->configurationConfirmedAt() < configurationAge;
     }
 
+    static void onLagProbe(evutil_socket_t, short, void* self)
+    {
+        auto& state = *static_cast<State*>(self);
+        state.board.lag = state.clock.now() - std::exchange(state.probeStarted, {});
+    }
+
+    void measureLag(Millis now)
+    {
+        if (probeStarted != Millis {}) {
+            board.lag = std::max(board.lag, now - probeStarted);
+            return;
+        }
+        probeStarted = now;
+        event_active(lagProbe.get(), EV_TIMEOUT, 0);
+    }
+
     static void onTick(evutil_socket_t, short, void* self) { static_cast<State*>(self)->tick(); }
 
     void tick()
     {
         Millis now = clock.now();
+        measureLag(now);
         updateConfigurationAge(now);
         if (now - lastPressure >= pressureInterval) {
             lastPressure = now;
--- a/src/router/RouterFlow.cpp
+++ b/src/router/RouterFlow.cpp
@@ -14,6 +14,19 @@
 
     constexpr std::string_view retryAfterStart = "0.500";
 
+    // Requests that wait longer to be read than this find the daemon without processor time for more streams. A plain
+    // request costs it a tenth of a stream and is taken for longer.
+    constexpr Millis streamLagLimit { 80 };
+    constexpr Millis plainLagLimit { 400 };
+
+    // Callers who are refused for lack of processor time return spread over this span.
+    constexpr Millis lagRetrySpan { 1'500 };
+
+    bool hasProcessorTime(const Route& route, Millis lag)
+    {
+        return lag < (route.kind == RequestKind::Stream ? streamLagLimit : plainLagLimit);
+    }
+
     std::string errorText(ErrorKind kind, std::string_view message)
     {
         std::string text = R"({"error":{"kind":")" + std::string(answerFor(kind).name) + R"(","message":")";
@@ -48,6 +61,12 @@
     [[nodiscard]] const RouterFlowOptions& options() const noexcept override { return flowOptions; }
     [[nodiscard]] RetryAllowance& allowance() noexcept override { return retryAllowance; }
 
+    [[nodiscard]] Millis lagRetry() const
+    {
+        double spread = 0.5 + flowContext.random.unit();
+        return { static_cast<std::int64_t>(static_cast<double>(lagRetrySpan.count) * spread) };
+    }
+
     void finished(RoutedRequest& request) override
     {
         auto found = requests.find(&request);
@@ -62,13 +81,16 @@
     void refuse(const CallerRequest& request, CallerExchange& exchange, ErrorKind kind, std::string_view message)
     {
         CallerHead head { .status = answerFor(kind).httpStatus, .headers = { { "Content-Type", "application/json" } } };
-        if (head.status == 503)
+        if (kind == ErrorKind::RouterOverloaded)
+            head.headers.emplace_back("Retry-After", formatSeconds(lagRetry()));
+        else if (head.status == 503)
             head.headers.emplace_back("Retry-After", retryAfterStart);
         flowContext.metrics.add(Counter::Requests, { "", answerFor(kind).name });
         logEvent(LogLevel::Warning, "request_refused",
             { { "method", request.method }, { "target", request.target.substr(0, 64) },
                 { "host", request.header("Host") }, { "kind", answerFor(kind).name }, { "status", head.status },
-                { "message", message }, { "configuration", flowContext.board.table->version },
+                { "message", message }, { "lag_ms", flowContext.board.lag.count },
+                { "configuration", flowContext.board.table->version },
                 { "current", flowContext.board.configurationCurrent ? 1 : 0 } });
         exchange.sendWhole(head, errorText(kind, message));
     }
@@ -106,6 +128,10 @@
             "no route has this host and path");
         return;
     }
+    if (!hasProcessorTime(*route, board.lag)) {
+        state.refuse(request, exchange, ErrorKind::RouterOverloaded, "this daemon has no processor time left");
+        return;
+    }
     WorkspaceId workspace;
     if (table->authenticates) {
         auto holder = table->workspacesByKey.find(facts.value().apiKey);
--- a/src/router/RouterFlow.h
+++ b/src/router/RouterFlow.h
@@ -53,6 +53,7 @@
     RefusalMemory refusals;
     std::vector<std::pair<std::uint64_t, Millis>> newRefusals; ///< Content and first arrival; not yet told to peers.
     bool configurationCurrent { false }; ///< The configuration is known to be the newest, within seconds.
+    Millis lag {}; ///< Time for which callers' requests wait before this daemon reads them.
     bool refusing { false }; ///< This daemon is about to end and takes no further requests.
 };
 
