--- a/src/net/CallerServer.cpp
+++ b/src/net/CallerServer.cpp
@@ -14,6 +14,7 @@
 #include <event2/event.h>
 #include <event2/listener.h>
 #include <http_parser.h>
+#include <list>
 #include <netinet/in.h>
 #include <optional>
 #include <sys/socket.h>
@@ -33,6 +34,12 @@
     constexpr std::size_t readBytes = 64U << 10U;
     constexpr int listenBacklog = 1'024;
 
+    // Connections that wait to be read for the first time. At the rate at which a busy daemon reads and refuses, the
+    // last of them waits for about half a second; callers leave after a second.
+    constexpr std::size_t maxUnread = 256;
+
+    constexpr Millis dropLogInterval { 1'000 };
+
     // A caller that has vanished without closing its connection is noticed by unanswered probes.
     constexpr SilenceLimits callerSilence {
         .keepAliveIdleSeconds = 5, .keepAliveProbes = 3, .unacknowledged = { 8'000 }
@@ -75,7 +82,9 @@
     std::unique_ptr<evconnlistener, ListenerDeleter> listener;
     std::uint16_t port { 0 };
     bool closeAfterAnswers { false };
-    bool full { false }; ///< No further connections are accepted for now.
+    std::list<Connection*> unread; ///< Connections from which nothing was read yet, oldest first.
+    std::uint64_t dropped { 0 }; ///< Closed unread since the last log line.
+    Millis dropsLogged {};
     std::unordered_map<Connection*, std::unique_ptr<Connection>> connections;
     std::vector<std::unique_ptr<Connection>> closed; ///< Destroyed outside their own calls.
     EventPointer reaper;
@@ -90,33 +99,8 @@
     {
     }
 
-    void close(Connection* connection)
-    {
-        auto found = connections.find(connection);
-        if (found == connections.end())
-            return;
-        if (closed.empty())
-            event_active(reaper.get(), EV_TIMEOUT, 0);
-        closed.push_back(std::move(found->second));
-        connections.erase(found);
-        limitConnections();
-    }
-
-    // Stops accepting at the limit, and goes on when a twentieth of the connections is free again.
-    void limitConnections()
-    {
-        if (options.maxConnections == 0 || !listener)
-            return;
-        if (!full && connections.size() >= options.maxConnections) {
-            full = true;
-            evconnlistener_disable(listener.get());
-            logEvent(LogLevel::Warning, "caller_connections_full", { { "connections", connections.size() } });
-        } else if (full && connections.size() <= options.maxConnections - options.maxConnections / 20) {
-            full = false;
-            evconnlistener_enable(listener.get());
-            logEvent(LogLevel::Info, "caller_connections_accepted", { { "connections", connections.size() } });
-        }
-    }
+    void close(Connection* connection);
+    void dropExcess();
 
     static void onReap(evutil_socket_t, short, void* argument) { static_cast<State*>(argument)->closed.clear(); }
     static void onAccept(evconnlistener*, evutil_socket_t descriptor, sockaddr*, int, void* argument);
@@ -132,6 +116,7 @@
         , m_timer(evtimer_new(&owner.base, onTimer, this))
     {
         setPriority(*m_readable, EventPriority::NewWork);
+        m_unread = owner.unread.insert(owner.unread.end(), this);
         configureConnection(m_socket.value(), callerSilence);
         http_parser_init(&m_parser, HTTP_REQUEST);
         m_parser.data = this;
@@ -144,6 +129,14 @@
 
     void attach(CallerListener& listener) override { m_listener = &listener; }
 
+    /// \brief Takes the connection out of the list of those that wait to be read for the first time.
+    void markRead()
+    {
+        if (m_unread)
+            m_owner.unread.erase(*m_unread);
+        m_unread.reset();
+    }
+
     void sendWhole(const CallerHead& head, std::string_view body) override
     {
         std::string text = formatHead(head);
@@ -304,6 +297,7 @@
     void read()
     {
         std::vector<char>& scratch = m_owner.scratch;
+        markRead();
         ssize_t length = recv(m_socket.value(), scratch.data(), scratch.size(), 0);
         if (length < 0 && (errno == EAGAIN || errno == EINTR) && !m_failed)
             return;
@@ -528,6 +522,7 @@
     std::string m_output; ///< Accepted and not yet taken by the socket.
     std::string m_unsent; ///< Head of a stream; leaves with its first chunk.
     std::size_t m_written { 0 };
+    std::optional<std::list<Connection*>::iterator> m_unread; ///< Place in the list of its owner.
     CallerRequest m_request;
     std::size_t m_headBytes { 0 };
     std::optional<ErrorKind> m_fault;
@@ -542,13 +537,44 @@
     bool m_failed { false };
 };
 
+void CallerServer::State::close(Connection* connection)
+{
+    auto found = connections.find(connection);
+    if (found == connections.end())
+        return;
+    connection->markRead();
+    if (closed.empty())
+        event_active(reaper.get(), EV_TIMEOUT, 0);
+    closed.push_back(std::move(found->second));
+    connections.erase(found);
+}
+
+// Without processor time to read from all new connections, the oldest ones are closed: their callers have waited
+// longest, and leave first. A connection that is closed before anything was read from it promises that its request has
+// not run.
+void CallerServer::State::dropExcess()
+{
+    bool full = options.maxConnections != 0 && connections.size() > options.maxConnections;
+    while (!unread.empty() && (std::exchange(full, false) || unread.size() > maxUnread)) {
+        close(unread.front());
+        ++dropped;
+    }
+    Millis now = clock.now();
+    if (dropped == 0 || now - dropsLogged < dropLogInterval)
+        return;
+    dropsLogged = now;
+    logEvent(LogLevel::Warning, "caller_connections_dropped",
+        { { "dropped", std::exchange(dropped, 0) }, { "connections", connections.size() },
+            { "unread", unread.size() } });
+}
+
 void CallerServer::State::onAccept(evconnlistener*, evutil_socket_t descriptor, sockaddr*, int, void* argument)
 {
     auto& state = *static_cast<State*>(argument);
     auto connection = std::make_unique<Connection>(state, Descriptor(descriptor));
     Connection* key = connection.get();
     state.connections.emplace(key, std::move(connection));
-    state.limitConnections();
+    state.dropExcess();
 }
 
 CallerServer::CallerServer(event_base& base, CallerHandler& handler, const CallerServerOptions& options)
