--- a/src/net/CallerServer.cpp
+++ b/src/net/CallerServer.cpp
@@ -12,9 +12,7 @@
 #include <cerrno>
 #include <charconv>
 #include <event2/event.h>
-#include <event2/listener.h>
 #include <http_parser.h>
-#include <list>
 #include <netinet/in.h>
 #include <optional>
 #include <sys/socket.h>
@@ -32,11 +30,13 @@
     constexpr std::size_t pipelineBytes = 64U << 10U;
 
     constexpr std::size_t readBytes = 64U << 10U;
-    constexpr int listenBacklog = 1'024;
 
-    // Connections that wait to be read for the first time. At the rate at which a busy daemon reads and refuses, the
-    // last of them waits for about half a second; callers leave after a second.
-    constexpr std::size_t maxUnread = 256;
+    // Callers leave after a second. A daemon without processor time reads a few hundred requests a second, so those at
+    // the end of a longer queue would have left before their turn; the kernel turns them away at no cost.
+    constexpr int listenBacklog = 128;
+
+    // Connections accepted in one turn, so that those which are open are read as well.
+    constexpr int acceptsPerTurn = 4;
 
     constexpr Millis dropLogInterval { 1'000 };
 
@@ -71,19 +71,15 @@
 struct CallerServer::State {
     class Connection;
 
-    struct ListenerDeleter {
-        void operator()(evconnlistener* listener) const noexcept { evconnlistener_free(listener); }
-    };
-
     event_base& base;
     SystemClock clock;
     CallerHandler& handler;
     CallerServerOptions options;
-    std::unique_ptr<evconnlistener, ListenerDeleter> listener;
+    Descriptor listener;
+    EventPointer acceptable;
     std::uint16_t port { 0 };
     bool closeAfterAnswers { false };
-    std::list<Connection*> unread; ///< Connections from which nothing was read yet, oldest first.
-    std::uint64_t dropped { 0 }; ///< Closed unread since the last log line.
+    std::uint64_t dropped { 0 }; ///< Closed at the limit of connections since the last log line.
     Millis dropsLogged {};
     std::unordered_map<Connection*, std::unique_ptr<Connection>> connections;
     std::vector<std::unique_ptr<Connection>> closed; ///< Destroyed outside their own calls.
@@ -100,10 +96,11 @@
     }
 
     void close(Connection* connection);
-    void dropExcess();
+    void logDropped();
+    void accept(int count);
 
     static void onReap(evutil_socket_t, short, void* argument) { static_cast<State*>(argument)->closed.clear(); }
-    static void onAccept(evconnlistener*, evutil_socket_t descriptor, sockaddr*, int, void* argument);
+    static void onAccept(evutil_socket_t, short, void* argument);
 };
 
 class CallerServer::State::Connection final : public CallerExchange {
@@ -116,7 +113,6 @@
         , m_timer(evtimer_new(&owner.base, onTimer, this))
     {
         setPriority(*m_readable, EventPriority::NewWork);
-        m_unread = owner.unread.insert(owner.unread.end(), this);
         configureConnection(m_socket.value(), callerSilence);
         http_parser_init(&m_parser, HTTP_REQUEST);
         m_parser.data = this;
@@ -129,14 +125,6 @@
 
     void attach(CallerListener& listener) override { m_listener = &listener; }
 
-    /// \brief Takes the connection out of the list of those that wait to be read for the first time.
-    void markRead()
-    {
-        if (m_unread)
-            m_owner.unread.erase(*m_unread);
-        m_unread.reset();
-    }
-
     void sendWhole(const CallerHead& head, std::string_view body) override
     {
         std::string text = formatHead(head);
@@ -297,7 +285,6 @@
     void read()
     {
         std::vector<char>& scratch = m_owner.scratch;
-        markRead();
         ssize_t length = recv(m_socket.value(), scratch.data(), scratch.size(), 0);
         if (length < 0 && (errno == EAGAIN || errno == EINTR) && !m_failed)
             return;
@@ -522,7 +509,6 @@
     std::string m_output; ///< Accepted and not yet taken by the socket.
     std::string m_unsent; ///< Head of a stream; leaves with its first chunk.
     std::size_t m_written { 0 };
-    std::optional<std::list<Connection*>::iterator> m_unread; ///< Place in the list of its owner.
     CallerRequest m_request;
     std::size_t m_headBytes { 0 };
     std::optional<ErrorKind> m_fault;
@@ -542,39 +528,45 @@
     auto found = connections.find(connection);
     if (found == connections.end())
         return;
-    connection->markRead();
     if (closed.empty())
         event_active(reaper.get(), EV_TIMEOUT, 0);
     closed.push_back(std::move(found->second));
     connections.erase(found);
 }
 
-// Without processor time to read from all new connections, the oldest ones are closed: their callers have waited
-// longest, and leave first. A connection that is closed before anything was read from it promises that its request has
-// not run.
-void CallerServer::State::dropExcess()
+void CallerServer::State::logDropped()
 {
-    bool full = options.maxConnections != 0 && connections.size() > options.maxConnections;
-    while (!unread.empty() && (std::exchange(full, false) || unread.size() > maxUnread)) {
-        close(unread.front());
-        ++dropped;
-    }
     Millis now = clock.now();
-    if (dropped == 0 || now - dropsLogged < dropLogInterval)
+    if (now - dropsLogged < dropLogInterval)
         return;
     dropsLogged = now;
     logEvent(LogLevel::Warning, "caller_connections_dropped",
-        { { "dropped", std::exchange(dropped, 0) }, { "connections", connections.size() },
-            { "unread", unread.size() } });
+        { { "dropped", std::exchange(dropped, 0) }, { "connections", connections.size() } });
 }
 
-void CallerServer::State::onAccept(evconnlistener*, evutil_socket_t descriptor, sockaddr*, int, void* argument)
+void CallerServer::State::onAccept(evutil_socket_t, short, void* argument)
 {
-    auto& state = *static_cast<State*>(argument);
-    auto connection = std::make_unique<Connection>(state, Descriptor(descriptor));
-    Connection* key = connection.get();
-    state.connections.emplace(key, std::move(connection));
-    state.dropExcess();
+    static_cast<State*>(argument)->accept(acceptsPerTurn);
+}
+
+void CallerServer::State::accept(int count)
+{
+    for (int i = 0; i < count && listener.value() >= 0; ++i) {
+        Descriptor socket(::accept4(listener.value(), nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC));
+        if (socket.value() < 0) {
+            if (errno != EAGAIN && errno != EINTR && errno != ECONNABORTED)
+                logEvent(LogLevel::Error, "accept_failed", { { "errno", errno } });
+            return;
+        }
+        if (options.maxConnections != 0 && connections.size() >= options.maxConnections) {
+            ++dropped; // Closed unread, which promises that the request has not run.
+            logDropped();
+            continue;
+        }
+        auto connection = std::make_unique<Connection>(*this, std::move(socket));
+        Connection* key = connection.get();
+        connections.emplace(key, std::move(connection));
+    }
 }
 
 CallerServer::CallerServer(event_base& base, CallerHandler& handler, const CallerServerOptions& options)
@@ -600,14 +592,20 @@
     }
     if (inet_pton(AF_INET, std::string(address.substr(0, colon)).c_str(), &target.sin_addr) != 1)
         return Error { .kind = ErrorKind::SettingsInvalid, .message = "bad address " + state.options.address };
-    state.listener.reset(evconnlistener_new_bind(&state.base, State::onAccept, &state,
-        LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE | LEV_OPT_CLOSE_ON_EXEC, listenBacklog,
-        reinterpret_cast<sockaddr*>(&target), sizeof(target)));
-    if (!state.listener)
+    Descriptor socket(::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0));
+    int reuse = 1;
+    if (socket.value() < 0 || setsockopt(socket.value(), SOL_SOCKET, SO_REUSEADDR, &reuse, sizeof(reuse)) != 0
+        || ::bind(socket.value(), reinterpret_cast<const sockaddr*>(&target), sizeof(target)) != 0
+        || ::listen(socket.value(), listenBacklog) != 0)
         return Error { .kind = ErrorKind::SettingsInvalid, .message = "cannot listen on " + state.options.address };
+    state.listener = std::move(socket);
+    state.acceptable.reset(
+        event_new(&state.base, state.listener.value(), EV_READ | EV_PERSIST, State::onAccept, &state));
+    setPriority(*state.acceptable, EventPriority::NewWork);
+    event_add(state.acceptable.get(), nullptr);
     sockaddr_in bound {};
     socklen_t length = sizeof(bound);
-    getsockname(evconnlistener_get_fd(state.listener.get()), reinterpret_cast<sockaddr*>(&bound), &length);
+    getsockname(state.listener.value(), reinterpret_cast<sockaddr*>(&bound), &length);
     state.port = ntohs(bound.sin_port);
     return ok();
 }
@@ -624,7 +622,13 @@
 
 std::size_t CallerServer::connections() const noexcept { return m_state->connections.size(); }
 
-void CallerServer::closeListener() { m_state->listener.reset(); }
+void CallerServer::closeListener()
+{
+    m_state->acceptable.reset();
+    m_state->listener = {};
+}
+
+void CallerServer::acceptSome(int count) { m_state->accept(count); }
 
 void CallerServer::closeIdleConnections()
 {
--- a/src/net/CallerServer.h
+++ b/src/net/CallerServer.h
@@ -92,7 +92,7 @@
     Millis readTimeout { 10'000 }; ///< From the first byte of a request to its end.
     Millis idleTimeout { 60'000 }; ///< Between requests on a connection.
     Millis writeTimeout { 10'000 }; ///< For a caller that does not read its answer.
-    std::size_t maxConnections { 0 }; ///< Beyond it unread connections are closed; 0: no limit.
+    std::size_t maxConnections { 0 }; ///< Further ones are closed unread; 0: no limit.
 };
 
 /// \brief HTTP/1.1 server for callers, on plain sockets of the event loop with http_parser. evhttp cannot tell a
@@ -120,6 +120,9 @@
     /// \brief From now on answers close their connection, so that callers move to other daemons.
     void closeAfterAnswers() noexcept;
 
+    /// \brief Accepts up to \p count callers at once, ahead of the events that are more urgent.
+    void acceptSome(int count);
+
     /// \brief Stops accepting connections; exchanges in progress go on.
     void closeListener();
 
--- a/src/router/DeploymentSource.h
+++ b/src/router/DeploymentSource.h
@@ -44,6 +44,9 @@
     /// \returns When the configuration in force was last known to be the newest.
     [[nodiscard]] virtual Millis configurationConfirmedAt() const = 0;
 
+    /// \returns How often the configuration is confirmed at most, if all is well and nothing changes.
+    [[nodiscard]] virtual Millis confirmationInterval() const = 0;
+
     /// \returns When the registrations were last read from the store.
     [[nodiscard]] virtual Millis registrationsReadAt() const = 0;
 
--- a/src/router/RouterDaemon.cpp
+++ b/src/router/RouterDaemon.cpp
@@ -31,9 +31,8 @@
     constexpr Millis pressureInterval { 100 };
     constexpr Millis housekeepingInterval { 1'000 };
 
-    // Without news from the store for longer, this daemon may have missed a configuration. Covers one held read with
-    // its time limit.
-    constexpr Millis configurationAge { 6'000 };
+    // Without news from the store for one held read and this time, this daemon may have missed a configuration.
+    constexpr Millis confirmationDelay { 2'000 };
 
     // The load balancer asks once a second and takes a daemon out after two misses; until then connections still come.
     // Requests that arrive later could not end within the grace time.
@@ -58,6 +57,10 @@
         return options;
     }
 
+    // New connections that wait for longer are accepted all the same, a few each tick.
+    constexpr Millis starvationLimit { 500 };
+    constexpr int acceptsWhenStarved = 2;
+
     // Descriptors that connections of callers may take; the others are for endpoints, peers and the store.
     constexpr double callerDescriptors = 0.6;
 
@@ -247,7 +250,8 @@
 
     void updateConfigurationAge(Millis now)
     {
-        board.configurationCurrent = now - source->configurationConfirmedAt() < configurationAge;
+        board.configurationCurrent
+            = now - source->configurationConfirmedAt() < source->confirmationInterval() + confirmationDelay;
     }
 
     static void onLagProbe(evutil_socket_t, short, void* self)
@@ -260,6 +264,9 @@
     {
         if (probeStarted != Millis {}) {
             board.lag = std::max(board.lag, now - probeStarted);
+            // Requests in progress may take all processor time; callers must not find a closed door for long.
+            if (board.lag >= starvationLimit)
+                server.acceptSome(acceptsWhenStarved);
             return;
         }
         probeStarted = now;
--- a/tests/RouterHarness.h
+++ b/tests/RouterHarness.h
@@ -33,6 +33,7 @@
         return { .configuration = table ? table->version : 0, .registrations = 0 };
     }
     [[nodiscard]] Millis configurationConfirmedAt() const override { return clock->now(); }
+    [[nodiscard]] Millis confirmationInterval() const override { return Millis { 4'000 }; }
     [[nodiscard]] Millis registrationsReadAt() const override { return clock->now(); }
     [[nodiscard]] std::string exportDocuments() const override { return "{}"; }
     void importDocuments(std::string_view) override { }
