--- a/src/routing/FleetPicture.cpp
+++ b/src/routing/FleetPicture.cpp
@@ -154,10 +154,13 @@
             picture.byPool[view.registration.pool].push_back(&view);
             picture.byKey[view.key] = &view;
         }
-        for (auto& [pool, members] : picture.byPool) {
+        std::map<std::pair<PoolId, std::string>, std::vector<EndpointView*>> groups;
+        for (auto& [id, view] : picture.endpoints)
+            groups[{ view.registration.pool, view.registration.availabilityZone }].push_back(&view);
+        for (auto& [group, members] : groups) {
             unsigned shards = shardCount(members.size());
             for (EndpointView* view : members) {
-                view->shard = shardOf(pool, view->registration.id, shards);
+                view->shard = shardOf(view->registration, shards);
                 picture.byShard[view->shard].push_back(view);
             }
         }
