Revert shards within availability zones

Why: 15 engines crash at 13.5 s; a shard within one zone that loses most of its endpoints has no others to read their parts, and the desks' shards had one endpoint each, so a flapping one left no choice.

--- a/src/router/FleetExchange.cpp
+++ b/src/router/FleetExchange.cpp
@@ -138,16 +138,15 @@
     if (coordinated()) {
         std::vector<CoordinatorCandidate> candidates;
         if (m_mayCoordinate)
-            candidates.push_back({ .address = m_options.address,
-                .availabilityZone = m_options.availabilityZone,
-                .processorShare = m_options.processorShare });
+            candidates.push_back({ .address = m_options.address, .processorShare = m_options.processorShare });
         for (const auto& [address, peer] : m_peers) {
             if (isCandidate(peer))
-                candidates.push_back({ .address = address,
-                    .availabilityZone = peer.availabilityZone,
-                    .processorShare = peer.processorShare });
+                candidates.push_back({ .address = address, .processorShare = peer.processorShare });
         }
-        assignment = assignCoordinators(shardPlaces(m_context.board.picture), candidates);
+        std::vector<ShardKey> shards;
+        for (const auto& [shard, members] : m_context.board.picture.byShard)
+            shards.push_back(shard);
+        assignment = assignCoordinators(shards, candidates);
     }
     if (assignment == m_assignment)
         return;
@@ -215,7 +214,6 @@
         .registrationsPosition = versions.registrations,
         .leaving = m_leaving,
         .mayCoordinate = m_mayCoordinate,
-        .availabilityZone = m_options.availabilityZone,
         .processorShare = m_options.processorShare,
         .nextWithin = nextWithin };
     for (const auto& [time, mark] : m_recentCrashes)
@@ -438,7 +436,6 @@
     Millis now = m_context.clock.now();
     peer.sequence = news.sequence;
     peer.promised = news.nextWithin;
-    peer.availabilityZone = news.availabilityZone;
     peer.processorShare = news.processorShare;
     peer.mayCoordinate = news.mayCoordinate && !news.leaving;
     if (news.complete)
--- a/src/router/FleetExchange.h
+++ b/src/router/FleetExchange.h
@@ -23,7 +23,6 @@
     std::string address; ///< "IP:PORT" for messages and documents.
     std::vector<std::string> seeds;
     DaemonKey key { 0 }; ///< Of this process.
-    std::string availabilityZone;
     double processorShare { 1.0 }; ///< Cores that this process may use.
     unsigned coordinateFrom { 17 }; ///< Fleets of at least this many daemons place requests through coordinators.
 };
@@ -71,9 +70,6 @@
     /// \returns Whether requests are placed by coordinators.
     [[nodiscard]] bool coordinated() const { return possibleDaemons() >= m_options.coordinateFrom; }
 
-    /// \returns Whether this daemon places requests of others.
-    [[nodiscard]] bool coordinatesSomething() const { return m_coordinators.contains(m_options.address); }
-
     /// \returns The address of the daemon that places the shard's requests; empty if it is this one.
     [[nodiscard]] std::string coordinatorOf(ShardKey) const;
 
@@ -105,7 +101,6 @@
         DeploymentVersions versions;
         Millis aheadSince {}; ///< Since when its documents are newer than this daemon's; 0 if they are not.
         Millis suspectedAt {}; ///< When it last did not answer; 0 if never.
-        std::string availabilityZone;
         double processorShare { 1.0 };
         bool mayCoordinate { false };
         bool announced { false };
@@ -129,6 +124,7 @@
     [[nodiscard]] bool isAhead(const Peer&) const;
     [[nodiscard]] bool isLive(const Peer&) const;
     [[nodiscard]] bool isCandidate(const Peer&) const;
+    [[nodiscard]] bool coordinatesSomething() const { return m_coordinators.contains(m_options.address); }
     [[nodiscard]] Millis flushInterval() const;
 
     Context m_context;
--- a/src/router/FleetNewsCodec.cpp
+++ b/src/router/FleetNewsCodec.cpp
@@ -11,7 +11,7 @@
     constexpr std::uint64_t formatVersion = 2;
 
     // A message in this array length is fleet news; see PlacementCodec.cpp for the others.
-    constexpr std::uint32_t fieldCount = 21;
+    constexpr std::uint32_t fieldCount = 20;
 
     // A peer that promises its next message later than this is not believed.
     constexpr std::uint64_t longestPromise = 60'000;
@@ -125,7 +125,6 @@
     packer.pack(news.registrationsPosition);
     packer.pack(news.leaving);
     packer.pack(news.mayCoordinate);
-    packer.pack(news.availabilityZone);
     packer.pack(static_cast<float>(news.processorShare));
     packer.pack(static_cast<std::uint64_t>(news.nextWithin.count));
     packer.pack(news.grantsSeen);
@@ -190,7 +189,6 @@
         news.registrationsPosition = reader.signedValue();
         news.leaving = reader.boolean();
         news.mayCoordinate = reader.boolean();
-        news.availabilityZone = reader.text();
         news.processorShare = reader.number();
         news.nextWithin = Millis { static_cast<std::int64_t>(std::min(reader.unsignedValue(), longestPromise)) };
         news.grantsSeen = reader.unsignedValue();
--- a/src/router/RoutedRequest.cpp
+++ b/src/router/RoutedRequest.cpp
@@ -60,7 +60,7 @@
         m_returning = true;
     }
     if (owner.options().coordinated)
-        m_shard = chooseShard();
+        m_shard = shardFor(owner.context().board.picture, m_pool, localityKey(m_query.prompt, hash64(m_facts.id)));
     caller.attach(*this);
 }
 
@@ -84,15 +84,6 @@
     return m_route.pools.back().pool;
 }
 
-ShardKey RoutedRequest::chooseShard() const
-{
-    const RouterFlowOptions& options = m_owner.options();
-    const FleetPicture& picture = m_owner.context().board.picture;
-    bool near = prefersOwnZone(picture, m_pool, m_query.prompt, options.placement.crossZoneCost);
-    return shardFor(picture, m_pool, localityKey(m_query.prompt, hash64(m_facts.id)),
-        near ? std::string_view(options.availabilityZone) : std::string_view {});
-}
-
 PlacementQuery RoutedRequest::makeQuery() const
 {
     bool stream = m_route.kind == RequestKind::Stream;
--- a/src/router/RoutedRequest.h
+++ b/src/router/RoutedRequest.h
@@ -94,7 +94,6 @@
     [[nodiscard]] Millis now() const;
     [[nodiscard]] Millis timeLeft() const { return m_deadline - now(); }
     [[nodiscard]] PlacementQuery makeQuery() const;
-    [[nodiscard]] ShardKey chooseShard() const;
     [[nodiscard]] PlacementInputs placementInputs(ShardKey shard) const;
     [[nodiscard]] Choice chooseOther() const;
     void stopPlacing();
--- a/src/router/RouterDaemon.cpp
+++ b/src/router/RouterDaemon.cpp
@@ -172,7 +172,6 @@
                   .address = settings.peers.address,
                   .seeds = settings.peers.seeds,
                   .key = key,
-                  .availabilityZone = settings.daemon.availabilityZone,
                   .processorShare = settings.daemon.processorShare,
                   .coordinateFrom = settings.coordination.fromDaemons })
         , listener(*base, [this](std::string_view path) { return answer(path); })
--- a/src/routing/FleetNews.h
+++ b/src/routing/FleetNews.h
@@ -38,7 +38,6 @@
     std::int64_t registrationsPosition { -1 };
     bool leaving { false };
     bool mayCoordinate { false }; ///< It can place the requests of others: it is ready and not stopping.
-    std::string availabilityZone;
     double processorShare { 1.0 }; ///< Cores that it may use.
     Millis nextWithin {}; ///< The receiver hears from it again within this time.
     std::uint64_t grantsSeen { 0 }; ///< Latest of the receiver's grants that \c loads include.
--- a/src/routing/FleetPicture.cpp
+++ b/src/routing/FleetPicture.cpp
@@ -154,13 +154,10 @@
             picture.byPool[view.registration.pool].push_back(&view);
             picture.byKey[view.key] = &view;
         }
-        std::map<std::pair<PoolId, std::string>, std::vector<EndpointView*>> groups;
-        for (auto& [id, view] : picture.endpoints)
-            groups[{ view.registration.pool, view.registration.availabilityZone }].push_back(&view);
-        for (auto& [group, members] : groups) {
+        for (auto& [pool, members] : picture.byPool) {
             unsigned shards = shardCount(members.size());
             for (EndpointView* view : members) {
-                view->shard = shardOf(view->registration, shards);
+                view->shard = shardOf(pool, view->registration.id, shards);
                 picture.byShard[view->shard].push_back(view);
             }
         }
--- a/src/routing/Shards.cpp
+++ b/src/routing/Shards.cpp
@@ -3,8 +3,7 @@
 #include "base/Hash.h"
 
 #include <algorithm>
-#include <string>
-#include <tuple>
+#include <bit>
 
 namespace jasminestack {
 
@@ -27,11 +26,10 @@
     return count;
 }
 
-ShardKey shardOf(const Registration& endpoint, unsigned shards) noexcept
+ShardKey shardOf(const PoolId& pool, const EndpointId& endpoint, unsigned shards) noexcept
 {
-    std::uint64_t index = hash64(endpoint.id.value) % std::max(shards, 1U);
-    std::uint64_t place = hash64(endpoint.availabilityZone, hash64(endpoint.pool.value));
-    return std::max<ShardKey>(hash64(std::to_string(index), place), 1);
+    std::uint64_t index = hash64(endpoint.value) % std::max(shards, 1U);
+    return std::max<ShardKey>(hash64(pool.value, index + 1), 1);
 }
 
 std::uint64_t localityKey(std::span<const PromptPart> prompt, std::uint64_t requestHash) noexcept
@@ -42,33 +40,15 @@
     return prompt.size() == 1 ? prompt.front().key : prompt[prompt.size() - 2].key;
 }
 
-std::uint64_t sharedTokens(std::span<const PromptPart> prompt) noexcept
-{
-    std::uint64_t tokens = 0;
-    for (std::size_t i = 0; i + 1 < prompt.size(); ++i)
-        tokens += prompt[i].tokens;
-    return tokens;
-}
-
-bool prefersOwnZone(
-    const FleetPicture& picture, const PoolId& pool, std::span<const PromptPart> prompt, Millis crossZoneCost) noexcept
-{
-    auto learned = picture.pools.find(pool);
-    double perToken = learned == picture.pools.end() ? LatencyModel {}.perUnit : learned->second.latency.perUnit;
-    return static_cast<double>(sharedTokens(prompt)) * perToken < static_cast<double>(crossZoneCost.count);
-}
-
-ShardKey shardFor(
-    const FleetPicture& picture, const PoolId& pool, std::uint64_t localityKey, std::string_view availabilityZone)
+ShardKey shardFor(const FleetPicture& picture, const PoolId& pool, std::uint64_t localityKey)
 {
     auto members = picture.byPool.find(pool);
     if (members == picture.byPool.end())
         return 0;
     ShardKey best = 0;
-    std::pair<bool, std::uint64_t> highest;
+    std::uint64_t highest = 0;
     for (const EndpointView* view : members->second) {
-        bool near = availabilityZone.empty() || view->registration.availabilityZone == availabilityZone;
-        std::pair score(near, hash64(view->registration.id.value, localityKey));
+        std::uint64_t score = hash64(view->registration.id.value, localityKey);
         if (best == 0 || score > highest) {
             highest = score;
             best = view->shard;
@@ -77,36 +57,28 @@
     return best;
 }
 
-std::vector<ShardPlace> shardPlaces(const FleetPicture& picture)
-{
-    std::vector<ShardPlace> places;
-    for (const auto& [key, members] : picture.byShard)
-        places.push_back({ .key = key, .availabilityZone = members.front()->registration.availabilityZone });
-    std::sort(places.begin(), places.end(), [](const auto& a, const auto& b) { return a.key < b.key; });
-    return places;
-}
-
 std::map<ShardKey, std::string> assignCoordinators(
-    std::span<const ShardPlace> shards, std::span<const CoordinatorCandidate> candidates)
+    std::span<const ShardKey> shards, std::span<const CoordinatorCandidate> candidates)
 {
     std::map<ShardKey, std::string> assignment;
     if (candidates.empty())
         return assignment;
+    std::vector<ShardKey> ordered(shards.begin(), shards.end());
+    std::sort(ordered.begin(), ordered.end());
     std::vector<unsigned> assigned(candidates.size(), 0);
-    for (const ShardPlace& shard : shards) {
+    for (ShardKey shard : ordered) {
+        std::size_t best = 0;
         auto rank = [&](std::size_t index) {
             const CoordinatorCandidate& candidate = candidates[index];
             double share = std::max(candidate.processorShare, smallestProcessorShare);
-            return std::tuple(candidate.availabilityZone != shard.availabilityZone, (assigned[index] + 1) / share,
-                hash64(candidate.address, shard.key));
+            return std::pair((assigned[index] + 1) / share, hash64(candidate.address, shard));
         };
-        std::size_t best = 0;
         for (std::size_t index = 1; index < candidates.size(); ++index) {
             if (rank(index) < rank(best))
                 best = index;
         }
         ++assigned[best];
-        assignment[shard.key] = candidates[best].address;
+        assignment[shard] = candidates[best].address;
     }
     return assignment;
 }
--- a/src/routing/Shards.h
+++ b/src/routing/Shards.h
@@ -19,46 +19,26 @@
 /// go.
 [[nodiscard]] unsigned shardCount(std::size_t endpoints) noexcept;
 
-/// \returns The shard of an endpoint whose pool has \p shards shards in its availability zone; never 0.
-[[nodiscard]] ShardKey shardOf(const Registration&, unsigned shards) noexcept;
+/// \returns The shard of an endpoint in a pool of \p shards shards; never 0.
+[[nodiscard]] ShardKey shardOf(const PoolId&, const EndpointId&, unsigned shards) noexcept;
 
 /// \returns The key by which a request is assigned to a shard: requests with the same shared parts have the same key.
 /// \param requestHash Used for requests without a prompt.
 [[nodiscard]] std::uint64_t localityKey(std::span<const PromptPart> prompt, std::uint64_t requestHash) noexcept;
 
-/// \returns Prompt tokens that a request shares with others, as far as its parts tell.
-[[nodiscard]] std::uint64_t sharedTokens(std::span<const PromptPart> prompt) noexcept;
-
-/// \returns Whether reading a request's shared parts again costs less than sending it to another availability zone.
-[[nodiscard]] bool prefersOwnZone(
-    const FleetPicture&, const PoolId&, std::span<const PromptPart> prompt, Millis crossZoneCost) noexcept;
-
 /// \returns The shard that a request with this locality key belongs to, or 0 if the pool has no endpoint. Shards get
 /// requests in proportion to their endpoints.
-/// \param availabilityZone Only shards there, if there are any; empty: all shards of the pool.
-[[nodiscard]] ShardKey shardFor(
-    const FleetPicture&, const PoolId&, std::uint64_t localityKey, std::string_view availabilityZone = {});
+[[nodiscard]] ShardKey shardFor(const FleetPicture&, const PoolId&, std::uint64_t localityKey);
 
 /// \brief A daemon that may coordinate shards.
 struct CoordinatorCandidate {
     std::string address;
-    std::string availabilityZone;
     double processorShare { 1.0 }; ///< Cores that it may use.
 };
 
-/// \brief A shard and the availability zone of its endpoints.
-struct ShardPlace {
-    ShardKey key { 0 };
-    std::string availabilityZone;
-};
-
-/// \returns All shards, in the order of their keys.
-[[nodiscard]] std::vector<ShardPlace> shardPlaces(const FleetPicture&);
-
-/// \returns For each shard the address of its coordinator: one in the shard's availability zone if there is any, even
-/// over the candidates' processor shares, otherwise by rendezvous hashing, so that all daemons with the same view agree
-/// and a lost candidate moves few shards.
+/// \returns For each shard the address of its coordinator: even over the candidates' processor shares, otherwise by
+/// rendezvous hashing, so that all daemons with the same view agree and a lost candidate moves few shards.
 [[nodiscard]] std::map<ShardKey, std::string> assignCoordinators(
-    std::span<const ShardPlace> shards, std::span<const CoordinatorCandidate> candidates);
+    std::span<const ShardKey> shards, std::span<const CoordinatorCandidate> candidates);
 
 }
