--- a/src/router/FleetExchange.h
+++ b/src/router/FleetExchange.h
@@ -70,6 +70,9 @@
     /// \returns Whether requests are placed by coordinators.
     [[nodiscard]] bool coordinated() const { return possibleDaemons() >= m_options.coordinateFrom; }
 
+    /// \returns Whether this daemon places requests of others.
+    [[nodiscard]] bool coordinatesSomething() const { return m_coordinators.contains(m_options.address); }
+
     /// \returns The address of the daemon that places the shard's requests; empty if it is this one.
     [[nodiscard]] std::string coordinatorOf(ShardKey) const;
 
@@ -124,7 +127,6 @@
     [[nodiscard]] bool isAhead(const Peer&) const;
     [[nodiscard]] bool isLive(const Peer&) const;
     [[nodiscard]] bool isCandidate(const Peer&) const;
-    [[nodiscard]] bool coordinatesSomething() const { return m_coordinators.contains(m_options.address); }
     [[nodiscard]] Millis flushInterval() const;
 
     Context m_context;
--- a/src/routing/FleetPicture.cpp
+++ b/src/routing/FleetPicture.cpp
@@ -309,6 +309,9 @@
         usable.emplace_back(view, cached);
     }
     double multiple = rereadMultiple(picture, work.prompt, mostCached, copies, options.usesPerCopy, now);
+    // A copy of short parts takes little memory, and reading them little time, compared with the way to another zone.
+    if (static_cast<double>(mostCached) * learned.latency.perUnit < static_cast<double>(options.crossZoneCost.count))
+        multiple = 0;
     double bestScore = std::numeric_limits<double>::infinity();
     for (const auto& [view, cached] : usable) {
         EndpointLoad load = view->load();
--- /dev/null
+++ b/tests/EventPriorityTests.cpp
@@ -0,0 +1,81 @@
+#include "net/EventPriority.h"
+#include "net/Socket.h"
+
+#include <catch2/catch.hpp>
+#include <event2/event.h>
+#include <functional>
+#include <string>
+#include <vector>
+
+using namespace jasminestack;
+
+namespace {
+
+/// \brief An event without a descriptor that calls a function.
+struct Task {
+    std::function<void()> run;
+    EventPointer event;
+
+    Task(event_base& base, EventPriority priority, std::function<void()> function)
+        : run(std::move(function))
+        , event(event_new(
+              &base, -1, 0, [](evutil_socket_t, short, void* self) { static_cast<Task*>(self)->run(); }, this))
+    {
+        setPriority(*event, priority);
+    }
+
+    void activate() { event_active(event.get(), EV_TIMEOUT, 0); }
+};
+
+}
+
+// Pattern: a flood of new requests at one daemon. Guards against a daemon that reads them before it hears its peers and
+// finishes what it has begun.
+TEST_CASE("control events and requests in progress go before new requests", "[policy][burst]")
+{
+    EventBasePointer base = makePrioritizedBase();
+    std::string order;
+    Task newWork(*base, EventPriority::NewWork, [&] { order += 'n'; });
+    Task work(*base, EventPriority::Work, [&] { order += 'w'; });
+    Task control(*base, EventPriority::Control, [&] { order += 'c'; });
+    newWork.activate();
+    work.activate();
+    control.activate();
+    event_base_loop(base.get(), EVLOOP_NONBLOCK);
+    event_base_loop(base.get(), EVLOOP_NONBLOCK);
+    event_base_loop(base.get(), EVLOOP_NONBLOCK);
+    CHECK(order == "cwn");
+}
+
+// Guards against a daemon with very many streams that hears its peers only after all of them.
+TEST_CASE("a control event does not wait for all requests in progress", "[policy][burst]")
+{
+    EventBasePointer base = makePrioritizedBase();
+    int before = 0;
+    int handled = 0;
+    Task control(*base, EventPriority::Control, [&] { before = handled; });
+    std::vector<std::unique_ptr<Task>> streams;
+    for (int i = 0; i < 500; ++i) {
+        streams.push_back(std::make_unique<Task>(*base, EventPriority::Work, [&] {
+            if (++handled == 10)
+                control.activate();
+        }));
+        streams.back()->activate();
+    }
+    for (int i = 0; i < 100; ++i)
+        event_base_loop(base.get(), EVLOOP_NONBLOCK);
+    CHECK(handled == 500);
+    CHECK(before <= 64);
+}
+
+TEST_CASE("a loop without priorities runs all events alike", "[policy]")
+{
+    EventBasePointer base(event_base_new());
+    int runs = 0;
+    Task control(*base, EventPriority::Control, [&] { ++runs; });
+    Task newWork(*base, EventPriority::NewWork, [&] { ++runs; });
+    control.activate();
+    newWork.activate();
+    event_base_loop(base.get(), EVLOOP_NONBLOCK);
+    CHECK(runs == 2);
+}
--- a/tests/RoutingPolicyTests.cpp
+++ b/tests/RoutingPolicyTests.cpp
@@ -105,6 +105,32 @@
     CHECK(next.endpoint == first.endpoint);
 }
 
+// Pattern: short prompts, dear bytes between zones. Guards against requests that cross zones for a cache that saves
+// less than the way costs.
+TEST_CASE("a request with little to share goes to an endpoint in its own zone", "[policy]")
+{
+    FleetPicture picture;
+    RoutingTable table = tableWithModelPool();
+    auto list = engines(2, "b");
+    list[1].availabilityZone = "a";
+    setRegistrations(picture, list);
+    std::vector<PromptPart> chat { { .key = 1, .tokens = 210 }, { .key = 2, .tokens = 140 },
+        { .key = 3, .tokens = 900 } };
+    notePeerPrompt(picture, endpointKey(list[0]), chat, Millis { 1'000 });
+    ChoiceRules rules = rulesFor(admissionLimits(quote));
+    Choice near = choose(
+        picture, table, llm, { .prompt = std::span(chat).first(2), .promptTokens = 350 }, rules, Millis { 1'001 });
+    REQUIRE(near.endpoint);
+    CHECK(near.endpoint->registration.availabilityZone == "a");
+    // A long shared part is worth the way.
+    auto shared = prompt(7, 1);
+    notePeerPrompt(picture, endpointKey(list[0]), shared, Millis { 1'000 });
+    Choice far = choose(picture, table, llm, { .prompt = shared, .promptTokens = 14'000, .outputTokens = 100 }, rules,
+        Millis { 1'001 });
+    REQUIRE(far.endpoint);
+    CHECK(far.endpoint->registration.availabilityZone == "b");
+}
+
 // Guards against a picture that only knows this daemon's own sends.
 TEST_CASE("what peers have sent counts like own work", "[policy]")
 {
