--- a/src/router/FleetExchange.cpp
+++ b/src/router/FleetExchange.cpp
@@ -266,10 +266,7 @@
     }
     if (all) {
         news.rates = ownRates(board.shares, now);
-        for (const auto& [address, peer] : m_peers) {
-            if (isLive(peer))
-                news.peers.push_back(address);
-        }
+        news.peers = liveAddresses();
     }
     std::string bytes = encodeFleetNews(news);
     std::size_t receivers = 0;
@@ -334,21 +331,36 @@
     }
 }
 
-void FleetExchange::sayHello(bool withPeers)
+std::vector<std::string> FleetExchange::liveAddresses() const
 {
-    FleetNews news = freshNews(coordinatesSomething() ? repeatInterval : helloInterval);
-    if (withPeers) {
-        for (const auto& [address, peer] : m_peers) {
-            if (isLive(peer))
-                news.peers.push_back(address);
-        }
+    std::vector<std::string> addresses;
+    for (const auto& [address, peer] : m_peers) {
+        if (isLive(peer))
+            addresses.push_back(address);
     }
+    return addresses;
+}
+
+void FleetExchange::sayHello()
+{
+    FleetNews news = freshNews(coordinatesSomething() ? repeatInterval : helloInterval);
     for (const auto& [address, peer] : m_peers) {
         if (!m_coordinators.contains(address) || !isLive(peer))
             transmit(address, news);
     }
 }
 
+void FleetExchange::tellPeers()
+{
+    std::vector<std::string> addresses = liveAddresses();
+    if (addresses.empty())
+        return;
+    FleetNews news = freshNews(coordinatesSomething() ? repeatInterval : helloInterval);
+    const std::string& address = addresses[m_sequence % addresses.size()];
+    news.peers = addresses;
+    transmit(address, news);
+}
+
 void FleetExchange::reject(const Error& error)
 {
     m_context.metrics.add(Counter::PeerRejected, { "malformed" });
@@ -536,10 +548,12 @@
     bool due = now - m_lastHello >= (coordinatesSomething() ? repeatInterval : helloInterval);
     if (due || std::exchange(m_helloSoon, false)) {
         m_lastHello = now;
-        bool withPeers = now - m_lastPeerList >= helloInterval;
-        if (withPeers)
-            m_lastPeerList = now;
-        sayHello(withPeers);
+        sayHello();
+    }
+    // Addresses spread by gossip: a list to one peer at a time reaches all within seconds.
+    if (now - m_lastPeerList >= helloInterval) {
+        m_lastPeerList = now;
+        tellPeers();
     }
 }
 
@@ -548,7 +562,7 @@
     m_leaving = true;
     send(true);
     if (coordinated())
-        sayHello(false);
+        sayHello();
 }
 
 }
--- a/src/router/FleetExchange.h
+++ b/src/router/FleetExchange.h
@@ -113,7 +113,9 @@
     void send(bool all);
     void sendToAll(bool all);
     void sendToCoordinators(bool all);
-    void sayHello(bool withPeers);
+    void sayHello();
+    void tellPeers();
+    [[nodiscard]] std::vector<std::string> liveAddresses() const;
     void transmit(const std::string& address, const FleetNews&);
     [[nodiscard]] FleetNews freshNews(Millis nextWithin);
     void onMessage(std::string_view bytes);
--- a/tests/LoopbackHarness.h
+++ b/tests/LoopbackHarness.h
@@ -185,6 +185,9 @@
     return head.substr(start, head.find('\r', start) - start);
 }
 
+/// \returns An address that nothing listens on.
+inline std::string freeAddress() { return Listener().address(); }
+
 /// \brief A daemon on its own thread with one engine and one plain service, both played by the test.
 struct LoopbackDaemon {
     Listener engine;
--- a/tests/RouterHarness.h
+++ b/tests/RouterHarness.h
@@ -146,8 +146,6 @@
         table.routes[route.host].push_back(std::move(route));
     }
 
-    static std::string freeAddress() { return Listener().address(); }
-
     void start()
     {
         RouterSettings settings;
