--- a/src/router/PlacementClient.cpp
+++ b/src/router/PlacementClient.cpp
@@ -133,9 +133,9 @@
         found->second.due = m_context.clock.now() + queuedRepeat;
         return;
     }
-    PlacementListener* listener = found->second.listener;
+    Question question = std::move(found->second);
     m_open.erase(found);
-    listener->onPlacement(reply);
+    question.listener->onPlacement(reply, question.coordinator);
 }
 
 std::uint64_t PlacementClient::grantsSeen(DaemonKey coordinator) const
--- a/src/router/PlacementClient.h
+++ b/src/router/PlacementClient.h
@@ -20,8 +20,8 @@
 public:
     virtual ~PlacementListener() = default;
 
-    /// \brief The coordinator has decided: any answer but Queued.
-    virtual void onPlacement(const PlacementReply&) = 0;
+    /// \brief The coordinator at this address has decided: any answer but Queued.
+    virtual void onPlacement(const PlacementReply&, std::string_view coordinator) = 0;
 
     /// \brief No coordinator answers; the daemon has to decide by itself.
     virtual void onPlacementUnanswered() = 0;
--- a/src/router/RoutedRequest.cpp
+++ b/src/router/RoutedRequest.cpp
@@ -176,9 +176,10 @@
     return jasminestack::waitingOrder(m_query, m_owner.context().board.shares, m_late);
 }
 
-void RoutedRequest::onPlacement(const PlacementReply& reply)
+void RoutedRequest::onPlacement(const PlacementReply& reply, std::string_view coordinator)
 {
     m_ask.reset();
+    m_placedBy = coordinator;
     m_late = reply.late;
     m_returning = reply.returning;
     m_predicted = static_cast<double>(reply.predicted.count);
@@ -212,6 +213,7 @@
 void RoutedRequest::onPlacementUnanswered()
 {
     m_ask.reset();
+    m_placedBy = "self";
     m_stage = Stage::Waiting;
     place();
 }
--- a/src/router/RoutedRequest.h
+++ b/src/router/RoutedRequest.h
@@ -59,7 +59,7 @@
     [[nodiscard]] WaitingOrder waitingOrder() const override;
     void place() override;
 
-    void onPlacement(const PlacementReply&) override;
+    void onPlacement(const PlacementReply&, std::string_view coordinator) override;
     void onPlacementUnanswered() override;
 
     void onCallerGone() override;
@@ -137,6 +137,7 @@
     PlacementQuery m_query;
     ShardKey m_shard { 0 }; ///< Of its endpoints, where coordinators place requests; 0: all endpoints of the pool.
     std::optional<AskId> m_ask; ///< Open question to a coordinator.
+    std::string m_placedBy { "self" }; ///< Address of the coordinator that decided; for logs.
     bool m_granted { false }; ///< A coordinator has chosen the endpoint and knows its load.
     bool m_late { false }; ///< It misses its objective, wherever it is sent.
     bool m_returning { false }; ///< The caller was refused before.
--- a/src/router/RoutedRequestAnswer.cpp
+++ b/src/router/RoutedRequestAnswer.cpp
@@ -227,7 +227,8 @@
     logEvent(LogLevel::Warning, "request_failed",
         { { "request", m_facts.id }, { "workspace", m_workspace.value }, { "route", m_route.name },
             { "pool", m_pool.value }, { "cause", failure.cause }, { "status", m_status },
-            { "may_have_run", m_mayHaveRun ? 1 : 0 }, { "endpoint", m_placement.endpoint.value }, { "sends", m_sends },
+            { "may_have_run", m_mayHaveRun ? 1 : 0 }, { "placed_by", m_placedBy },
+            { "endpoint", m_placement.endpoint.value }, { "sends", m_sends },
             { "predicted_ms", std::isfinite(m_predicted) ? static_cast<std::int64_t>(m_predicted) : -1 },
             { "age_ms", (now() - m_request.arrivedAt).count }, { "left_ms", timeLeft().count },
             { "pressure", pressure(m_owner.context().board.shares, m_query.workspace) },
@@ -268,7 +269,7 @@
             { "predicted_ms", std::isfinite(m_predicted) ? static_cast<std::int64_t>(m_predicted) : -1 },
             { "ahead", static_cast<std::int64_t>(m_placement.workAhead) }, { "unread", m_placement.unreadTokens },
             { "prompt", m_facts.promptTokens }, { "first_ms", firstByte }, { "total_ms", total.count },
-            { "events", m_events.events() }, { "returning", m_returning ? 1 : 0 },
+            { "events", m_events.events() }, { "returning", m_returning ? 1 : 0 }, { "placed_by", m_placedBy },
             { "objective_ms", m_route.latencyObjective.count },
             { "caller_ms", m_facts.timeLeft.value_or(Millis {}).count }, { "configuration", m_table->version } });
     m_owner.finished(*this);
--- a/tests/PlacementExchangeTests.cpp
+++ b/tests/PlacementExchangeTests.cpp
@@ -39,7 +39,7 @@
     std::vector<PlacementReply> replies;
     int unanswered { 0 };
 
-    void onPlacement(const PlacementReply& reply) override { replies.push_back(reply); }
+    void onPlacement(const PlacementReply& reply, std::string_view) override { replies.push_back(reply); }
     void onPlacementUnanswered() override { ++unanswered; }
 };
 
