Send shared parts to their home while nobody knows where they lie

Weighed: asking each engine for its list of parts (delays its work; later), moving the picture to a successor (nobody is left). Change: a part that no endpoint is known to hold goes to the endpoint of highest rendezvous score unless its work ahead exceeds half of the time for reading the part.

--- a/src/routing/FleetPicture.cpp
+++ b/src/routing/FleetPicture.cpp
@@ -102,6 +102,35 @@
         return usesPerCopy * static_cast<double>(std::max<std::size_t>(copies, 1)) / std::max(uses, fewestUses);
     }
 
+    // Part of the time for reading shared parts that a first placement away from their home is charged.
+    constexpr double homePreference = 0.5;
+
+    // Prompt tokens before the last part, which belongs to the request itself.
+    std::uint64_t sharedTokens(std::span<const PromptPart> prompt)
+    {
+        std::uint64_t tokens = 0;
+        for (std::size_t i = 0; i + 1 < prompt.size(); ++i)
+            tokens += prompt[i].tokens;
+        return tokens;
+    }
+
+    // The endpoint that shared parts go to while nobody knows where they lie: the same at all daemons and after all of
+    // them have restarted, when the endpoints still hold what was sent there before.
+    const EndpointView* homeOf(
+        std::span<const std::pair<EndpointView*, std::uint64_t>> usable, std::span<const PromptPart> prompt)
+    {
+        const EndpointView* home = nullptr;
+        std::uint64_t highest = 0;
+        for (const auto& [view, cached] : usable) {
+            std::uint64_t score = hash64(view->registration.id.value, prompt[prompt.size() - 2].key);
+            if (!home || score > highest) {
+                highest = score;
+                home = view;
+            }
+        }
+        return home;
+    }
+
     double relativeFailures(const EndpointView& view, const PoolView& pool) noexcept
     {
         double excess = view.failureShare - pool.failureShare;
@@ -312,6 +341,10 @@
     // A copy of short parts takes little memory, and reading them little time, compared with the way to another zone.
     if (static_cast<double>(mostCached) * learned.latency.perUnit < static_cast<double>(options.crossZoneCost.count))
         multiple = 0;
+    std::uint64_t shared = std::min(work.promptTokens, sharedTokens(work.prompt));
+    const EndpointView* home = mostCached < shared ? homeOf(usable, work.prompt) : nullptr;
+    double awayFromHome
+        = home ? homePreference * static_cast<double>(shared - mostCached) * learned.latency.perUnit : 0;
     double bestScore = std::numeric_limits<double>::infinity();
     for (const auto& [view, cached] : usable) {
         EndpointLoad load = view->load();
@@ -337,6 +370,8 @@
             score += static_cast<double>(options.crossZoneCost.count);
         if (view->registration.warmupLeft > Millis {})
             score += static_cast<double>(view->registration.warmupLeft.count) * warmupWeight;
+        if (view != home)
+            score += awayFromHome;
         if (!within)
             score += beyondLimit;
         if (options.leastOutstanding)
--- a/tests/RoutingPolicyTests.cpp
+++ b/tests/RoutingPolicyTests.cpp
@@ -128,6 +128,38 @@
     CHECK(model.perUnit == Approx(1.0 / 60.0).epsilon(0.3));
 }
 
+// Pattern: all daemons restart at once; the engines still hold what was sent to them before. Guards against reading all
+// shared parts again, elsewhere.
+TEST_CASE("daemons without memory send shared parts where they went before", "[policy][restart]")
+{
+    RoutingTable table = tableWithModelPool();
+    FleetPicture before;
+    FleetPicture after;
+    setRegistrations(before, engines(12));
+    setRegistrations(after, engines(12));
+    Millis now { 1'000 };
+    unsigned same = 0;
+    constexpr unsigned parts = 200;
+    for (std::uint64_t part = 1; part <= parts; ++part) {
+        Placement first = sendTo(before, table, prompt(part * 7'919, part), now);
+        Placement second = sendTo(after, table, prompt(part * 7'919, part + 1'000), now);
+        same += first.endpoint == second.endpoint ? 1U : 0U;
+        recordFirstByte(before, first, now + Millis { 300 });
+        recordFirstByte(after, second, now + Millis { 300 });
+        recordEnd(before, first, EndpointOutcome::Answered, now + Millis { 400 });
+        recordEnd(after, second, EndpointOutcome::Answered, now + Millis { 400 });
+        now += Millis { 500 };
+    }
+    CHECK(same == parts);
+    // A home with much work ahead is left alone.
+    Placement home = sendTo(after, table, prompt(5, 1), now);
+    recordEnd(after, home, EndpointOutcome::Cancelled, now);
+    FleetPicture busy;
+    setRegistrations(busy, engines(12));
+    setPeerLoad(busy, 9, home.key, { .running = 4, .unreadTokens = 60'000 });
+    CHECK(sendTo(busy, table, prompt(5, 2), now).endpoint != home.endpoint);
+}
+
 // Pattern: short prompts, dear bytes between zones. Guards against requests that cross zones for a cache that saves
 // less than the way costs.
 TEST_CASE("a request with little to share goes to an endpoint in its own zone", "[policy]")
