Hand a shard's picture of the caches over to its next coordinator

Change: a daemon that sees one of its shards assigned to another one sends the parts of each endpoint, least recently used first, 60 in a message.

--- a/src/router/FleetExchange.cpp
+++ b/src/router/FleetExchange.cpp
@@ -32,6 +32,9 @@
     // With coordinators: daemons that share no shard tell each other only that they live.
     constexpr Millis helloInterval { 3'000 };
 
+    // Prompt parts in one message of a shard's handover; about 900 bytes, which fit into one packet.
+    constexpr std::size_t partsPerMessage = 60;
+
     // A peer that knows fewer daemons is told all of them, at most once in this time.
     constexpr Millis listInterval { 400 };
 
@@ -153,6 +156,11 @@
     }
     if (assignment == m_assignment)
         return;
+    for (const auto& [shard, address] : assignment) {
+        auto before = m_assignment.find(shard);
+        if (before != m_assignment.end() && before->second == m_options.address && address != m_options.address)
+            handOver(shard, address);
+    }
     std::size_t own = 0;
     for (const auto& [shard, address] : assignment)
         own += address == m_options.address ? 1U : 0U;
@@ -166,6 +174,24 @@
     m_lastRepeat = {}; // New coordinators need this daemon's loads at once.
 }
 
+void FleetExchange::handOver(ShardKey shard, const std::string& successor)
+{
+    for (const EndpointView* view : m_context.board.picture.byShard[shard]) {
+        std::vector<PromptPart> parts(view->cache.parts().begin(), view->cache.parts().end());
+        // The least recently used ones first, so that the successor has them in the same order.
+        for (std::size_t end = parts.size(); end > 0;) {
+            std::size_t begin = end - std::min(end, partsPerMessage);
+            FleetNews news = freshNews(coordinatesSomething() ? repeatInterval : helloInterval);
+            news.prompts.push_back({ .endpoint = view->key,
+                .prompt = { parts.begin() + static_cast<std::ptrdiff_t>(begin),
+                    parts.begin() + static_cast<std::ptrdiff_t>(end) } });
+            transmit(successor, news);
+            end = begin;
+        }
+    }
+    logEvent(LogLevel::Info, "shard_handed_over", { { "shard", shard }, { "successor", successor } });
+}
+
 std::string FleetExchange::coordinatorOf(ShardKey shard) const
 {
     auto found = m_assignment.find(shard);
--- a/src/router/FleetExchange.h
+++ b/src/router/FleetExchange.h
@@ -115,6 +115,7 @@
     void sendToAll(bool all);
     void sendToCoordinators(bool all);
     void sayHello();
+    void handOver(ShardKey, const std::string& successor);
     void tellPeers(const std::string& address);
     [[nodiscard]] std::vector<std::string> liveAddresses() const;
     void transmit(const std::string& address, const FleetNews&);
--- a/src/routing/PromptCache.h
+++ b/src/routing/PromptCache.h
@@ -34,6 +34,9 @@
 
     [[nodiscard]] std::uint64_t tokens() const noexcept { return m_tokens; }
 
+    /// \returns All parts, most recently used first.
+    [[nodiscard]] const std::list<PromptPart>& parts() const noexcept { return m_parts; }
+
 private:
     std::list<PromptPart> m_parts; ///< Most recently used first.
     std::unordered_map<std::uint64_t, std::list<PromptPart>::iterator> m_index;
--- a/tests/FleetExchangeTests.cpp
+++ b/tests/FleetExchangeTests.cpp
@@ -243,6 +243,33 @@
     CHECK(fleet.agreedCoordinator(shard) != first);
 }
 
+// Pattern: all daemons are restarted in turn. Guards against shared parts that are read again because the shard's new
+// coordinator does not know where they lie.
+TEST_CASE("a stopping coordinator tells its successor what the endpoints hold", "[placement][exchange][restart]")
+{
+    Fleet fleet(30, 64);
+    ShardKey shard = fleet.shards().front();
+    std::string first = fleet.agreedCoordinator(shard);
+    auto memberAt = [&](const std::string& address) -> Fleet::Member& {
+        for (const auto& member : fleet.members) {
+            if (member->address == address)
+                return *member;
+        }
+        throw std::runtime_error("no such daemon");
+    };
+    EndpointView& view = *memberAt(first).board.picture.byShard[shard].front();
+    std::vector<PromptPart> parts;
+    for (std::uint64_t key = 1; key <= 150; ++key)
+        parts.push_back({ .key = key, .tokens = 1'000 });
+    notePeerPrompt(memberAt(first).board.picture, view.key, parts, fleet.clock.now());
+    memberAt(first).exchange->setMayCoordinate(false);
+    fleet.run(Millis { 200 });
+    const PromptCache& known = memberAt(fleet.agreedCoordinator(shard)).board.picture.byKey.at(view.key)->cache;
+    CHECK(known.tokens() == 150'000);
+    CHECK(known.cachedTokens(parts) == 150'000);
+    CHECK(known.parts() == view.cache.parts());
+}
+
 TEST_CASE("a suspected coordinator is asked again only after it was heard", "[placement][exchange]")
 {
     Fleet fleet(30, 64);
