--- a/src/router/RouterDaemon.cpp
+++ b/src/router/RouterDaemon.cpp
@@ -10,19 +10,18 @@
 #include "observe/Metrics.h"
 #include "router/DeploymentSource.h"
 #include "router/FleetExchange.h"
+#include "router/LoopMonitor.h"
 #include "router/PlacementClient.h"
 #include "router/PlacementCoordinator.h"
 #include "router/PlacementQueue.h"
 #include "router/RouterFlow.h"
 
 #include <array>
-#include <chrono>
 #include <csignal>
 #include <event2/event.h>
 #include <fstream>
 #include <sstream>
 #include <sys/stat.h>
-#include <thread>
 
 namespace jasminestack {
 
@@ -59,13 +58,6 @@
         return options;
     }
 
-    // A daemon whose callers wait for this long is saturated, and is taken to be for the time below.
-    constexpr Millis saturationLag { 60 };
-    constexpr Millis saturationHold { 1'000 };
-
-    // Well below the time by which events may be late, and above the time between two events of a stream.
-    constexpr Millis paceInterval { 40 };
-
     // New connections that wait for longer are accepted all the same, a few each tick.
     constexpr Millis starvationLimit { 500 };
     constexpr int acceptsWhenStarved = 2;
@@ -112,11 +104,7 @@
     FleetExchange exchange;
     HttpListener listener;
     EventPointer tickTimer;
-    EventPointer lagProbe; ///< Runs after the events of callers that were ready before it.
-    Millis probeStarted {}; ///< 0 while no probe is under way.
-    EventPointer turnProbe; ///< The same for one turn of a saturated daemon.
-    bool turnEnded { true };
-    Millis saturatedUntil {};
+    LoopMonitor monitor;
     std::array<EventPointer, 3> signals;
     std::string settingsPath;
     std::int64_t settingsModified { 0 };
@@ -188,14 +176,9 @@
                   .coordinateFrom = settings.coordination.fromDaemons })
         , listener(*base, [this](std::string_view path) { return answer(path); })
         , tickTimer(event_new(base.get(), -1, EV_PERSIST, onTick, this))
-        , lagProbe(event_new(base.get(), -1, 0, onLagProbe, this))
-        , turnProbe(event_new(
-              base.get(), -1, 0,
-              [](evutil_socket_t, short, void* self) { static_cast<State*>(self)->turnEnded = true; }, this))
+        , monitor(*base, clock)
     {
-        setPriority(*turnProbe, EventPriority::NewWork);
         setPriority(*tickTimer, EventPriority::Control);
-        setPriority(*lagProbe, EventPriority::NewWork);
         timeval interval = toTimeval(tickInterval);
         event_add(tickTimer.get(), &interval);
     }
@@ -270,47 +253,16 @@
             = now - source->configurationConfirmedAt() < source->confirmationInterval() + confirmationDelay;
     }
 
-    static void onLagProbe(evutil_socket_t, short, void* self)
-    {
-        auto& state = *static_cast<State*>(self);
-        state.board.lag = state.clock.now() - std::exchange(state.probeStarted, {});
-    }
-
-    // A saturated daemon handles what has come in at intervals: one system call then moves several events of a stream.
-    // Coordinators do not, since all others wait for their answers.
-    [[nodiscard]] bool saturated() const { return clock.now() < saturatedUntil && !exchange.coordinatesSomething(); }
-
-    void runPacedTurn()
-    {
-        Millis end = clock.now() + paceInterval;
-        event_base_loop(base.get(), EVLOOP_NONBLOCK);
-        // Runs after everything that was ready.
-        turnEnded = false;
-        event_active(turnProbe.get(), EV_TIMEOUT, 0);
-        while (!turnEnded && phase != Phase::Ended && clock.now() < end)
-            event_base_loop(base.get(), EVLOOP_NONBLOCK);
-        if (Millis rest = end - clock.now(); rest > Millis {} && phase != Phase::Ended)
-            std::this_thread::sleep_for(std::chrono::milliseconds(rest.count));
-    }
-
-    void measureLag(Millis now)
+    // Requests in progress may take all processor time; callers must not find a closed door for long.
+    void watchLag()
     {
-        if (board.lag >= saturationLag) {
-            if (now >= saturatedUntil)
-                logEvent(LogLevel::Warning, "processor_saturated",
-                    { { "lag_ms", board.lag.count }, { "in_progress", flow.active() },
-                        { "connections", server.connections() } });
-            saturatedUntil = now + saturationHold;
-        }
-        if (probeStarted != Millis {}) {
-            board.lag = std::max(board.lag, now - probeStarted);
-            // Requests in progress may take all processor time; callers must not find a closed door for long.
-            if (board.lag >= starvationLimit)
-                server.acceptSome(acceptsWhenStarved);
-            return;
-        }
-        probeStarted = now;
-        event_active(lagProbe.get(), EV_TIMEOUT, 0);
+        if (monitor.tick())
+            logEvent(LogLevel::Warning, "processor_saturated",
+                { { "lag_ms", monitor.lag().count }, { "in_progress", flow.active() },
+                    { "connections", server.connections() } });
+        board.lag = monitor.lag();
+        if (board.lag >= starvationLimit)
+            server.acceptSome(acceptsWhenStarved);
     }
 
     static void onTick(evutil_socket_t, short, void* self) { static_cast<State*>(self)->tick(); }
@@ -318,7 +270,7 @@
     void tick()
     {
         Millis now = clock.now();
-        measureLag(now);
+        watchLag();
         updateConfigurationAge(now);
         if (now - lastPressure >= pressureInterval) {
             lastPressure = now;
@@ -445,8 +397,9 @@
 {
     State& state = *m_state;
     while (state.phase != State::Phase::Ended) {
-        if (state.saturated())
-            state.runPacedTurn();
+        // Coordinators take no pauses, since all others wait for their answers.
+        if (state.monitor.saturated() && !state.exchange.coordinatesSomething())
+            state.monitor.runPacedTurn([&] { return state.phase == State::Phase::Ended; });
         else
             event_base_loop(state.base.get(), EVLOOP_ONCE);
     }
--- a/src/routing/Shards.cpp
+++ b/src/routing/Shards.cpp
@@ -3,7 +3,6 @@
 #include "base/Hash.h"
 
 #include <algorithm>
-#include <bit>
 
 namespace jasminestack {
 
@@ -20,10 +19,10 @@
 unsigned shardCount(std::size_t endpoints) noexcept
 {
     // Powers of two only: a pool has to grow or shrink by half before its shards change.
-    unsigned count = 1;
-    while (endpoints * endpoints > 2U * count * count * endpointsPerShard * endpointsPerShard)
+    std::size_t count = 1;
+    while (endpoints * endpoints > 2 * count * count * endpointsPerShard * endpointsPerShard)
         count *= 2;
-    return count;
+    return static_cast<unsigned>(count);
 }
 
 ShardKey shardOf(const PoolId& pool, const EndpointId& endpoint, unsigned shards) noexcept
--- a/tests/EventPriorityTests.cpp
+++ b/tests/EventPriorityTests.cpp
@@ -1,5 +1,6 @@
 #include "net/EventPriority.h"
 #include "net/Socket.h"
+#include "router/LoopMonitor.h"
 
 #include <catch2/catch.hpp>
 #include <event2/event.h>
@@ -79,3 +80,42 @@
     event_base_loop(base.get(), EVLOOP_NONBLOCK);
     CHECK(runs == 2);
 }
+
+// Pattern: a flood at one daemon. Guards against a daemon that does not notice that its callers wait.
+TEST_CASE("a daemon notices that new requests wait, and that they no longer do", "[policy][burst]")
+{
+    EventBasePointer base = makePrioritizedBase();
+    FakeClock clock;
+    LoopMonitor monitor(*base, clock);
+    CHECK_FALSE(monitor.tick());
+    event_base_loop(base.get(), EVLOOP_NONBLOCK);
+    CHECK(monitor.lag() == Millis { 0 });
+    CHECK_FALSE(monitor.tick());
+    clock.advance(Millis { 100 }); // The loop is busy with other events.
+    CHECK(monitor.tick());
+    CHECK(monitor.saturated());
+    CHECK(monitor.lag() == Millis { 100 });
+    event_base_loop(base.get(), EVLOOP_NONBLOCK);
+    CHECK_FALSE(monitor.tick()); // Told once.
+    event_base_loop(base.get(), EVLOOP_NONBLOCK);
+    CHECK_FALSE(monitor.tick());
+    CHECK(monitor.lag() == Millis { 0 });
+    clock.advance(Millis { 2'000 });
+    CHECK_FALSE(monitor.saturated());
+}
+
+TEST_CASE("a paced turn handles what was ready and stops when the daemon ends", "[policy]")
+{
+    EventBasePointer base = makePrioritizedBase();
+    SystemClock clock;
+    LoopMonitor monitor(*base, clock);
+    int runs = 0;
+    Task work(*base, EventPriority::Work, [&] { ++runs; });
+    Task newWork(*base, EventPriority::NewWork, [&] { ++runs; });
+    work.activate();
+    newWork.activate();
+    monitor.runPacedTurn([] { return false; });
+    CHECK(runs == 2);
+    monitor.runPacedTurn([] { return true; });
+    CHECK(runs == 2);
+}
