--- a/tests/PlacementExchangeTests.cpp
+++ b/tests/PlacementExchangeTests.cpp
@@ -20,19 +20,24 @@
 constexpr DaemonKey coordinatorKey = 8;
 constexpr Millis patience { 20'000 };
 
-/// \brief Delivers messages between the two sides at once; loses those that the test names.
+/// \brief Keeps messages until the test delivers them; loses those to addresses that the test names.
 struct Wire final : PeerTransport {
-    std::vector<std::pair<std::string, std::string>> sent; ///< Address and bytes.
+    std::vector<std::pair<std::string, std::string>> sent; ///< Address and bytes; not delivered yet.
     std::set<std::string> silent; ///< Addresses that get nothing.
     std::function<void(const std::string& address, std::string_view bytes)> deliver;
 
-    void send(std::string_view address, std::string_view bytes) override
+    void send(std::string_view address, std::string_view bytes) override { sent.emplace_back(address, bytes); }
+    void onReceive(Handler) override { }
+
+    void deliverAll()
     {
-        sent.emplace_back(address, bytes);
-        if (!silent.contains(std::string(address)) && deliver)
-            deliver(std::string(address), bytes);
+        while (!sent.empty()) {
+            for (const auto& [address, bytes] : std::exchange(sent, {})) {
+                if (!silent.contains(address))
+                    deliver(address, bytes);
+            }
+        }
     }
-    void onReceive(Handler) override { }
 };
 
 struct Outcome final : PlacementListener {
@@ -125,11 +130,20 @@
             .deadline = now + Millis { 8'000 } };
     }
 
+    /// \brief Asks, and delivers the question and its answer.
+    std::optional<AskId> ask(const PlacementQuery& query)
+    {
+        std::optional<AskId> id = client.ask(shard(), query, outcome);
+        wire.deliverAll();
+        return id;
+    }
+
     /// \brief Runs the event loop until the condition holds; a hang ends as a failure.
-    void runUntil(const std::function<bool()>& condition) const
+    void runUntil(const std::function<bool()>& condition)
     {
         for (Millis end = clock.now() + patience; !condition() && clock.now() < end;) {
             event_base_loop(base.get(), EVLOOP_NONBLOCK);
+            wire.deliverAll();
             std::this_thread::sleep_for(std::chrono::milliseconds(1));
         }
     }
@@ -147,15 +161,15 @@
 TEST_CASE("a question is granted, and the grant counts as load at once", "[placement][loopback]")
 {
     Fixture fixture;
-    REQUIRE(fixture.client.ask(fixture.shard(), fixture.query(), fixture.outcome));
+    REQUIRE(fixture.ask(fixture.query()));
     REQUIRE(fixture.outcome.replies.size() == 1);
-    const PlacementReply& reply = fixture.outcome.replies.front();
+    PlacementReply reply = fixture.outcome.replies.front();
     CHECK(reply.answer == PlacementAnswer::Granted);
     CHECK(fixture.board.picture.byKey.at(reply.endpoint)->load().running == 1);
     CHECK(fixture.client.grantsSeen(coordinatorKey) == 1);
     CHECK(fixture.client.open() == 0);
     // The next request with the same shared part goes where it lies.
-    REQUIRE(fixture.client.ask(fixture.shard(), fixture.query(), fixture.outcome));
+    REQUIRE(fixture.ask(fixture.query()));
     CHECK(fixture.outcome.replies.back().endpoint == reply.endpoint);
     CHECK(fixture.outcome.replies.back().unreadTokens == 0);
 }
@@ -164,7 +178,7 @@
 {
     Fixture fixture;
     fixture.coordinatorAddress.clear();
-    CHECK_FALSE(fixture.client.ask(fixture.shard(), fixture.query(), fixture.outcome));
+    CHECK_FALSE(fixture.ask(fixture.query()));
     CHECK(fixture.wire.sent.empty());
 }
 
@@ -173,12 +187,12 @@
 {
     Fixture fixture;
     fixture.wire.silent = { "asker" };
-    REQUIRE(fixture.client.ask(fixture.shard(), fixture.query(), fixture.outcome));
+    REQUIRE(fixture.ask(fixture.query()));
     CHECK(fixture.outcome.replies.empty());
     fixture.wire.silent.clear();
     fixture.runUntil([&] { return !fixture.outcome.replies.empty(); });
     REQUIRE(fixture.outcome.replies.size() == 1);
-    const PlacementReply& reply = fixture.outcome.replies.front();
+    PlacementReply reply = fixture.outcome.replies.front();
     CHECK(reply.answer == PlacementAnswer::Granted);
     CHECK(reply.grantNumber == 1);
     CHECK(fixture.board.picture.byKey.at(reply.endpoint)->load().running == 1);
@@ -189,7 +203,7 @@
 {
     Fixture fixture;
     fixture.wire.silent = { "c1", "c2" };
-    REQUIRE(fixture.client.ask(fixture.shard(), fixture.query(), fixture.outcome));
+    REQUIRE(fixture.ask(fixture.query()));
     fixture.runUntil([&] { return fixture.outcome.unanswered != 0; });
     CHECK(fixture.suspects == std::vector<std::string> { "c1", "c2" });
     CHECK(fixture.outcome.unanswered == 1);
@@ -197,7 +211,7 @@
 
     Fixture second;
     second.wire.silent = { "c1" };
-    REQUIRE(second.client.ask(second.shard(), second.query(), second.outcome));
+    REQUIRE(second.ask(second.query()));
     second.runUntil([&] { return !second.outcome.replies.empty(); });
     CHECK(second.outcome.unanswered == 0);
     CHECK(second.outcome.replies.size() == 1);
@@ -209,12 +223,13 @@
 {
     Fixture fixture;
     fixture.fillEndpoints(60'000);
-    auto kept = fixture.client.ask(fixture.shard(), fixture.query(1), fixture.outcome);
-    auto withdrawn = fixture.client.ask(fixture.shard(), fixture.query(2), fixture.outcome);
+    auto kept = fixture.ask(fixture.query(1));
+    auto withdrawn = fixture.ask(fixture.query(2));
     REQUIRE(kept);
     REQUIRE(withdrawn);
     CHECK(fixture.queue.size() == 2);
     fixture.client.withdraw(*withdrawn);
+    fixture.wire.deliverAll();
     CHECK(fixture.queue.size() == 1);
     dropPeer(fixture.board.picture, 99);
     fixture.queue.roomChanged();
@@ -230,12 +245,12 @@
     fixture.fillEndpoints(200'000);
     PlacementQuery late = fixture.query();
     late.arrivedAt = late.firstArrival = fixture.clock.now() - Millis { 3'000 };
-    REQUIRE(fixture.client.ask(fixture.shard(), late, fixture.outcome));
+    REQUIRE(fixture.ask(late));
     REQUIRE(fixture.outcome.replies.size() == 1);
     CHECK(fixture.outcome.replies.front().answer == PlacementAnswer::Refused);
     CHECK(fixture.outcome.replies.front().retryAfter > Millis {});
     // Its caller comes back, perhaps through another daemon.
-    REQUIRE(fixture.client.ask(fixture.shard(), fixture.query(), fixture.outcome));
+    REQUIRE(fixture.ask(fixture.query()));
     CHECK(fixture.queue.size() == 1);
 }
 
@@ -258,7 +273,7 @@
     Fixture fixture;
     for (std::uint64_t event = 1; event <= crashGuardOptions.losses; ++event)
         (void)onContentLost(fixture.board.crashes, crashGuardOptions, 1, event, fixture.coordinatorClock.now());
-    REQUIRE(fixture.client.ask(fixture.shard(), fixture.query(1), fixture.outcome));
+    REQUIRE(fixture.ask(fixture.query(1)));
     REQUIRE(fixture.outcome.replies.size() == 1);
     CHECK(fixture.outcome.replies.front().answer == PlacementAnswer::Quarantined);
 }
