Bound responses that never end and streams that stall while bytes arrive

Cause, found by reading after the operators' reports: interim responses, chunk extensions, line ends after a chunk and trailers were accepted without limit; the HTTP client of store, documents and peers had no limit for headers and body; any byte of an event stream restarted the stall timeout, so comments or half an event kept a dead stream until the caller's deadline; a refusal was a refusal only at the end of its body; of contradictory lengths the first counted.

Change: HttpResponseParser fails after 64 KiB of bytes that are neither final head nor body since the last body byte, on contradictory lengths and on transfer codings other than chunked. HttpClient: 64 KiB of headers, 8 MiB of body. The stall timeout and the first byte of an event stream count events with an id or data. A refusal is complete after 64 KiB or 300 ms of body.

--- a/src/net/HttpClient.cpp
+++ b/src/net/HttpClient.cpp
@@ -11,6 +11,9 @@
 
 namespace {
 
+    // Bounds the memory of a response whose headers do not end.
+    constexpr ev_ssize_t maxHeaderBytes = 64 << 10;
+
     evhttp_cmd_type evhttpMethod(std::string_view method)
     {
         if (method == "POST")
@@ -121,6 +124,8 @@
     evtimer_add(exchange.timer, &timeout);
 
     exchange.connection = evhttp_connection_base_new(&state.base, nullptr, host.c_str(), port);
+    evhttp_connection_set_max_headers_size(exchange.connection, maxHeaderBytes);
+    evhttp_connection_set_max_body_size(exchange.connection, static_cast<ev_ssize_t>(request.maxResponseBytes));
     evhttp_request* outgoing = evhttp_request_new(State::onResponse, &exchange);
     evkeyvalq* headers = evhttp_request_get_output_headers(outgoing);
     evhttp_add_header(headers, "Host", request.address.c_str());
--- a/src/net/HttpClient.h
+++ b/src/net/HttpClient.h
@@ -3,6 +3,7 @@
 #include "base/Clock.h"
 #include "base/Result.h"
 
+#include <cstddef>
 #include <functional>
 #include <memory>
 #include <string>
@@ -22,6 +23,7 @@
     std::vector<std::pair<std::string, std::string>> headers;
     std::string body;
     Millis timeout { 5'000 }; ///< For the whole exchange.
+    std::size_t maxResponseBytes { 8U << 20U }; ///< A response with a longer body fails.
 };
 
 struct HttpResponse {
--- a/src/net/HttpResponseParser.cpp
+++ b/src/net/HttpResponseParser.cpp
@@ -11,6 +11,9 @@
 
     // Bounds the memory that an endpoint can make the daemon use: a longer head ends the exchange.
     constexpr std::size_t maxHeadBytes = 64U << 10U;
+    // Interim responses, chunk extensions, line ends and trailers may not exceed this size between two body bytes, so
+    // that an endpoint cannot send them without end.
+    constexpr std::size_t maxOverheadBytes = 64U << 10U;
     // Hexadecimal digits; the limit keeps a chunk size from overflowing its 64 bits.
     constexpr unsigned maxChunkSizeDigits = 15;
 
@@ -87,6 +90,7 @@
         case State::ChunkData: {
             auto length = static_cast<std::size_t>(std::min<std::uint64_t>(available, m_remainingBytes));
             appendBody(length);
+            m_overheadBytes = 0;
             m_remainingBytes -= length;
             if (m_remainingBytes == 0)
                 m_state = m_state == State::FixedLengthBody ? State::Complete : State::ChunkDataEnd;
@@ -100,7 +104,8 @@
             break;
         case State::ChunkDataEnd: {
             char byte = data[position++];
-            if (byte == '\n') {
+            countOverhead(1);
+            if (byte == '\n' && m_state != State::Failed) {
                 m_state = State::ChunkSize;
                 m_chunkSizeDigits = 0;
                 m_inChunkExtension = false;
@@ -124,6 +129,13 @@
     return { data.data() + bodyStart, bodyEnd - bodyStart };
 }
 
+void HttpResponseParser::countOverhead(std::size_t bytes) noexcept
+{
+    m_overheadBytes += bytes;
+    if (m_overheadBytes > maxOverheadBytes)
+        m_state = State::Failed;
+}
+
 void HttpResponseParser::endOfInput() noexcept
 {
     if (m_state == State::CloseDelimitedBody)
@@ -148,10 +160,12 @@
         return data.size();
     }
     m_headText.clear();
-    if (m_head.status >= 100 && m_head.status < 200)
+    if (m_head.status >= 100 && m_head.status < 200) {
         m_head = {}; // Interim response; the final one follows.
-    else
+        countOverhead(headBytes);
+    } else {
         selectFraming();
+    }
     return headBytes - previousBytes;
 }
 
@@ -189,25 +203,54 @@
         m_state = State::Complete;
         return;
     }
-    if (equalIgnoringAsciiCase(findHeader(m_head.headers, "Transfer-Encoding"), "chunked")) {
-        m_state = State::ChunkSize;
+    bool hasLength = false;
+    if (!parseContentLength(hasLength)) {
+        m_state = State::Failed;
+        return;
+    }
+    auto isTransferEncoding
+        = [](const auto& header) { return equalIgnoringAsciiCase(header.first, "Transfer-Encoding"); };
+    auto encodingCount = std::count_if(m_head.headers.begin(), m_head.headers.end(), isTransferEncoding);
+    if (encodingCount != 0) {
+        // The daemon does not decode transfer codings other than chunked, nor forward them.
+        bool isChunked
+            = encodingCount == 1 && equalIgnoringAsciiCase(findHeader(m_head.headers, "Transfer-Encoding"), "chunked");
+        m_state = isChunked ? State::ChunkSize : State::Failed;
+        if (hasLength)
+            m_keepAlive = false; // Another recipient may have delimited the response by its length (RFC 9112, 6.3).
+        m_remainingBytes = 0;
         return;
     }
-    std::string_view length = findHeader(m_head.headers, "Content-Length");
-    if (length.empty()) {
+    if (!hasLength) {
         m_state = State::CloseDelimitedBody;
         m_keepAlive = false;
         return;
     }
-    auto parsed = std::from_chars(length.data(), length.data() + length.size(), m_remainingBytes);
-    if (parsed.ec != std::errc {} || parsed.ptr != length.data() + length.size())
-        m_state = State::Failed;
-    else
-        m_state = m_remainingBytes == 0 ? State::Complete : State::FixedLengthBody;
+    m_state = m_remainingBytes == 0 ? State::Complete : State::FixedLengthBody;
+}
+
+bool HttpResponseParser::parseContentLength(bool& hasLength)
+{
+    for (const auto& [name, value] : m_head.headers) {
+        if (!equalIgnoringAsciiCase(name, "Content-Length"))
+            continue;
+        std::uint64_t length = 0;
+        auto parsed = std::from_chars(value.data(), value.data() + value.size(), length);
+        if (parsed.ec != std::errc {} || parsed.ptr != value.data() + value.size())
+            return false;
+        if (hasLength && length != m_remainingBytes)
+            return false;
+        hasLength = true;
+        m_remainingBytes = length;
+    }
+    return true;
 }
 
 void HttpResponseParser::feedChunkSize(char byte)
 {
+    countOverhead(1);
+    if (m_state == State::Failed)
+        return;
     if (byte == '\n') {
         if (m_chunkSizeDigits == 0) {
             m_state = State::Failed;
@@ -233,6 +276,9 @@
 
 void HttpResponseParser::feedTrailer(char byte)
 {
+    countOverhead(1);
+    if (m_state == State::Failed)
+        return;
     if (byte == '\n') {
         if (m_trailerLineEmpty)
             m_state = State::Complete;
--- a/src/net/HttpResponseParser.h
+++ b/src/net/HttpResponseParser.h
@@ -58,9 +58,14 @@
         Failed
     };
 
+    /// \brief Counts bytes that are neither the final head nor body; too many since the last body byte fail the
+    /// response.
+    void countOverhead(std::size_t bytes) noexcept;
     [[nodiscard]] std::size_t feedHead(std::string_view data);
     [[nodiscard]] bool parseHead(std::string_view text);
     void selectFraming();
+    /// \returns Whether the headers state one length without contradiction; sets the length, if there is one.
+    [[nodiscard]] bool parseContentLength(bool& hasLength);
     void feedChunkSize(char byte);
     void feedTrailer(char byte);
 
@@ -68,6 +73,7 @@
     std::string m_headText; ///< Bytes of the head received so far.
     State m_state { State::Head };
     std::size_t m_consumedBytes { 0 };
+    std::size_t m_overheadBytes { 0 }; ///< See countOverhead().
     std::uint64_t m_remainingBytes { 0 }; ///< Bytes of the body or of the current chunk that are not received yet.
     unsigned m_chunkSizeDigits { 0 };
     bool m_inChunkExtension { false };
--- a/src/router/RoutedRequest.cpp
+++ b/src/router/RoutedRequest.cpp
@@ -29,6 +29,9 @@
     // A stream counts as stalled if no bytes are received for this many times the route's eventGapObjective.
     constexpr std::int64_t eventGapFactor = 7;
 
+    // A refusal counts as complete after this time without its end.
+    constexpr Millis refusalBodyTimeout { 300 };
+
     // Retry-After values: for requests that giveUp() ends, and for requests with quarantined content.
     constexpr Millis retryAfterFault { 300 };
     constexpr Millis retryAfterCrashes { 2'000 };
@@ -250,6 +253,7 @@
     m_stage = Stage::InFlight;
     m_relayMode = RelayMode::AwaitingHead;
     m_responseBody.clear();
+    m_refusalBytes = 0;
     m_responseHead = {};
     m_lastProgress = currentTime;
     if (m_sendCount == 0 && m_connectFailures == 0)
@@ -286,10 +290,18 @@
     Millis wakeTime = m_deadline;
     if (m_stage == Stage::InFlight && m_route.isRepeatable() && m_relayMode != RelayMode::PassThrough)
         wakeTime = std::min(wakeTime, m_lastProgress + stallTimeout());
+    if (m_stage == Stage::InFlight && m_relayMode == RelayMode::Refusal)
+        wakeTime = std::min(wakeTime, m_lastProgress + refusalBodyTimeout);
     timeval delay = toTimeval(std::max(wakeTime - currentTime, Millis { 1 }));
     evtimer_add(m_timer.get(), &delay);
 }
 
+void RoutedRequest::abandonRefusalBody()
+{
+    cancelExchange();
+    handleRefusal();
+}
+
 Millis RoutedRequest::stallTimeout() const
 {
     if (m_splitter.forwardedEventCount() != 0 && m_route.eventGapObjective > Millis {})
@@ -303,6 +315,11 @@
     if (m_stage == Stage::Ended)
         return;
     Millis currentTime = now();
+    bool isRefused = m_stage == Stage::InFlight && m_relayMode == RelayMode::Refusal;
+    if (isRefused && currentTime - m_lastProgress >= refusalBodyTimeout) {
+        abandonRefusalBody();
+        return;
+    }
     if (currentTime >= m_deadline) {
         giveUp(m_isCallerDeadline ? "caller_deadline" : "route_timeout");
         return;
--- a/src/router/RoutedRequest.h
+++ b/src/router/RoutedRequest.h
@@ -115,6 +115,8 @@
     void armTimer();
     void checkStall(Millis currentTime);
     [[nodiscard]] Millis stallTimeout() const;
+    /// \brief Ends an attempt that was refused without waiting for the rest of the response.
+    void abandonRefusalBody();
     void markCrashSuspect();
     void reportFirstByte();
     void relayEvents(std::string_view chunk);
@@ -155,6 +157,7 @@
     Placement m_placement;
     bool m_isPlacementCounted { false }; ///< m_placement counts towards its endpoint's load.
     ExchangeId m_exchange { 0 };
+    std::size_t m_refusalBytes { 0 }; ///< Received bytes of a refusal's body.
     Millis m_lastProgress {}; ///< Start of the stall timeout; see checkStall().
 
     HttpResponseHead m_responseHead;
--- a/src/router/RoutedRequestResponse.cpp
+++ b/src/router/RoutedRequestResponse.cpp
@@ -11,6 +11,9 @@
 
     bool isSuccess(int status) noexcept { return status >= 200 && status < 300; }
 
+    // The body of a refusal is not used; a longer one is not read to its end.
+    constexpr std::size_t maxRefusalBytes = 64U << 10U;
+
     bool isServerError(int status) noexcept { return status >= 500; }
 
     // Statuses by which callers conclude that the request has not run.
@@ -38,6 +41,7 @@
     m_responseHead = head;
     if (responseMetadata.isNotExecuted && !isSuccess(head.status)) {
         m_relayMode = RelayMode::Refusal;
+        armTimer();
         return;
     }
     if (isSuccess(head.status) && (!responseMetadata.isSigned || responseMetadata.isEncoded)) {
@@ -70,10 +74,15 @@
 
 void RoutedRequest::onBody(std::string_view chunk)
 {
-    m_lastProgress = now();
+    if (m_relayMode != RelayMode::Events && m_relayMode != RelayMode::Refusal)
+        m_lastProgress = now();
     switch (m_relayMode) {
     case RelayMode::AwaitingHead:
+        break;
     case RelayMode::Refusal:
+        m_refusalBytes += chunk.size();
+        if (m_refusalBytes > maxRefusalBytes)
+            abandonRefusalBody();
         break;
     case RelayMode::Events:
         relayEvents(chunk);
@@ -94,8 +103,13 @@
 
 void RoutedRequest::relayEvents(std::string_view chunk)
 {
-    reportFirstByte();
+    std::uint64_t eventsBefore = m_splitter.contentEventCount();
     std::string_view completeEvents = m_splitter.feed(chunk);
+    // Bytes without a complete event, or comments, do not keep a stalled stream alive.
+    if (m_splitter.contentEventCount() != eventsBefore) {
+        m_lastProgress = now();
+        reportFirstByte();
+    }
     if (!completeEvents.empty()) {
         beginResponse();
         sendToCaller(completeEvents);
--- a/src/router/SseSplitter.cpp
+++ b/src/router/SseSplitter.cpp
@@ -26,6 +26,12 @@
         return {};
     }
 
+    bool hasData(std::string_view event)
+    {
+        constexpr std::string_view field = "data:";
+        return event.starts_with(field) || event.find("\ndata:") != std::string_view::npos;
+    }
+
     std::optional<std::uint64_t> parseIdNumber(std::string_view id)
     {
         std::uint64_t number = 0;
@@ -66,6 +72,8 @@
     if (!id.empty())
         m_lastId = id;
     ++m_eventCount;
+    if (!id.empty() || hasData(event))
+        ++m_contentEventCount;
     return true;
 }
 
--- a/src/router/SseSplitter.h
+++ b/src/router/SseSplitter.h
@@ -31,6 +31,10 @@
     /// \returns Number of forwarded events.
     [[nodiscard]] std::uint64_t forwardedEventCount() const noexcept { return m_eventCount; }
 
+    /// \returns Number of forwarded events with an id or data; an endpoint that sends only others, such as comments,
+    /// makes no progress.
+    [[nodiscard]] std::uint64_t contentEventCount() const noexcept { return m_contentEventCount; }
+
     /// \returns Whether the stream cannot be forwarded without a gap or a duplicate: an id was skipped; an id
     /// did not increase, although resume() was not called; or the stored bytes of an incomplete event exceeded
     /// 1 MiB.
@@ -47,6 +51,7 @@
     std::string m_lastId;
     std::optional<std::uint64_t> m_lastIdNumber;
     std::uint64_t m_eventCount { 0 };
+    std::uint64_t m_contentEventCount { 0 };
     bool m_isResumed { false };
     bool m_isBroken { false };
 };
--- a/tests/HttpResponseParserTests.cpp
+++ b/tests/HttpResponseParserTests.cpp
@@ -82,6 +82,67 @@
     }
 }
 
+// Guards against an endpoint that keeps an exchange and its connection busy, or fills the memory, with bytes that are
+// no body: none of these inputs ends by itself.
+TEST_CASE("a response with endless bytes between its body bytes fails within 128 KiB", "[http][endless]")
+{
+    const std::string chunked = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+    auto [start, repeated] = GENERATE_COPY(table<std::string, std::string>({ { "", "HTTP/1.1 103 Early\r\n\r\n" },
+        { "", "HTTP/1.1 100 Continue\r\nX: y\r\n\r\n" }, { "HTTP/1.1 200 OK\r\n", "A: b\r\n" }, { "", "garbage" },
+        { chunked + "5;", "extension" }, { chunked + "0\r\n", "Trailer: t\r\n" }, { chunked + "0\r\n", "x" },
+        { chunked + "1\r\nx", "\r" }, { chunked, "0" }, { chunked + "5", " " } }));
+    CAPTURE(start, repeated);
+    HttpResponseParser parser;
+    static_cast<void>(parser.feed(start));
+    std::size_t bytes = 0;
+    constexpr std::size_t maxBytes = 128U << 10U;
+    while (!parser.failed() && bytes < maxBytes) {
+        std::string piece = repeated;
+        CHECK(parser.feed(piece).empty());
+        bytes += repeated.size();
+    }
+    CHECK(parser.failed());
+}
+
+TEST_CASE("a long chunked body with short extensions in each chunk is accepted", "[http][endless]")
+{
+    HttpResponseParser parser;
+    std::string head = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+    static_cast<void>(parser.feed(head));
+    constexpr int chunks = 40'000;
+    std::size_t bodyBytes = 0;
+    for (int i = 0; i < chunks; ++i) {
+        std::string chunk = "1;name=value\r\nx\r\n";
+        bodyBytes += parser.feed(chunk).size();
+    }
+    std::string end = "0\r\n\r\n";
+    static_cast<void>(parser.feed(end));
+    CHECK(bodyBytes == chunks);
+    CHECK(parser.connectionIsReusable());
+}
+
+// Guards against a body that is delimited by the wrong one of two contradictory headers, so that its rest is taken for
+// the next response.
+TEST_CASE("contradictory lengths and unknown transfer codings fail", "[http]")
+{
+    auto parse = [](std::string text) {
+        HttpResponseParser parser;
+        static_cast<void>(parser.feed(text));
+        return parser;
+    };
+    CHECK(parse("HTTP/1.1 200 OK\r\nContent-Length: 5\r\nContent-Length: 6\r\n\r\nhello").failed());
+    CHECK(parse("HTTP/1.1 200 OK\r\nContent-Length: 5, 5\r\n\r\nhello").failed());
+    CHECK(parse("HTTP/1.1 200 OK\r\nContent-Length:\r\n\r\nhello").failed());
+    CHECK(parse("HTTP/1.1 200 OK\r\nContent-Length: 5\r\nTransfer-Encoding: gzip, chunked\r\n\r\nhello").failed());
+    CHECK(parse("HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip\r\nTransfer-Encoding: chunked\r\n\r\n").failed());
+    CHECK(parse("HTTP/1.1 200 OK\r\nContent-Length: 5\r\ncontent-length: 5\r\n\r\nhello").connectionIsReusable());
+    // The chunked coding takes precedence, but the connection is not reused.
+    HttpResponseParser both
+        = parse("HTTP/1.1 200 OK\r\nContent-Length: 2\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n\r\n");
+    CHECK(both.complete());
+    CHECK_FALSE(both.connectionIsReusable());
+}
+
 // Guards against memory errors and endless loops on arbitrary input.
 TEST_CASE("arbitrary bytes are parsed without a crash", "[http]")
 {
--- a/tests/RouterHarness.h
+++ b/tests/RouterHarness.h
@@ -60,6 +60,7 @@
             .pathPrefix = "/quote/",
             .kind = RequestKind::Stream,
             .pools = { { PoolId { "llm" } } },
+            .eventGapObjective = Millis { 150 },
             .maxEndpoints = 2,
             .isResumable = true });
         addRoute({ .name = "review",
--- a/tests/RouterLoopbackTests.cpp
+++ b/tests/RouterLoopbackTests.cpp
@@ -128,6 +128,99 @@
     CHECK(resumedStream.find("token-4\n\n") != std::string::npos);
 }
 
+// Guards against streams that stall for ever because their engine still sends bytes now and then, but no events.
+TEST_CASE("a stalled stream whose engine sends bytes without events is resumed at another engine", "[router][endless]")
+{
+    LoopbackRouter router;
+    std::string_view bytes = GENERATE(as<std::string_view> {}, ": keep-alive\n\n", "\n\n", "d", "event: ping\n\n");
+    CAPTURE(bytes);
+    BlockingSocket caller = router.connectCaller();
+    caller.write(LoopbackRouter::request("POST", "/quote/x", "id-1", "prompt"));
+    auto [firstEngine, firstListener] = router.acceptEngineConnection();
+    static_cast<void>(firstEngine.readUntil("prompt"));
+    firstEngine.write(LoopbackRouter::eventStreamHead("id-1") + encodeHttpChunk(sseEvent(1) + sseEvent(2)));
+    static_cast<void>(caller.readUntil("token-2\n\n"));
+    const ListeningSocket& otherListener = firstListener == &router.engine1 ? router.engine2 : router.engine1;
+    bool isResumed = false;
+    for (int i = 0; i < 60 && !isResumed; ++i) { // 3 s; the stall timeout is 1.05 s, the route's timeout 4 s.
+        try {
+            firstEngine.write(encodeHttpChunk(bytes));
+        } catch (const std::runtime_error&) { // The router has closed the connection.
+        }
+        isResumed = otherListener.hasPendingConnection(50);
+    }
+    REQUIRE(isResumed);
+    BlockingSocket secondEngine = otherListener.accept();
+    CHECK(headerValue(secondEngine.readUntil("\r\n\r\n"), "Last-Event-Id") == "2");
+    secondEngine.write(LoopbackRouter::eventStreamHead("id-1") + encodeHttpChunk(sseEvent(3)) + lastChunk);
+    CHECK(caller.readUntil(lastChunk).find("token-3\n\n") != std::string::npos);
+}
+
+// Guards against sound streams that are cut because they are slow: each event is complete within the allowed pause.
+TEST_CASE("a slow stream whose events arrive byte by byte is not interrupted", "[router][endless]")
+{
+    LoopbackRouter router;
+    BlockingSocket caller = router.connectCaller();
+    caller.write(LoopbackRouter::request("POST", "/quote/x", "id-1", "prompt"));
+    auto [engine, listener] = router.acceptEngineConnection();
+    static_cast<void>(engine.readUntil("prompt"));
+    engine.write(LoopbackRouter::eventStreamHead("id-1"));
+    for (int id = 1; id <= 20; ++id) { // 2.7 s in all, with 135 ms for an event of the allowed 150 ms.
+        std::string event = sseEvent(id);
+        for (char byte : event) {
+            engine.write(encodeHttpChunk(std::string(1, byte)));
+            std::this_thread::sleep_for(std::chrono::microseconds(135'000 / event.size()));
+        }
+    }
+    engine.write(lastChunk);
+    std::string stream = caller.readUntil(lastChunk);
+    CHECK(stream.find("token-1\n\n") != std::string::npos);
+    CHECK(stream.find("token-20\n\n") != std::string::npos);
+    CHECK(!router.engine1.hasPendingConnection(10));
+    CHECK(!router.engine2.hasPendingConnection(10));
+}
+
+// Guards against requests that wait for their deadline while an engine sends bytes that are no response, and against
+// the memory that these bytes take.
+TEST_CASE("a request whose engine sends interim responses without end is retried", "[router][endless]")
+{
+    LoopbackRouter router;
+    BlockingSocket caller = router.connectCaller();
+    caller.write(LoopbackRouter::request("GET", "/check/x", "id-1"));
+    auto [firstEngine, firstListener] = router.acceptEngineConnection();
+    static_cast<void>(firstEngine.readUntil("\r\n\r\n"));
+    std::string interimResponses;
+    while (interimResponses.size() < 200'000)
+        interimResponses += "HTTP/1.1 103 Early Hints\r\nLink: </style>\r\n\r\n";
+    firstEngine.writeSome(interimResponses, 500);
+    const ListeningSocket& otherListener = firstListener == &router.engine1 ? router.engine2 : router.engine1;
+    REQUIRE(otherListener.hasPendingConnection(2'000));
+    BlockingSocket secondEngine = otherListener.accept();
+    static_cast<void>(secondEngine.readUntil("\r\n\r\n"));
+    secondEngine.write(LoopbackRouter::response("id-1", "answer"));
+    CHECK(caller.readUntil("answer").starts_with("HTTP/1.1 200"));
+}
+
+// Guards against callers that wait for their deadline for a refusal whose body does not end.
+TEST_CASE("a refusal whose body does not end is a refusal", "[router][endless]")
+{
+    LoopbackRouter router;
+    bool isFast = GENERATE(true, false);
+    BlockingSocket caller = router.connectCaller();
+    caller.write(LoopbackRouter::request("POST", "/book/x", "id-1", "order"));
+    BlockingSocket service = router.serviceListener.accept();
+    static_cast<void>(service.readUntil("order"));
+    service.write("HTTP/1.1 503 X\r\nX-Jasminestack-Attempt-Id: id-1\r\nX-Jasminestack-Not-Executed: 1\r\n"
+                  "Transfer-Encoding: chunked\r\n\r\n");
+    auto start = std::chrono::steady_clock::now();
+    if (isFast)
+        service.writeSome(encodeHttpChunk(std::string(300'000, 'x')), 200);
+    else
+        service.write(encodeHttpChunk("x"));
+    CHECK(caller.readUntil("\r\n\r\n").starts_with("HTTP/1.1 503"));
+    CHECK(std::chrono::steady_clock::now() - start < std::chrono::seconds(2)); // The route's timeout is 4 s.
+}
+
 // Guards against a second run of a stream that may not be resumed, and against a truncated response that looks
 // complete.
 TEST_CASE("a stream that may not be resumed ends truncated when its engine resets the connection", "[router]")
