Let a few daemons of a large fleet read the store for all

Cause: every daemon read configuration, registrations and daemon addresses itself. Calls to the store are priced, and their number grew with the fleet: about one call a second at each daemon while registrations change.

Ways weighed: all daemons poll (as before); a tree; a few readers with followers. The readers were taken: one hop, any reader serves any follower, and a follower that is not confirmed reads the store itself, so that correctness does not rest on the readers' liveness.

Change: in fleets with coordinators 6 to 16 readers (one for 32 daemons, the strongest first) read the store with 1 s long polls. Each follower receives confirmations (24 to 30 bytes, every 0.4 to 1 s and at each change) from three of them and requires two recent ones. It fetches only what it lacks (/documents with its versions), and becomes a reader for itself (fallback) when confirmations end, lag or are older than a long poll; while the store confirms nothing to live readers it probes rarely and spread over a second.

--- a/src/net/SimpleHttpServer.cpp
+++ b/src/net/SimpleHttpServer.cpp
@@ -29,8 +29,7 @@
     static void onRequest(evhttp_request* request, void* argument)
     {
         auto& state = *static_cast<State*>(argument);
-        std::string_view target = evhttp_request_get_uri(request);
-        SimpleHttpResponse response = state.handler(target.substr(0, target.find('?')));
+        SimpleHttpResponse response = state.handler(evhttp_request_get_uri(request));
         evhttp_add_header(evhttp_request_get_output_headers(request), "Content-Type", response.contentType.c_str());
         evbuffer_add(evhttp_request_get_output_buffer(request), response.body.data(), response.body.size());
         evhttp_send_reply(request, response.status, nullptr, nullptr);
--- a/src/net/SimpleHttpServer.h
+++ b/src/net/SimpleHttpServer.h
@@ -22,8 +22,9 @@
 /// Requests of callers are handled by CallerServer.
 class SimpleHttpServer {
 public:
-    /// \brief Handles a GET request of \p path.
-    using Handler = std::function<SimpleHttpResponse(std::string_view path)>;
+    /// \brief Handles a GET request.
+    /// \param target Path, and query if there is one.
+    using Handler = std::function<SimpleHttpResponse(std::string_view target)>;
 
     SimpleHttpServer(event_base&, Handler);
     ~SimpleHttpServer();
--- a/src/router/FleetSync.cpp
+++ b/src/router/FleetSync.cpp
@@ -1,10 +1,14 @@
 #include "router/FleetSync.h"
 
+#include "base/Hash.h"
 #include "net/EventPriority.h"
 #include "observe/Logging.h"
+#include "router/DocumentsRequest.h"
 #include "router/FleetUpdateCodec.h"
 #include "router/PlacementCodec.h"
+#include "router/StoreConfirmationCodec.h"
 #include "routing/Shards.h"
+#include "routing/StoreReaders.h"
 
 #include <algorithm>
 #include <event2/event.h>
@@ -33,7 +37,19 @@
     constexpr Millis registrationReadTolerance { 900 };
 
     // With coordinators, daemons send only heartbeats to peers that do not coordinate.
-    constexpr Millis heartbeatInterval { 3'000 };
+    constexpr Millis plainHeartbeatInterval { 3'000 };
+
+    // Followers request documents again after this time at the earliest, so that a reader is not kept busy by frequent
+    // changes.
+    constexpr Millis minDocumentInterval { 250 };
+
+    // A peer whose documents were requested without effect is not asked again within this time.
+    constexpr Millis documentRetryDelay { 500 };
+
+    // A follower that could not import newer documents of a reader for this long reads the store itself.
+    constexpr Millis maxDocumentLag { 800 };
+
+    constexpr Millis readerSelectionInterval { 400 };
 
     // Prompt parts in one message of a shard's handover: about 900 bytes, which fit into one packet.
     constexpr std::size_t partsPerHandoverMessage = 60;
@@ -60,6 +76,23 @@
     constexpr Millis minFlushInterval { 3 };
     constexpr Millis maxFlushInterval { 100 };
 
+    std::string_view storeRoleName(StoreRole role)
+    {
+        switch (role) {
+        case StoreRole::Independent:
+            return "independent";
+        case StoreRole::Reader:
+            return "reader";
+        case StoreRole::Follower:
+            return "follower";
+        case StoreRole::Fallback:
+            return "fallback";
+        case StoreRole::OutageFallback:
+            return "outage_fallback";
+        }
+        return "unknown";
+    }
+
 }
 
 FleetSync::FleetSync(Context context, FleetSyncOptions options)
@@ -142,21 +175,145 @@
     return !suspected;
 }
 
+std::vector<CoordinatorCandidate> FleetSync::coordinatorCandidates() const
+{
+    std::vector<CoordinatorCandidate> candidates;
+    if (m_mayCoordinate)
+        candidates.push_back({ .address = m_options.address, .cpuCores = m_options.cpuCores });
+    for (const auto& [address, peer] : m_peers) {
+        if (isCoordinatorCandidate(peer))
+            candidates.push_back({ .address = address, .cpuCores = peer.cpuCores });
+    }
+    return candidates;
+}
+
+void FleetSync::refreshStoreReaders()
+{
+    Millis now = m_context.clock.now();
+    if (now - m_storeReadersRefreshedAt < readerSelectionInterval)
+        return;
+    m_storeReadersRefreshedAt = now;
+    std::vector<std::string> readers;
+    if (usesCoordinators())
+        readers = selectStoreReaders(coordinatorCandidates(), storeReaderCount(possibleDaemonCount()));
+    bool isReader = std::find(readers.begin(), readers.end(), m_options.address) != readers.end();
+    m_followers.clear();
+    for (const auto& [address, peer] : m_peers) {
+        if (!isReader || !isLive(peer))
+            continue;
+        auto own = readersOfFollower(readers, address);
+        if (std::find(own.begin(), own.end(), m_options.address) != own.end())
+            m_followers.push_back(address);
+    }
+    if (readers == m_storeReaders)
+        return;
+    m_storeReaders = std::move(readers);
+    logEvent(LogLevel::Info, "store_readers_changed",
+        { { "readers", m_storeReaders.size() }, { "own", isReader ? 1 : 0 }, { "followers", m_followers.size() } });
+}
+
+bool FleetSync::isStoreReader(const Peer& peer) const
+{
+    return peer.confirmationReceivedAt != Millis {}
+    && isReaderLive(peer.storeConfirmation, m_context.clock.now() - peer.confirmationReceivedAt);
+}
+
+StoreRole FleetSync::suitableStoreRole() const
+{
+    if (!usesCoordinators())
+        return StoreRole::Independent;
+    if (std::find(m_storeReaders.begin(), m_storeReaders.end(), m_options.address) != m_storeReaders.end())
+        return StoreRole::Reader;
+    Millis now = m_context.clock.now();
+    std::size_t liveReaders = 0;
+    std::size_t confirmations = 0;
+    for (const auto& [address, peer] : m_peers) {
+        if (!isStoreReader(peer))
+            continue;
+        ++liveReaders;
+        Millis confirmedAt = peer.confirmationReceivedAt - peer.storeConfirmation.age;
+        confirmations += isConfirmationRecent(peer.storeConfirmation, now - confirmedAt) ? 1U : 0U;
+        if (peer.newerDocumentsSince != Millis {} && now - peer.newerDocumentsSince > maxDocumentLag)
+            return StoreRole::Fallback;
+    }
+    if (confirmations >= requiredConfirmations)
+        return StoreRole::Follower;
+    return liveReaders >= requiredConfirmations ? StoreRole::OutageFallback : StoreRole::Fallback;
+}
+
+void FleetSync::updateStoreRole()
+{
+    refreshStoreReaders();
+    StoreRole role = suitableStoreRole();
+    if (role == m_storeRole)
+        return;
+    logEvent(LogLevel::Info, "store_role_changed",
+        { { "role", storeRoleName(role) }, { "previous", storeRoleName(m_storeRole) },
+            { "readers", m_storeReaders.size() } });
+    m_storeRole = role;
+    m_confirmationsSentAt = {};
+    m_context.source.setStoreRole(role);
+}
+
+// Followers import a change once a reader has reported it.
+void FleetSync::sendStoreConfirmations()
+{
+    Millis now = m_context.clock.now();
+    DeploymentVersions versions = m_context.source.versions();
+    Millis interval = confirmationInterval(m_followers.size());
+    if (m_storeRole != StoreRole::Reader || (now - m_confirmationsSentAt < interval && versions == m_confirmedVersions))
+        return;
+    m_confirmationsSentAt = now;
+    m_confirmedVersions = versions;
+    std::string bytes = encodeStoreConfirmation({ .reader = m_options.instanceId,
+        .configurationVersion = versions.configurationVersion,
+        .registrationsPosition = versions.registrationsPosition,
+        .age = now - m_context.source.storeConfirmedAt(),
+        .interval = interval });
+    for (const std::string& address : m_followers)
+        m_context.transport.send(address, bytes);
+    auto count = static_cast<double>(m_followers.size());
+    m_context.metrics.add(
+        Counter::ControlBytes, { "sent", "store_confirmation" }, static_cast<double>(bytes.size()) * count);
+    m_context.metrics.add(Counter::ControlMessages, { "sent", "store_confirmation" }, count);
+}
+
+void FleetSync::onStoreConfirmation(const StoreConfirmation& confirmation)
+{
+    Millis now = m_context.clock.now();
+    auto found = std::find_if(m_peers.begin(), m_peers.end(),
+        [&](const auto& entry) { return entry.second.instanceId == confirmation.reader; });
+    if (found == m_peers.end())
+        return; // It has sent no fleet update yet.
+    Peer& peer = found->second;
+    peer.storeConfirmation = confirmation;
+    peer.confirmationReceivedAt = now;
+    if (confirmation.configurationVersion == m_context.source.versions().configurationVersion)
+        m_context.source.onConfigurationConfirmedByPeer(now - confirmation.age);
+    updateVersions(peer,
+        { .configurationVersion = confirmation.configurationVersion,
+            .registrationsPosition = confirmation.registrationsPosition });
+    if (m_storeRole == StoreRole::Follower && peer.newerDocumentsSince != Millis {})
+        fetchDocumentsFromPeer();
+}
+
+void FleetSync::updateVersions(Peer& peer, const DeploymentVersions& versions)
+{
+    peer.versions = versions;
+    if (!hasNewerDocuments(peer))
+        peer.newerDocumentsSince = {};
+    else if (peer.newerDocumentsSince == Millis {})
+        peer.newerDocumentsSince = m_context.clock.now();
+}
+
 void FleetSync::refreshCoordinators()
 {
     std::map<ShardId, std::string> assignment;
     if (usesCoordinators()) {
-        std::vector<CoordinatorCandidate> candidates;
-        if (m_mayCoordinate)
-            candidates.push_back({ .address = m_options.address, .cpuCores = m_options.cpuCores });
-        for (const auto& [address, peer] : m_peers) {
-            if (isCoordinatorCandidate(peer))
-                candidates.push_back({ .address = address, .cpuCores = peer.cpuCores });
-        }
         std::vector<ShardId> shards;
         for (const auto& [shard, members] : m_context.board.fleetView.endpointsByShard)
             shards.push_back(shard);
-        assignment = assignCoordinators(shards, candidates);
+        assignment = assignCoordinators(shards, coordinatorCandidates());
     }
     if (assignment == m_coordinatorByShard)
         return;
@@ -187,7 +344,7 @@
         // Sends the least recently used parts first, so that the successor's cache has them in the same order.
         for (std::size_t end = parts.size(); end > 0;) {
             std::size_t begin = end - std::min(end, partsPerHandoverMessage);
-            FleetUpdate update = makeUpdate(coordinatesAnyShard() ? snapshotInterval : heartbeatInterval);
+            FleetUpdate update = makeUpdate(updateInterval());
             update.sentPrompts.push_back({ .endpoint = view->instanceId,
                 .prompt = { parts.begin() + static_cast<std::ptrdiff_t>(begin),
                     parts.begin() + static_cast<std::ptrdiff_t>(end) } });
@@ -377,9 +534,11 @@
     return addresses;
 }
 
+Millis FleetSync::updateInterval() const { return coordinatesAnyShard() ? snapshotInterval : plainHeartbeatInterval; }
+
 void FleetSync::sendHeartbeats()
 {
-    FleetUpdate update = makeUpdate(coordinatesAnyShard() ? snapshotInterval : heartbeatInterval);
+    FleetUpdate update = makeUpdate(updateInterval());
     for (const auto& [address, peer] : m_peers) {
         if (!m_coordinators.contains(address) || !isLive(peer))
             transmit(address, update);
@@ -388,7 +547,7 @@
 
 void FleetSync::sendPeerList(const std::string& address)
 {
-    FleetUpdate update = makeUpdate(coordinatesAnyShard() ? snapshotInterval : heartbeatInterval);
+    FleetUpdate update = makeUpdate(updateInterval());
     update.livePeerAddresses = liveAddresses();
     transmit(address, update);
 }
@@ -418,6 +577,14 @@
             rejectMessage(reply.error());
         return;
     }
+    if (isStoreConfirmation(bytes)) {
+        auto confirmation = decodeStoreConfirmation(bytes);
+        if (confirmation)
+            onStoreConfirmation(confirmation.value());
+        else
+            rejectMessage(confirmation.error());
+        return;
+    }
     auto update = decodeFleetUpdate(bytes);
     if (update)
         onFleetUpdate(update.value());
@@ -451,11 +618,12 @@
         // The daemon was restarted: requests of the earlier instance ended with it.
         discardInstanceState(peer);
         peer.instanceId = update.instanceId;
+        peer.confirmationReceivedAt = {};
         peer.sequence = 0;
         peer.suspectedAt = {};
         logEvent(LogLevel::Info, "peer_started", { { "peer", update.daemonId }, { "address", update.address } });
         if (usesCoordinators())
-            transmit(update.address, makeUpdate(coordinatesAnyShard() ? snapshotInterval : heartbeatInterval));
+            transmit(update.address, makeUpdate(updateInterval()));
     } else if (peer.isSilent && peer.lastReceived != Millis {}) {
         logEvent(LogLevel::Info, "peer_regained",
             { { "peer", update.daemonId }, { "silent_ms", (now - peer.lastReceived).count } });
@@ -492,12 +660,8 @@
         board.shares.peerRates[update.instanceId] = update.workspaceRates;
     for (const std::string& address : update.livePeerAddresses)
         addPeer(address);
-    peer.versions = { .configurationVersion = update.configurationVersion,
-        .registrationsPosition = update.registrationsPosition };
-    if (!hasNewerDocuments(peer))
-        peer.newerDocumentsSince = {};
-    else if (peer.newerDocumentsSince == Millis {})
-        peer.newerDocumentsSince = now;
+    updateVersions(peer,
+        { .configurationVersion = update.configurationVersion, .registrationsPosition = update.registrationsPosition });
     // A daemon that has just started may have only the addresses of its seeds.
     if (update.knownDaemonCount < livePeerCount() + 1 && now - peer.peerListSentAt >= peerListInterval) {
         peer.peerListSentAt = now;
@@ -506,6 +670,7 @@
     if (update.isLeaving) {
         discardInstanceState(peer);
         peer.lastReceived = {};
+        peer.confirmationReceivedAt = {};
         logEvent(LogLevel::Info, "peer_left", { { "peer", update.daemonId } });
     }
     if (!update.endpointLoads.empty())
@@ -517,39 +682,66 @@
     DeploymentVersions ownVersions = m_context.source.versions();
     if (peer.versions.configurationVersion > ownVersions.configurationVersion)
         return true;
-    bool isOwnReadOutdated = m_context.clock.now() - m_context.source.registrationsReadAt() > registrationReadTolerance;
+    bool isOwnReadOutdated = m_storeRole == StoreRole::Follower
+        || m_context.clock.now() - m_context.source.registrationsReadAt() > registrationReadTolerance;
     return isOwnReadOutdated && peer.versions.registrationsPosition > ownVersions.registrationsPosition;
 }
 
+bool FleetSync::isDocumentSource(const Peer& peer) const
+{
+    Millis now = m_context.clock.now();
+    if (peer.newerDocumentsSince == Millis {} || !isLive(peer) || !hasNewerDocuments(peer))
+        return false;
+    if (peer.documentsRequestedAt != Millis {} && now - peer.documentsRequestedAt < documentRetryDelay)
+        return false;
+    bool isOwnReader = m_storeRole == StoreRole::Follower && isStoreReader(peer);
+    return isOwnReader || now - peer.newerDocumentsSince >= documentLagTolerance;
+}
+
 void FleetSync::fetchDocumentsFromPeer()
 {
-    if (m_isFetchingDocuments)
-        return;
     Millis now = m_context.clock.now();
-    auto newerPeer = std::find_if(m_peers.begin(), m_peers.end(), [&](const auto& entry) {
-        const Peer& peer = entry.second;
-        return peer.newerDocumentsSince != Millis {} && now - peer.newerDocumentsSince >= documentLagTolerance
-            && isLive(peer) && hasNewerDocuments(peer);
-    });
-    if (newerPeer == m_peers.end())
+    if (m_isFetchingDocuments || now - m_documentsRequestedAt < minDocumentInterval)
+        return;
+    // The followers are spread over the readers by rendezvous hashing.
+    const std::string* best = nullptr;
+    auto score = [&](const std::string& address) {
+        return std::pair(isStoreReader(m_peers.at(address)), rendezvousScore(m_options.address, address));
+    };
+    for (const auto& [address, peer] : m_peers) {
+        if (isDocumentSource(peer) && (!best || score(address) > score(*best)))
+            best = &address;
+    }
+    if (!best)
         return;
+    std::string address = *best;
     m_isFetchingDocuments = true;
-    std::string address = newerPeer->first;
-    // The peer counts as newer from now on, so that after a failure the next request may go to another peer.
-    newerPeer->second.newerDocumentsSince = now;
-    HttpRequest request { .address = address, .target = "/documents", .timeout = documentTimeout };
-    m_context.http.send(std::move(request), [this, address](Result<HttpResponse> response) {
-        m_isFetchingDocuments = false;
-        if (!response || response.value().status != 200) {
-            logEvent(LogLevel::Warning, "peer_documents_failed",
-                { { "peer", address },
-                    { "reason", response ? std::to_string(response.value().status) : response.error().message } });
-            return;
-        }
-        logEvent(
-            LogLevel::Info, "peer_documents_read", { { "peer", address }, { "bytes", response.value().body.size() } });
-        m_context.source.importDocuments(response.value().body);
-    });
+    m_documentsRequestedAt = now;
+    m_peers.at(address).documentsRequestedAt = now;
+    HttpRequest request {
+        .address = address, .target = formatDocumentsTarget(m_context.source.versions()), .timeout = documentTimeout
+    };
+    m_context.http.send(std::move(request),
+        [this, address](const Result<HttpResponse>& response) { handleDocuments(address, response); });
+}
+
+void FleetSync::handleDocuments(const std::string& address, const Result<HttpResponse>& response)
+{
+    m_isFetchingDocuments = false;
+    if (!response || response.value().status != 200) {
+        logEvent(LogLevel::Warning, "peer_documents_failed",
+            { { "peer", address },
+                { "reason", response ? std::to_string(response.value().status) : response.error().message } });
+        return;
+    }
+    m_context.source.importDocuments(response.value().body);
+    DeploymentVersions versions = m_context.source.versions();
+    logEvent(LogLevel::Info, "peer_documents_read",
+        { { "peer", address }, { "bytes", response.value().body.size() },
+            { "configuration", versions.configurationVersion }, { "position", versions.registrationsPosition } });
+    auto peer = m_peers.find(address);
+    if (peer != m_peers.end() && !hasNewerDocuments(peer->second))
+        peer->second.documentsRequestedAt = {};
 }
 
 void FleetSync::tick()
@@ -576,6 +768,8 @@
             ++entry;
     }
     fetchDocumentsFromPeer();
+    updateStoreRole();
+    sendStoreConfirmations();
     refreshCoordinators();
     if (now - m_lastSnapshotSent >= snapshotInterval) {
         m_lastSnapshotSent = now;
@@ -584,13 +778,13 @@
     if (!usesCoordinators())
         return;
     expireGrants(m_context.board.fleetView, now);
-    bool isIntervalOver = now - m_lastHeartbeatSent >= (coordinatesAnyShard() ? snapshotInterval : heartbeatInterval);
+    bool isIntervalOver = now - m_lastHeartbeatSent >= updateInterval();
     if (isIntervalOver || std::exchange(m_isHeartbeatDue, false)) {
         m_lastHeartbeatSent = now;
         sendHeartbeats();
     }
     // Addresses spread by gossip: a list that is sent to one peer at a time reaches all daemons within seconds.
-    if (now - m_lastPeerListSent >= heartbeatInterval) {
+    if (now - m_lastPeerListSent >= plainHeartbeatInterval) {
         m_lastPeerListSent = now;
         if (std::vector<std::string> peerAddresses = liveAddresses(); !peerAddresses.empty())
             sendPeerList(peerAddresses[m_sequence % peerAddresses.size()]);
--- a/src/router/FleetSync.h
+++ b/src/router/FleetSync.h
@@ -8,6 +8,7 @@
 #include "router/RequestRouter.h"
 #include "routing/FleetUpdate.h"
 #include "routing/PlacementMessages.h"
+#include "routing/StoreReaders.h"
 
 #include <functional>
 #include <map>
@@ -112,6 +113,9 @@
         Millis maxUpdateInterval {}; ///< Maximum interval to its next update, from its latest update.
         DeploymentVersions versions;
         Millis newerDocumentsSince {}; ///< Time since which its documents are newer than this daemon's; 0: not newer.
+        Millis documentsRequestedAt {}; ///< When its documents were last requested; 0 if never.
+        StoreConfirmation storeConfirmation; ///< Its latest one.
+        Millis confirmationReceivedAt {}; ///< 0 if it sent none.
         Millis peerListSentAt {}; ///< When it was last sent the live peers because it had fewer addresses.
         Millis suspectedAt {}; ///< When it last failed to reply to a placement request; 0 if never.
         float cpuCores { 1.0F };
@@ -139,6 +143,20 @@
     void addPeer(const std::string& address);
     void discardInstanceState(Peer&);
     void fetchDocumentsFromPeer();
+    void handleDocuments(const std::string& address, const Result<HttpResponse>&);
+    [[nodiscard]] bool isDocumentSource(const Peer&) const;
+    void refreshStoreReaders();
+    /// \brief Selects how this daemon follows the store, by the latest updates of the readers.
+    void updateStoreRole();
+    [[nodiscard]] StoreRole suitableStoreRole() const;
+    [[nodiscard]] bool isStoreReader(const Peer&) const;
+    /// \brief Sends this reader's confirmations to its followers if the interval is over or its documents changed.
+    void sendStoreConfirmations();
+    void onStoreConfirmation(const StoreConfirmation&);
+    void updateVersions(Peer&, const DeploymentVersions&);
+    [[nodiscard]] std::vector<CoordinatorCandidate> coordinatorCandidates() const;
+    /// \returns The interval of updates to peers that are sent no loads.
+    [[nodiscard]] Millis updateInterval() const;
     [[nodiscard]] bool hasNewerDocuments(const Peer&) const;
     [[nodiscard]] bool isLive(const Peer&) const;
     [[nodiscard]] bool isCoordinatorCandidate(const Peer&) const;
@@ -153,6 +171,7 @@
     Millis m_lastSnapshotSent {};
     bool m_isFlushScheduled { false };
     bool m_isFetchingDocuments { false };
+    Millis m_documentsRequestedAt {}; ///< When documents of any peer were last requested.
     bool m_isLeaving { false };
     bool m_mayCoordinate { false };
     bool m_isHeartbeatDue { false }; ///< The next tick sends a heartbeat before the interval is over.
@@ -160,6 +179,12 @@
     Millis m_lastPeerListSent {};
     std::vector<std::pair<Millis, CrashMark>> m_recentCrashes; ///< With the time at which each was first sent.
     std::map<ShardId, std::string> m_coordinatorByShard; ///< Address of each shard's coordinator.
+    StoreRole m_storeRole { StoreRole::Independent };
+    std::vector<std::string> m_storeReaders; ///< Addresses of the daemons that are to read the store for the fleet.
+    std::vector<std::string> m_followers; ///< Addresses of the daemons to which this reader sends confirmations.
+    Millis m_storeReadersRefreshedAt {};
+    Millis m_confirmationsSentAt {};
+    DeploymentVersions m_confirmedVersions; ///< The versions in the latest confirmations.
     std::set<std::string> m_coordinators; ///< All addresses in \c m_coordinatorByShard.
 };
 
--- a/src/router/RouterDaemon.cpp
+++ b/src/router/RouterDaemon.cpp
@@ -9,6 +9,7 @@
 #include "observe/Logging.h"
 #include "observe/Metrics.h"
 #include "router/DeploymentSource.h"
+#include "router/DocumentsRequest.h"
 #include "router/FleetSync.h"
 #include "router/LoopMonitor.h"
 #include "router/PlacementClient.h"
@@ -180,7 +181,7 @@
                   .instanceId = instanceId,
                   .cpuCores = static_cast<float>(settings.daemon.cpuCores),
                   .minDaemonsForCoordinators = settings.coordination.fromDaemons })
-        , statusServer(*base, [this](std::string_view path) { return statusResponse(path); })
+        , statusServer(*base, [this](std::string_view target) { return statusResponse(target); })
         , tickTimer(event_new(base.get(), -1, EV_PERSIST, onTick, this))
         , loopMonitor(*base, clock)
     {
@@ -194,15 +195,16 @@
         return phase == Phase::Running && board.table->version != 0 && hasRegistrations;
     }
 
-    SimpleHttpResponse statusResponse(std::string_view path)
+    SimpleHttpResponse statusResponse(std::string_view target)
     {
+        std::string_view path = target.substr(0, target.find('?'));
         if (path == settings.health.path)
             return isReady() ? SimpleHttpResponse { .body = "ready\n" }
                              : SimpleHttpResponse { .status = 503, .body = "not ready\n" };
         if (path == "/metrics")
             return { .body = metrics.text(), .contentType = "text/plain; version=0.0.4" };
-        if (path == "/documents")
-            return { .body = source->exportDocuments(), .contentType = "application/json" };
+        if (path == documentsPath)
+            return { .body = source->exportDocuments(parseDocumentsTarget(target)), .contentType = "application/json" };
         return { .status = 404, .body = "not found\n" };
     }
 
--- a/tests/FleetSyncTests.cpp
+++ b/tests/FleetSyncTests.cpp
@@ -1,7 +1,9 @@
 #include "RouterHarness.h"
 #include "net/EventPriority.h"
 #include "router/FleetSync.h"
+#include "router/StoreConfirmationCodec.h"
 
+#include <algorithm>
 #include <catch2/catch.hpp>
 #include <map>
 #include <memory>
@@ -134,6 +136,14 @@
         }
     }
 
+    /// \returns The number of reachable members with this role.
+    [[nodiscard]] std::size_t countWithRole(StoreRole role) const
+    {
+        return static_cast<std::size_t>(std::count_if(members.begin(), members.end(), [&](const auto& member) {
+            return !network.unreachable.contains(member->address) && member->deployment.role == role;
+        }));
+    }
+
     [[nodiscard]] std::vector<ShardId> shards() const
     {
         std::vector<ShardId> shardIds;
@@ -298,6 +308,123 @@
     CHECK(requester.sync->coordinatorOf(shard) == firstCoordinator);
 }
 
+namespace {
+
+constexpr std::size_t readerCount = 6;
+
+}
+
+TEST_CASE("every daemon of a small fleet reads the store", "[exchange][store]")
+{
+    Fleet fleet(16, 18);
+    CHECK(fleet.countWithRole(StoreRole::Independent) == 16);
+}
+
+// Guards against calls to the store that grow with the number of daemons.
+TEST_CASE("six daemons of a large fleet read the store for all", "[exchange][store]")
+{
+    unsigned daemons = GENERATE(17U, 40U, 120U);
+    Fleet fleet(daemons, 64);
+    CHECK(fleet.countWithRole(StoreRole::Reader) == readerCount);
+    CHECK(fleet.countWithRole(StoreRole::Follower) == daemons - readerCount);
+    // The strongest daemons, the first three, are among them.
+    for (unsigned i = 0; i < 3; ++i)
+        CHECK(fleet.members[i]->deployment.role == StoreRole::Reader);
+    for (const auto& member : fleet.members) {
+        if (member->deployment.role == StoreRole::Follower)
+            CHECK(fleet.clock.now() - member->deployment.confirmedByPeerAt <= Millis { 1'050 });
+    }
+}
+
+// Guards against daemons that serve an old configuration or send requests to engines that have left because the
+// daemons that read the store for them were killed, cut off or frozen.
+TEST_CASE("a follower relies on recent confirmations only, and lost readers are replaced", "[exchange][store]")
+{
+    unsigned daemons = GENERATE(17U, 40U, 120U);
+    Fleet fleet(daemons, 64);
+    std::size_t lost = GENERATE(readerCount, readerCount - 1);
+    for (const auto& member : fleet.members) {
+        if (member->deployment.role == StoreRole::Reader && fleet.network.unreachable.size() < lost)
+            fleet.network.unreachable.insert(member->address);
+    }
+    REQUIRE(fleet.network.unreachable.size() == lost);
+    constexpr Millis step { 50 };
+    constexpr Millis maxAge { 2'500 };
+    // A silent peer times out after three intervals of 3 s.
+    for (Millis passed {}; passed < Millis { 10'000 }; passed += step) {
+        fleet.runFor(step);
+        for (const auto& member : fleet.members) {
+            bool isFollower = member->deployment.role == StoreRole::Follower;
+            if (isFollower && !fleet.network.unreachable.contains(member->address))
+                CHECK(fleet.clock.now() - member->deployment.confirmedByPeerAt <= maxAge);
+        }
+    }
+    CHECK(fleet.countWithRole(StoreRole::Reader) == readerCount);
+    CHECK(fleet.countWithRole(StoreRole::Follower) == daemons - lost - readerCount);
+    fleet.network.unreachable.clear();
+    fleet.runFor(Millis { 5'000 });
+    CHECK(fleet.countWithRole(StoreRole::Reader) == readerCount);
+    CHECK(fleet.countWithRole(StoreRole::Follower) == daemons - readerCount);
+}
+
+TEST_CASE("a stopping reader is replaced within a second", "[exchange][store]")
+{
+    Fleet fleet(40, 64);
+    fleet.members[0]->sync->setMayCoordinate(false);
+    fleet.runFor(Millis { 1'000 });
+    CHECK(fleet.members[0]->deployment.role == StoreRole::Follower);
+    CHECK(fleet.countWithRole(StoreRole::Reader) == readerCount);
+}
+
+// Guards against daemons that trust readers whose own connection to the store is lost or refused, and against a fleet
+// that keeps calling a store that is unavailable.
+TEST_CASE("followers probe the store if it confirms nothing to the readers", "[exchange][store]")
+{
+    Fleet fleet(40, 64);
+    std::vector<Fleet::Member*> refusedReaders;
+    for (const auto& member : fleet.members) {
+        if (member->deployment.role == StoreRole::Reader) {
+            refusedReaders.push_back(member.get());
+            member->deployment.confirmedAt = fleet.clock.now();
+        }
+    }
+    fleet.runFor(Millis { 2'700 });
+    CHECK(fleet.countWithRole(StoreRole::OutageFallback) == 40 - readerCount);
+    for (Fleet::Member* member : refusedReaders)
+        member->deployment.confirmedAt.reset();
+    fleet.runFor(Millis { 1'000 });
+    CHECK(fleet.countWithRole(StoreRole::Follower) == 40 - readerCount);
+}
+
+TEST_CASE("followers keep following while one reader is refused by the store", "[exchange][store]")
+{
+    Fleet fleet(40, 64);
+    fleet.members[0]->deployment.confirmedAt = fleet.clock.now();
+    REQUIRE(fleet.members[0]->deployment.role == StoreRole::Reader);
+    fleet.runFor(Millis { 5'000 });
+    CHECK(fleet.countWithRole(StoreRole::Follower) == 40 - readerCount);
+}
+
+TEST_CASE("malformed store confirmations are rejected", "[exchange][store]")
+{
+    StoreConfirmation confirmation { .reader = 7,
+        .configurationVersion = 12,
+        .registrationsPosition = 345,
+        .age = Millis { 900 },
+        .interval = Millis { 400 } };
+    std::string bytes = encodeStoreConfirmation(confirmation);
+    auto decoded = decodeStoreConfirmation(bytes);
+    REQUIRE(decoded);
+    CHECK(decoded.value().reader == 7);
+    CHECK(decoded.value().registrationsPosition == 345);
+    CHECK(decoded.value().age == Millis { 900 });
+    CHECK(isStoreConfirmation(bytes));
+    for (std::size_t length = 0; length < bytes.size(); ++length)
+        CHECK_FALSE(decodeStoreConfirmation(bytes.substr(0, length)));
+    bytes[1] = 9; // Format version.
+    CHECK_FALSE(decodeStoreConfirmation(bytes));
+}
+
 // Guards against control traffic that grows with the square of the fleet size when a large fleet is idle. The bound of
 // 4096 bytes per second is the budget of one daemon at the design size.
 TEST_CASE("an idle daemon of a large fleet stays within its control traffic budget", "[placement][exchange]")
