Let heartbeats and peer lists grow rarer with the size of the fleet

Cause: each daemon sent a heartbeat to every peer and a list of all peers every 3 s, so that its control traffic grew with the fleet: 295 daemons exchanged 29,000 heartbeats a second, and each list had 5 KB.

Change: the interval of both is at least 3 s and at most 20 heartbeats a second, 14.75 s at 295 daemons. A silent daemon that is no coordinator is noticed after three intervals as before; a lost store reader is replaced then, until which its followers rely on two others or read the store themselves.

--- a/src/router/FleetSync.cpp
+++ b/src/router/FleetSync.cpp
@@ -37,7 +37,11 @@
     constexpr Millis registrationReadTolerance { 900 };
 
     // With coordinators, daemons send only heartbeats to peers that do not coordinate.
-    constexpr Millis plainHeartbeatInterval { 3'000 };
+    constexpr Millis minHeartbeatInterval { 3'000 };
+
+    // Bounds the heartbeats that a daemon sends and receives in a large fleet, and the bytes of its peer lists; their
+    // interval grows with the fleet.
+    constexpr std::int64_t maxHeartbeatsPerSecond = 20;
 
     // Followers request documents again after this time at the earliest, so that a reader is not kept busy by frequent
     // changes.
@@ -534,7 +538,13 @@
     return addresses;
 }
 
-Millis FleetSync::updateInterval() const { return coordinatesAnyShard() ? snapshotInterval : plainHeartbeatInterval; }
+Millis FleetSync::updateInterval() const { return coordinatesAnyShard() ? snapshotInterval : heartbeatInterval(); }
+
+Millis FleetSync::heartbeatInterval() const
+{
+    Millis interval { static_cast<std::int64_t>(possibleDaemonCount()) * 1'000 / maxHeartbeatsPerSecond };
+    return std::max(interval, minHeartbeatInterval);
+}
 
 void FleetSync::sendHeartbeats()
 {
@@ -784,7 +794,7 @@
         sendHeartbeats();
     }
     // Addresses spread by gossip: a list that is sent to one peer at a time reaches all daemons within seconds.
-    if (now - m_lastPeerListSent >= plainHeartbeatInterval) {
+    if (now - m_lastPeerListSent >= heartbeatInterval()) {
         m_lastPeerListSent = now;
         if (std::vector<std::string> peerAddresses = liveAddresses(); !peerAddresses.empty())
             sendPeerList(peerAddresses[m_sequence % peerAddresses.size()]);
--- a/src/router/FleetSync.h
+++ b/src/router/FleetSync.h
@@ -157,6 +157,8 @@
     [[nodiscard]] std::vector<CoordinatorCandidate> coordinatorCandidates() const;
     /// \returns The interval of updates to peers that are sent no loads.
     [[nodiscard]] Millis updateInterval() const;
+    /// \returns The interval of heartbeats of a daemon that coordinates no shard.
+    [[nodiscard]] Millis heartbeatInterval() const;
     [[nodiscard]] bool hasNewerDocuments(const Peer&) const;
     [[nodiscard]] bool isLive(const Peer&) const;
     [[nodiscard]] bool isCoordinatorCandidate(const Peer&) const;
