Import documents less often in large fleets and measure the lag from the last import

While registrations change every 250 ms, a reader always has newer documents than its followers; their lag was measured from the first newer version, never from the last import, so that followers that imported on time took themselves for cut off after 0.8 s and read the store. They also imported four times a second.

Change: the lag starts anew after each import that brought something. The interval of imports is 3 ms for each daemon of the fleet, 250 ms to 1 s.

--- a/src/router/FleetSync.cpp
+++ b/src/router/FleetSync.cpp
@@ -43,15 +43,12 @@
     // interval grows with the fleet.
     constexpr std::int64_t maxHeartbeatsPerSecond = 20;
 
-    // Followers request documents again after this time at the earliest, so that a reader is not kept busy by frequent
-    // changes.
-    constexpr Millis minDocumentInterval { 250 };
-
     // A peer whose documents were requested without effect is not asked again within this time.
     constexpr Millis documentRetryDelay { 500 };
 
-    // A follower that could not import newer documents of a reader for this long reads the store itself.
-    constexpr Millis maxDocumentLag { 800 };
+    // A follower that could not import newer documents of a reader for this long after an import was due reads the
+    // store itself.
+    constexpr Millis documentLagLimit { 600 };
 
     constexpr Millis readerSelectionInterval { 400 };
 
@@ -237,7 +234,8 @@
         ++liveReaders;
         Millis confirmedAt = peer.confirmationReceivedAt - peer.storeConfirmation.age;
         confirmations += isConfirmationRecent(peer.storeConfirmation, now - confirmedAt) ? 1U : 0U;
-        if (peer.newerDocumentsSince != Millis {} && now - peer.newerDocumentsSince > maxDocumentLag)
+        if (peer.newerDocumentsSince != Millis {}
+            && now - peer.newerDocumentsSince > importInterval(possibleDaemonCount()) + documentLagLimit)
             return StoreRole::Fallback;
     }
     if (confirmations >= requiredConfirmations)
@@ -711,7 +709,7 @@
 void FleetSync::fetchDocumentsFromPeer()
 {
     Millis now = m_context.clock.now();
-    if (m_isFetchingDocuments || now - m_documentsRequestedAt < minDocumentInterval)
+    if (m_isFetchingDocuments || now - m_documentsRequestedAt < importInterval(possibleDaemonCount()))
         return;
     // The followers are spread over the readers by rendezvous hashing.
     const std::string* best = nullptr;
@@ -735,6 +733,15 @@
         [this, address](const Result<HttpResponse>& response) { handleDocuments(address, response); });
 }
 
+// While changes follow each other, peers always have newer documents; only a daemon that imports none lags.
+void FleetSync::restartDocumentLag()
+{
+    for (auto& [address, peer] : m_peers) {
+        peer.newerDocumentsSince = {};
+        updateVersions(peer, peer.versions);
+    }
+}
+
 void FleetSync::handleDocuments(const std::string& address, const Result<HttpResponse>& response)
 {
     m_isFetchingDocuments = false;
@@ -744,8 +751,11 @@
                 { "reason", response ? std::to_string(response.value().status) : response.error().message } });
         return;
     }
+    DeploymentVersions before = m_context.source.versions();
     m_context.source.importDocuments(response.value().body);
     DeploymentVersions versions = m_context.source.versions();
+    if (versions != before)
+        restartDocumentLag();
     logEvent(LogLevel::Info, "peer_documents_read",
         { { "peer", address }, { "bytes", response.value().body.size() },
             { "configuration", versions.configurationVersion }, { "position", versions.registrationsPosition } });
--- a/src/router/FleetSync.h
+++ b/src/router/FleetSync.h
@@ -154,6 +154,8 @@
     void sendStoreConfirmations();
     void onStoreConfirmation(const StoreConfirmation&);
     void updateVersions(Peer&, const DeploymentVersions&);
+    /// \brief Starts to measure anew for how long each peer has had newer documents.
+    void restartDocumentLag();
     [[nodiscard]] std::vector<CoordinatorCandidate> coordinatorCandidates() const;
     /// \returns The interval of updates to peers that are sent no loads.
     [[nodiscard]] Millis updateInterval() const;
--- a/src/routing/StoreReaders.cpp
+++ b/src/routing/StoreReaders.cpp
@@ -21,6 +21,11 @@
     constexpr Millis minConfirmationInterval { 400 };
     constexpr Millis maxConfirmationInterval { 1'000 };
 
+    // Changes arrive in quick succession when many endpoints are replaced; a follower imports several at once.
+    constexpr Millis importIntervalPerDaemon { 3 };
+    constexpr Millis minImportInterval { 250 };
+    constexpr Millis maxImportInterval { 1'000 };
+
     // Delay of a message or of the store's response that does not count as a loss.
     constexpr Millis messageTolerance { 300 };
     constexpr Millis responseTolerance { 500 };
@@ -70,6 +75,12 @@
     return std::clamp(interval, minConfirmationInterval, maxConfirmationInterval);
 }
 
+Millis importInterval(std::size_t daemonCount) noexcept
+{
+    Millis interval { static_cast<std::int64_t>(daemonCount) * importIntervalPerDaemon.count };
+    return std::clamp(interval, minImportInterval, maxImportInterval);
+}
+
 bool isReaderLive(const StoreConfirmation& latest, Millis sinceReceived) noexcept
 {
     // One message may be lost.
--- a/src/routing/StoreReaders.h
+++ b/src/routing/StoreReaders.h
@@ -51,6 +51,10 @@
 /// \returns The interval of a reader's messages to its followers.
 [[nodiscard]] Millis confirmationInterval(std::size_t followerCount) noexcept;
 
+/// \returns The shortest interval between two imports of documents by a follower; grows with the fleet, so that the
+/// imports from each reader are bounded.
+[[nodiscard]] Millis importInterval(std::size_t daemonCount) noexcept;
+
 /// \returns Whether a follower may rely on a reader's latest message.
 /// \param sinceReceived Time since the message was received.
 [[nodiscard]] bool isReaderLive(const StoreConfirmation&, Millis sinceReceived) noexcept;
--- a/tests/ShardTests.cpp
+++ b/tests/ShardTests.cpp
@@ -1,6 +1,7 @@
 #include "router/PlacementCodec.h"
 #include "routing/PlacementDecision.h"
 #include "routing/Shards.h"
+#include "routing/StoreReaders.h"
 
 #include <algorithm>
 #include <catch2/catch.hpp>
@@ -206,3 +207,40 @@
     for (std::size_t length = 0; length < bytes.size(); ++length)
         CHECK_FALSE(decodePlacementRequest(std::string_view(bytes).substr(0, length), now));
 }
+
+// Guards against readers that are kept busy by the imports of their followers, and against changes that reach a
+// follower too late: they have to be in force within two seconds in the smallest fleet that has followers.
+TEST_CASE("the imports from a store reader stay below 60 a second in fleets of any size", "[store][exchange]")
+{
+    for (std::size_t daemons = 17; daemons <= 1'000; ++daemons) {
+        auto readers = static_cast<double>(storeReaderCount(daemons));
+        double importsPerSecond = static_cast<double>(daemons) / readers / importInterval(daemons).seconds();
+        CHECK(importsPerSecond <= 63.0);
+        CHECK(importInterval(daemons) <= Millis { 1'000 });
+    }
+    CHECK(importInterval(17) == Millis { 250 });
+}
+
+TEST_CASE("store readers are the strongest daemons and share the followers", "[store][exchange]")
+{
+    std::vector<CoordinatorCandidate> candidates = makeCandidates(300);
+    std::vector<std::string> readers = selectStoreReaders(candidates, storeReaderCount(300));
+    REQUIRE(readers.size() == 9);
+    for (unsigned i = 0; i < 6; ++i) // The six candidates with 0.5 cores.
+        CHECK(std::find(readers.begin(), readers.end(), candidates[i].address) != readers.end());
+    std::map<std::string_view, int> followers;
+    for (const CoordinatorCandidate& candidate : candidates) {
+        auto own = readersOfFollower(readers, candidate.address);
+        REQUIRE(own.size() == readersPerFollower);
+        CHECK(std::set(own.begin(), own.end()).size() == readersPerFollower);
+        for (std::string_view reader : own)
+            ++followers[reader];
+    }
+    for (const auto& [reader, count] : followers)
+        CHECK(count <= 150); // On average 100.
+    // The loss of one reader replaces only this one.
+    std::erase_if(candidates, [&](const auto& candidate) { return candidate.address == readers[8]; });
+    std::vector<std::string> others = selectStoreReaders(candidates, storeReaderCount(300));
+    for (std::size_t i = 0; i < 8; ++i)
+        CHECK(std::find(others.begin(), others.end(), readers[i]) != others.end());
+}
