--- a/tests/StoreDeploymentSourceTests.cpp
+++ b/tests/StoreDeploymentSourceTests.cpp
@@ -253,6 +253,38 @@
     CHECK(fixture.store.calls().at("/v1/log-newest") == callsBefore.at("/v1/log-newest"));
 }
 
+// Guards against a call for each registration when the engines of a whole fleet start: every daemon reads the store
+// until it receives confirmations.
+TEST_CASE("a daemon reads registrations that are written in quick succession with few calls", "[platform][store]")
+{
+    Fixture fixture;
+    fixture.source.setStoreRole(GENERATE(StoreRole::Fallback, StoreRole::OutageFallback));
+    fixture.endPendingReads();
+    unsigned callsBefore = fixture.store.calls().at("/v1/log-read");
+    constexpr int engines = 40;
+    for (int i = 0; i < engines; ++i) { // 1.2 s in all.
+        fixture.store.put("keyed.servers", "i-new" + std::to_string(i), registrationJson());
+        fixture.runFor(Millis { 30 });
+    }
+    CHECK(fixture.store.calls().at("/v1/log-read") - callsBefore <= 8);
+    CHECK(fixture.runUntil([&] { return fixture.registrations.size() == engines + 2; }));
+}
+
+// Guards against a new reader whose confirmations are old because its last long poll was sent before it became a
+// reader, so that its followers read the store themselves.
+TEST_CASE("a daemon that becomes a store reader soon has recent confirmations", "[platform][store]")
+{
+    Fixture fixture;
+    fixture.source.setStoreRole(StoreRole::Fallback);
+    fixture.endPendingReads();
+    fixture.runFor(Millis { 700 });
+    fixture.source.setStoreRole(StoreRole::Reader);
+    for (int i = 0; i < 20; ++i) {
+        fixture.runFor(Millis { 100 });
+        CHECK(fixture.clock.now() - fixture.source.storeConfirmedAt() <= Millis { 1'800 });
+    }
+}
+
 TEST_CASE("a follower imports the changes of a reader and then continues after them", "[platform][store]")
 {
     Fixture reader;
