--- a/src/observe/Metrics.cpp
+++ b/src/observe/Metrics.cpp
@@ -49,6 +49,8 @@
         MetricRow { "jasminestack_allocated_slots", "Slots allocated to this daemon.", { "cell" } },
         MetricRow { "jasminestack_members_alive", "Live daemons in this daemon's view, including itself.", {} },
         MetricRow { "jasminestack_open_streams", "Responses being relayed to callers.", {} },
+        MetricRow { "jasminestack_configuration_age_seconds",
+            "Time since the configuration in force was last confirmed as the newest.", {} },
     };
 
     constexpr std::array histogramTable {
@@ -60,7 +62,7 @@
     };
 
     static_assert(counterTable.size() == static_cast<std::size_t>(Counter::Expired) + 1);
-    static_assert(gaugeTable.size() == static_cast<std::size_t>(Gauge::OpenStreams) + 1);
+    static_assert(gaugeTable.size() == static_cast<std::size_t>(Gauge::ConfigurationAge) + 1);
     static_assert(histogramTable.size() == static_cast<std::size_t>(Histogram::TotalSeconds) + 1);
 
     // In seconds. The boundaries include the latency objectives: 2 ms added by the router, 53 ms between tokens, 1.2 s
--- a/src/observe/Metrics.h
+++ b/src/observe/Metrics.h
@@ -36,6 +36,7 @@
     AllocatedSlots, ///< Label: cell.
     MembersAlive,
     OpenStreams,
+    ConfigurationAge, ///< Time since the configuration in force was last confirmed as the newest, in seconds.
 };
 
 /// \brief Histograms of durations in seconds.
--- a/src/router/RouterDaemon.cpp
+++ b/src/router/RouterDaemon.cpp
@@ -296,6 +296,7 @@
         if (now - lastHousekeeping >= housekeepingInterval) {
             lastHousekeeping = now;
             metrics.set(Gauge::MembersAlive, {}, static_cast<double>(fleetSync.livePeerCount() + 1));
+            metrics.set(Gauge::ConfigurationAge, {}, (now - source->configurationConfirmedAt()).seconds());
             reloadSettingsIfRequired(false);
             expireSuspects(board.crashGuard, crashGuardOptions, now);
         }
