Reproduce the incident: changes that follow a silent outage of the store

What callers saw: requests handled by an older configuration, and requests to engines that had left.

Change: the stand-in of the store can be silent (requests received meanwhile are never answered, earlier reads are answered afterwards, as the users' platform does it) and can delay reads.

--- a/standins/KeyedStore.cpp
+++ b/standins/KeyedStore.cpp
@@ -85,6 +85,8 @@
     ++m_callsByPath[exchange->path()];
     if (m_fault == Fault::Unavailable || m_fault == Fault::Reset)
         respondWithFault(exchange);
+    else if (m_fault == Fault::Silent)
+        m_unansweredRequests.push_back(exchange);
     else if (exchange->path() == "/v1/log-append")
         append(exchange);
     else if (exchange->path() == "/v1/log-read")
@@ -122,13 +124,14 @@
     LongPollRead waitingRead { .exchange = exchange,
         .topic = exchange->queryParameter("topic"),
         .from = parseNumber(exchange->queryParameter("from"), 0),
+        .earliestMs = monotonicMs() + m_readDelayMs,
         .deadlineMs = monotonicMs() + static_cast<double>(parseNumber(exchange->queryParameter("waitMs"), 0)) };
     auto topic = m_topics.find(waitingRead.topic);
     if (topic == m_topics.end())
         exchange->respond(404, "{}");
     else if (waitingRead.from < topic->second.firstOffset)
         exchange->respond(410, json { { "startOffset", topic->second.firstOffset } }.dump());
-    else if (waitingRead.from < topic->second.endOffset())
+    else if (waitingRead.from < topic->second.endOffset() && m_readDelayMs == 0)
         respondToRead(waitingRead);
     else
         m_waitingReads.push_back(std::move(waitingRead));
@@ -153,6 +156,9 @@
 void KeyedStore::respondToWaitingReads()
 {
     double now = monotonicMs();
+    m_timer.start(checkIntervalMs);
+    if (m_fault == Fault::Silent)
+        return;
     std::erase_if(m_waitingReads, [&](const LongPollRead& waitingRead) {
         if (waitingRead.exchange->isClosed())
             return true;
@@ -161,12 +167,12 @@
             waitingRead.exchange->respond(410, json { { "startOffset", topic.firstOffset } }.dump());
             return true;
         }
-        if (waitingRead.from >= topic.endOffset() && now < waitingRead.deadlineMs)
+        bool hasRecords = waitingRead.from < topic.endOffset();
+        if (now < waitingRead.earliestMs || (!hasRecords && now < waitingRead.deadlineMs))
             return false;
         respondToRead(waitingRead);
         return true;
     });
-    m_timer.start(checkIntervalMs);
 }
 
 void KeyedStore::listNewest(const ExchangePointer& exchange)
--- a/standins/KeyedStore.h
+++ b/standins/KeyedStore.h
@@ -8,6 +8,7 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <vector>
 
 namespace jasminestack::standins {
 
@@ -19,6 +20,7 @@
         None,
         Unavailable, ///< Responds with 503 and does nothing else.
         Reset, ///< Closes the connection and does nothing else.
+        Silent, ///< Never responds to requests received meanwhile; earlier reads are answered afterwards.
         LostAnswers, ///< Appends the record, then closes the connection without a response.
     };
 
@@ -35,6 +37,9 @@
     /// \brief Applies \p fault to all later requests; Unavailable and Reset also end the waiting reads.
     void setFault(Fault fault);
 
+    /// \brief Delays the responses to later reads.
+    void setReadDelay(double delayMs) { m_readDelayMs = delayMs; }
+
     /// \returns Number of requests received, by path.
     [[nodiscard]] const std::map<std::string, unsigned>& calls() const noexcept { return m_callsByPath; }
 
@@ -59,6 +64,7 @@
         ExchangePointer exchange;
         std::string topic;
         std::int64_t from { 0 }; ///< Offset of the first record to return.
+        double earliestMs { 0 }; ///< Monotonic clock; the read returns no sooner.
         double deadlineMs { 0 }; ///< Monotonic clock; the read then returns without records.
     };
 
@@ -74,6 +80,8 @@
     Timer m_timer; ///< Checks the waiting reads.
     std::map<std::string, Topic> m_topics;
     std::list<LongPollRead> m_waitingReads;
+    std::vector<ExchangePointer> m_unansweredRequests; ///< Received while the store was silent.
+    double m_readDelayMs { 0 };
     std::map<std::string, unsigned> m_callsByPath;
     Fault m_fault { Fault::None };
 };
--- a/tests/StoreDeploymentSourceTests.cpp
+++ b/tests/StoreDeploymentSourceTests.cpp
@@ -18,6 +18,12 @@
 
 constexpr Millis testTimeout { 20'000 };
 
+// A daemon that the store has responded to again for this long has to know all changes.
+constexpr Millis contactTime { 3'000 };
+
+// Requests may be sent to an engine for this long after the store has accepted that it leaves.
+constexpr Millis drainTime { 2'000 };
+
 std::string configurationJson(int version)
 {
     return R"({"version":)" + std::to_string(version) + R"(,"routes":[],"services":[],"limits":{},"tenants":[]})";
@@ -94,13 +100,16 @@
             [&](const Registration& item) { return item.id.value == id && !item.isDraining; });
     }
 
-    /// \brief Injects a fault and waits until the source has sent at least four more reads.
-    void injectFault(KeyedStore::Fault fault)
+    /// \brief Injects a fault and waits until the source has sent more reads, by default two of each topic.
+    void injectFault(KeyedStore::Fault fault, unsigned reads = 4)
     {
         unsigned callsBefore = store.calls().at("/v1/log-read");
         store.setFault(fault);
-        REQUIRE(runUntil([&] { return store.calls().at("/v1/log-read") >= callsBefore + 4; }));
+        REQUIRE(runUntil([&] { return store.calls().at("/v1/log-read") >= callsBefore + reads; }));
     }
+
+    /// \brief Silences the store until the source has sent a read of each topic that is never answered.
+    void loseReadsInSilence() { injectFault(KeyedStore::Fault::Silent, 2); }
 };
 
 }
@@ -156,6 +165,48 @@
     CHECK(fixture.registrationsChangedAt - deletedAt < grace);
 }
 
+// Guards against requests that are handled by an older configuration long after a silent outage of the store: a read
+// that was lost in the outage must not delay the changes that follow it.
+TEST_CASE("a change after a silent outage is in force within the contact time", "[platform][store][!mayfail]")
+{
+    Fixture fixture;
+    fixture.loseReadsInSilence();
+    fixture.store.setFault(KeyedStore::Fault::None);
+    Millis recoveredAt = fixture.clock.now();
+    fixture.store.put("keyed.op", "config", configurationJson(9));
+    fixture.store.put("keyed.servers", "i-1", registrationJson("draining"));
+    REQUIRE(fixture.runUntil([&] { return fixture.versions.back() == 9 && !fixture.hasReadyEndpoint("i-1"); }));
+    CHECK(fixture.clock.now() - recoveredAt < contactTime);
+}
+
+// Guards against requests to an engine that left when the store had been back for some time: its entry cannot have
+// expired in the outage, even if the first read that succeeds afterwards reports its deletion.
+TEST_CASE("an engine that leaves after a silent outage is removed within the drain time", "[platform][store][!mayfail]")
+{
+    Fixture fixture;
+    fixture.loseReadsInSilence();
+    fixture.store.setFault(KeyedStore::Fault::None);
+    fixture.runFor(contactTime);
+    Millis deletedAt = fixture.clock.now();
+    fixture.store.put("keyed.servers", "i-1", std::nullopt);
+    REQUIRE(fixture.runUntil([&] { return !fixture.hasReadyEndpoint("i-1"); }));
+    CHECK(fixture.registrationsChangedAt - deletedAt < drainTime);
+}
+
+// Guards against requests to an engine that left while only this daemon could not reach the store: its entry may be
+// kept as possibly expired, but not for longer than the contact time.
+TEST_CASE(
+    "an engine that left during a silent outage is removed within the contact time", "[platform][store][!mayfail]")
+{
+    Fixture fixture;
+    fixture.loseReadsInSilence();
+    fixture.store.put("keyed.servers", "i-1", std::nullopt);
+    fixture.store.setFault(KeyedStore::Fault::None);
+    Millis recoveredAt = fixture.clock.now();
+    REQUIRE(fixture.runUntil([&] { return !fixture.hasReadyEndpoint("i-1"); }));
+    CHECK(fixture.registrationsChangedAt - recoveredAt < contactTime);
+}
+
 // Guards against a fleet without engines during the two seconds after a store outage in which they register again.
 TEST_CASE("registrations that expired during a store outage are kept for the grace period", "[platform][store]")
 {
