Close connections to the store that no longer carry data

Calls to the store had no keep-alive, so a long poll on such a connection ended only with its timeout.

No calls to the store are added.

The silence itself cannot be produced on loopback without rights to drop packets.

--- a/src/net/HttpClient.cpp
+++ b/src/net/HttpClient.cpp
@@ -1,8 +1,11 @@
 #include "net/HttpClient.h"
 
+#include "net/Socket.h"
+
 #include <charconv>
 #include <cstdint>
 #include <event2/buffer.h>
+#include <event2/bufferevent.h>
 #include <event2/event.h>
 #include <event2/http.h>
 #include <list>
@@ -137,7 +140,11 @@
         exchange.result
             = Error { .kind = ErrorKind::EndpointUnavailable, .message = "cannot connect to " + request.address };
         event_active(exchange.timer, EV_TIMEOUT, 0);
+        return;
     }
+    // A long poll whose connection no longer carries data would otherwise end only with its timeout.
+    if (int descriptor = bufferevent_getfd(evhttp_connection_get_bufferevent(exchange.connection)); descriptor >= 0)
+        configureConnection(descriptor);
 }
 
 Result<std::pair<std::string, std::uint16_t>> splitAddress(std::string_view address)
--- a/standins/KeyedStore.h
+++ b/standins/KeyedStore.h
@@ -43,6 +43,9 @@
     /// \returns Number of requests received, by path.
     [[nodiscard]] const std::map<std::string, unsigned>& calls() const noexcept { return m_callsByPath; }
 
+    /// \returns Number of long polls that are pending.
+    [[nodiscard]] std::size_t waitingReads() const noexcept { return m_waitingReads.size(); }
+
     /// \returns The newest value of the key, if it has one.
     [[nodiscard]] std::optional<std::string> value(const std::string& topic, const std::string& key) const;
 
--- a/tests/StoreDeploymentSourceTests.cpp
+++ b/tests/StoreDeploymentSourceTests.cpp
@@ -1,6 +1,7 @@
 #include "KeyedStore.h"
 #include "LoopbackHarness.h"
 #include "net/EventPriority.h"
+#include "net/HttpClient.h"
 #include "platform/StoreDeploymentSource.h"
 #include "router/DocumentsRequest.h"
 
@@ -8,6 +9,9 @@
 #include <catch2/catch.hpp>
 #include <chrono>
 #include <event2/event.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
 #include <thread>
 
 using namespace jasminestack;
@@ -194,6 +198,39 @@
     CHECK(fixture.versions == std::vector<std::uint64_t> { 3, 9 });
 }
 
+// Guards against a daemon that waits for the end of a long poll whose connection no longer carries data: the kernel has
+// to detect this, and the daemon to read again, within the contact time.
+TEST_CASE("connections to the store are closed when the other end no longer responds", "[platform][store]")
+{
+    Fixture fixture;
+    REQUIRE(fixture.runUntil([&] { return fixture.store.waitingReads() >= 2; }));
+    std::uint16_t storePort = splitAddress(fixture.store.address()).value().second;
+    auto option = [](int descriptor, int level, int name) {
+        int value = 0;
+        socklen_t length = sizeof(value);
+        REQUIRE(getsockopt(descriptor, level, name, &value, &length) == 0);
+        return value;
+    };
+    constexpr int maxDescriptor = 256;
+    constexpr int msPerSecond = 1'000;
+    int connections = 0;
+    for (int descriptor = 0; descriptor < maxDescriptor; ++descriptor) {
+        sockaddr_in peer {};
+        socklen_t length = sizeof(peer);
+        if (getpeername(descriptor, reinterpret_cast<sockaddr*>(&peer), &length) != 0
+            || ntohs(peer.sin_port) != storePort)
+            continue;
+        ++connections;
+        CHECK(option(descriptor, SOL_SOCKET, SO_KEEPALIVE) == 1);
+        int probeAfterMs = msPerSecond * option(descriptor, IPPROTO_TCP, TCP_KEEPIDLE);
+        int closeAfterMs = option(descriptor, IPPROTO_TCP, TCP_USER_TIMEOUT);
+        CHECK(probeAfterMs < closeAfterMs);
+        CHECK(closeAfterMs > 0);
+        CHECK(Millis { closeAfterMs } < contactTime);
+    }
+    CHECK(connections >= 2); // One read of each topic is pending.
+}
+
 // Guards against calls without end during an outage: silence must not cost more than refusals do.
 TEST_CASE("a silent store receives at most one read of each topic in the longest retry delay", "[platform][store]")
 {
