Move requests that are not sent yet when their endpoint leaves

What callers could see: a request that reaches an engine more than drainMs after it has left (DRAIN), if its connection was still being made when the daemon learned of it: connecting may take 600 ms, on top of the time until the change is read.

Change: when the registrations change, requests whose connection is not established and whose endpoint has left or drains are sent to another endpoint, or end as not run if there is none. Requests that are being written stay, since they may run.

--- a/src/router/RequestRouter.cpp
+++ b/src/router/RequestRouter.cpp
@@ -182,6 +182,16 @@
     m_state->routerOptions.usesCoordinators = usesCoordinators;
 }
 
+void RequestRouter::onEndpointsChanged()
+{
+    State& state = *m_state;
+    std::vector<RoutedRequest*> current;
+    for (const auto& [request, owned] : state.requests)
+        current.push_back(request);
+    for (RoutedRequest* request : current) // A request that ends here stays alive until the reaper's event.
+        request->onEndpointsChanged();
+}
+
 std::size_t RequestRouter::activeCount() const noexcept { return m_state->requests.size(); }
 
 }
--- a/src/router/RequestRouter.h
+++ b/src/router/RequestRouter.h
@@ -100,6 +100,10 @@
     /// \param usesCoordinators Whether coordinators place the requests of their shards.
     void setFleetProperties(std::size_t daemonCount, bool usesCoordinators);
 
+    /// \brief Call it after each change of the registered endpoints: requests that are not sent yet are sent to other
+    /// endpoints if theirs have left.
+    void onEndpointsChanged();
+
     /// \returns Requests in progress.
     [[nodiscard]] std::size_t activeCount() const noexcept;
 
--- a/src/router/RoutedRequest.cpp
+++ b/src/router/RoutedRequest.cpp
@@ -252,6 +252,7 @@
     Millis currentTime = now();
     m_stage = Stage::InFlight;
     m_relayMode = RelayMode::AwaitingHead;
+    m_isConnected = false;
     m_responseBody.clear();
     m_refusalBytes = 0;
     m_responseHead = {};
@@ -433,6 +434,20 @@
     sendToEndpoint(choice);
 }
 
+void RoutedRequest::onEndpointsChanged()
+{
+    if (m_stage != Stage::InFlight || m_isConnected || m_exchange == 0)
+        return;
+    const auto& endpoints = m_owner.context().board.fleetView.endpointsByInstance;
+    auto endpoint = endpoints.find(m_placement.instanceId);
+    if (endpoint != endpoints.end() && !endpoint->second->registration.isDraining)
+        return;
+    cancelExchange();
+    recordAttemptEnd(AttemptOutcome::Cancelled);
+    --m_sendCount;
+    retryAtOtherEndpoint("endpoint_left");
+}
+
 void RoutedRequest::giveUp(std::string_view cause)
 {
     cancelPlacement();
--- a/src/router/RoutedRequest.h
+++ b/src/router/RoutedRequest.h
@@ -61,12 +61,15 @@
     [[nodiscard]] WaitingOrder waitingOrder() const override;
     void tryPlacement() override;
 
+    /// \brief If the request is not sent yet and its endpoint has left or begun to drain, selects another one.
+    void onEndpointsChanged();
+
     void onPlacementReply(const PlacementReply&, std::string_view coordinator) override;
     void onCoordinatorsUnresponsive() override;
 
     void onCallerDisconnected() override;
     void onSendBufferEmpty() override;
-    void onConnected() override { }
+    void onConnected() override { m_isConnected = true; }
     void onHead(const HttpResponseHead&) override;
     void onBody(std::string_view chunk) override;
     void onEnd(const EndpointExchangeResult&) override;
@@ -155,6 +158,7 @@
     unsigned m_connectFailures { 0 };
     bool m_mayHaveRun { false }; ///< An endpoint may have run the request in an attempt.
     Placement m_placement;
+    bool m_isConnected { false }; ///< The request is being written to the endpoint, or has been.
     bool m_isPlacementCounted { false }; ///< m_placement counts towards its endpoint's load.
     ExchangeId m_exchange { 0 };
     std::size_t m_refusalBytes { 0 }; ///< Received bytes of a refusal's body.
--- a/src/router/RouterDaemon.cpp
+++ b/src/router/RouterDaemon.cpp
@@ -239,6 +239,7 @@
                 { "position", source->versions().registrationsPosition } });
         fleetSync.refreshCoordinators();
         updateReadiness();
+        router.onEndpointsChanged();
         queue.onCapacityChanged();
     }
 
--- a/tests/RequestRouterTests.cpp
+++ b/tests/RequestRouterTests.cpp
@@ -36,13 +36,16 @@
 
 struct RecordingEndpointTransport final : EndpointTransport {
     std::vector<std::string> sentTo; ///< Addresses of the requests, in the order of sending.
+    std::vector<EndpointListener*> listeners; ///< Of the requests, in the same order.
+    std::vector<ExchangeId> cancelled;
 
-    [[nodiscard]] ExchangeId start(const EndpointRequest& request, EndpointListener&) override
+    [[nodiscard]] ExchangeId start(const EndpointRequest& request, EndpointListener& listener) override
     {
         sentTo.push_back(request.address);
+        listeners.push_back(&listener);
         return sentTo.size();
     }
-    void cancel(ExchangeId) override { }
+    void cancel(ExchangeId id) override { cancelled.push_back(id); }
     void setPaused(ExchangeId, bool) override { }
 };
 
@@ -154,6 +157,53 @@
 
 }
 
+// Guards against a request that reaches an engine after it has left, because its connection was still being made when
+// the engine left.
+TEST_CASE("a request that is not sent yet moves to another endpoint when its own leaves", "[router][flow][drain]")
+{
+    Fixture fixture;
+    fixture.request("/quote/x", "id-1");
+    REQUIRE(fixture.endpointTransport.sentTo.size() == 1);
+    std::string first = fixture.endpointTransport.sentTo.front();
+    auto registrations = Fixture::registrations();
+    bool isRemoved = GENERATE(false, true);
+    if (isRemoved)
+        std::erase_if(registrations, [&](const Registration& item) { return item.address == first; });
+    for (Registration& registration : registrations)
+        registration.isDraining = registration.address == first;
+    SECTION("before the connection is established")
+    {
+        setRegistrations(fixture.board.fleetView, registrations);
+        fixture.router.onEndpointsChanged();
+        CHECK(fixture.endpointTransport.cancelled == std::vector<ExchangeId> { 1 });
+        REQUIRE(fixture.endpointTransport.sentTo.size() == 2);
+        CHECK(fixture.endpointTransport.sentTo.back() != first);
+    }
+    SECTION("afterwards it may run, so it stays")
+    {
+        fixture.endpointTransport.listeners.front()->onConnected();
+        setRegistrations(fixture.board.fleetView, registrations);
+        fixture.router.onEndpointsChanged();
+        CHECK(fixture.endpointTransport.cancelled.empty());
+        CHECK(fixture.endpointTransport.sentTo.size() == 1);
+    }
+}
+
+// Guards against a refusal that says more than is known: a request that was not sent has not run.
+TEST_CASE("a request that is not sent yet ends as not run when the last endpoint leaves", "[router][flow][drain]")
+{
+    Fixture fixture;
+    RecordingCaller& caller = fixture.request("/book/x", "id-1");
+    REQUIRE(fixture.endpointTransport.sentTo.size() == 1);
+    setRegistrations(fixture.board.fleetView, {});
+    fixture.router.onEndpointsChanged();
+    REQUIRE(caller.head);
+    CHECK(caller.head->status == 503);
+    CHECK(caller.body.find("\"not_run\"") != std::string::npos);
+    CHECK(fixture.endpointTransport.cancelled.size() == 1);
+    CHECK(fixture.router.activeCount() == 0);
+}
+
 // Guards against requests that are accepted so late in a shutdown that the end of the process interrupts them.
 TEST_CASE("a daemon that shuts down refuses requests as not run", "[router][flow]")
 {
