--- a/tests/StoreDeploymentSourceTests.cpp
+++ b/tests/StoreDeploymentSourceTests.cpp
@@ -289,6 +289,25 @@
     CHECK(fixture.hasReadyEndpoint("i-1"));
 }
 
+// Guards against a fleet without engines after a silent outage that ends before the pending long poll times out: no
+// call of this daemon has failed, but the registrations have expired.
+TEST_CASE("registrations that expired while a long poll was pending are kept for the grace period",
+    "[platform][store][!mayfail]")
+{
+    Fixture fixture;
+    REQUIRE(fixture.runUntil([&] { return fixture.store.waitingReads() >= 2; }));
+    fixture.store.setFault(KeyedStore::Fault::Silent);
+    constexpr Millis outage { 3'700 };
+    fixture.runFor(outage);
+    fixture.store.put("keyed.servers", "i-1", std::nullopt);
+    fixture.store.put("keyed.servers", "i-2", std::nullopt);
+    fixture.store.put("keyed.servers", "i-3", registrationJson());
+    fixture.store.setFault(KeyedStore::Fault::None);
+    REQUIRE(fixture.runUntil([&] { return fixture.hasReadyEndpoint("i-3"); }));
+    CHECK(fixture.hasReadyEndpoint("i-1"));
+    CHECK(fixture.hasReadyEndpoint("i-2"));
+}
+
 // Guards against missing engines or configurations whose records the store has deleted from its history.
 TEST_CASE("the newest records are listed again after the store deleted its history", "[platform][store]")
 {
