Keep registrations that expired in an outage which no read noticed

Cause: registrations were kept as possibly expired only if a call of this daemon had failed. A long poll that is pending through the whole outage does not fail; it returns the deletions, and all engines were removed.

Engines that leave a few at a time are removed at once as before. Peers import the age of the grace period.

--- a/tests/StoreDeploymentSourceTests.cpp
+++ b/tests/StoreDeploymentSourceTests.cpp
@@ -291,14 +291,16 @@
 
 // Guards against a fleet without engines after a silent outage that ends before the pending long poll times out: no
 // call of this daemon has failed, but the registrations have expired.
-TEST_CASE("registrations that expired while a long poll was pending are kept for the grace period",
-    "[platform][store][!mayfail]")
+TEST_CASE("registrations that expired while a long poll was pending are kept for a grace period", "[platform][store]")
 {
     Fixture fixture;
+    Fixture follower;
+    follower.source.setStoreRole(StoreRole::Follower);
     REQUIRE(fixture.runUntil([&] { return fixture.store.waitingReads() >= 2; }));
     fixture.store.setFault(KeyedStore::Fault::Silent);
     constexpr Millis outage { 3'700 };
     fixture.runFor(outage);
+    Millis deletedAt = fixture.clock.now();
     fixture.store.put("keyed.servers", "i-1", std::nullopt);
     fixture.store.put("keyed.servers", "i-2", std::nullopt);
     fixture.store.put("keyed.servers", "i-3", registrationJson());
@@ -306,6 +308,35 @@
     REQUIRE(fixture.runUntil([&] { return fixture.hasReadyEndpoint("i-3"); }));
     CHECK(fixture.hasReadyEndpoint("i-1"));
     CHECK(fixture.hasReadyEndpoint("i-2"));
+    bool importsChanges = GENERATE(false, true);
+    follower.source.importDocuments(
+        fixture.source.exportDocuments(importsChanges ? follower.source.versions() : DeploymentVersions {}));
+    CHECK(follower.hasReadyEndpoint("i-1"));
+    CHECK(follower.hasReadyEndpoint("i-2"));
+    // The first engine registers again, the second one has left.
+    fixture.store.put("keyed.servers", "i-1", registrationJson());
+    REQUIRE(fixture.runUntil([&] { return !fixture.hasReadyEndpoint("i-2"); }));
+    CHECK(fixture.registrationsChangedAt - deletedAt < drainTime);
+    CHECK(fixture.hasReadyEndpoint("i-1"));
+    REQUIRE(follower.runUntil([&] { return !follower.hasReadyEndpoint("i-2"); }));
+    CHECK(follower.registrationsChangedAt - deletedAt < drainTime);
+}
+
+// Guards against requests to engines that left one after the other: only if one read removes most engines may they have
+// expired.
+TEST_CASE("a few deletions in one read are applied at once", "[platform][store]")
+{
+    Fixture fixture;
+    constexpr int engines = 6;
+    for (int i = 1; i <= engines; ++i)
+        fixture.store.put("keyed.servers", "i-" + std::to_string(i), registrationJson());
+    REQUIRE(fixture.runUntil([&] { return fixture.registrations.size() == engines; }));
+    Millis deletedAt = fixture.clock.now();
+    for (int i = 1; i <= engines / 2; ++i)
+        fixture.store.put("keyed.servers", "i-" + std::to_string(i), std::nullopt);
+    REQUIRE(fixture.runUntil([&] { return fixture.registrations.size() == engines / 2; }));
+    constexpr Millis readPause { 500 };
+    CHECK(fixture.registrationsChangedAt - deletedAt < readPause);
 }
 
 // Guards against missing engines or configurations whose records the store has deleted from its history.
