Log the requests that were in flight at lost endpoints, with their prompt parts

Cause: no log line told which requests an endpoint was lost with, so the hypotheses of the incident could not be told apart. No decision uses them yet.

--- a/src/router/RequestProtocol.h
+++ b/src/router/RequestProtocol.h
@@ -24,6 +24,9 @@
     std::string apiKey; ///< Empty if the request has none.
     std::optional<Millis> timeLeft; ///< Time left for the caller when the request arrived: its timeout.
     std::vector<PromptPart> prompt; ///< In the prompt's order; empty for requests without a prompt.
+    /// Hashes of the prompt's parts that other requests may have too, each of the part alone: unlike PromptPart::key,
+    /// the hash of a part is the same behind different preceding parts.
+    std::vector<std::uint64_t> sharedParts;
     std::uint64_t promptTokens { 0 };
     std::uint64_t maxOutputTokens { 0 };
 };
--- a/src/router/RoutedRequest.cpp
+++ b/src/router/RoutedRequest.cpp
@@ -4,6 +4,7 @@
 #include "observe/Logging.h"
 #include "routing/Shards.h"
 
+#include <absl/strings/str_cat.h>
 #include <algorithm>
 #include <event2/event.h>
 
@@ -370,6 +371,18 @@
         recordEndpointLoss(board.crashGuard, crashGuardOptions, m_query.contentHash, lossEventId, now()));
 }
 
+void RoutedRequest::logLoss(std::string_view cause, bool hasAnswerBegun) const
+{
+    std::string parts;
+    for (std::uint64_t part : m_metadata.sharedParts)
+        absl::StrAppend(&parts, parts.empty() ? "" : ",", absl::Hex(part, absl::kZeroPad16));
+    logEvent(LogLevel::Info, "attempt_lost",
+        { { "request", m_metadata.id }, { "endpoint", m_placement.endpoint.value }, { "cause", cause },
+            { "answer_begun", hasAnswerBegun ? 1 : 0 }, { "events", m_splitter.forwardedEventCount() },
+            { "since_send_ms", (now() - m_placement.sentAt).count },
+            { "content", absl::StrCat(absl::Hex(m_query.contentHash, absl::kZeroPad16)) }, { "parts", parts } });
+}
+
 void RoutedRequest::handleAttemptFailure(ErrorKind kind, const EndpointExchangeResult& result, std::string_view cause)
 {
     if (!result.requestMayHaveBeenSent) {
@@ -386,8 +399,10 @@
     }
     m_mayHaveRun = true;
     bool isEndpointLost = kind == ErrorKind::EndpointLost || kind == ErrorKind::AnswerTruncated;
-    if (isEndpointLost)
+    if (isEndpointLost) {
+        logLoss(cause, result.responseStarted);
         markCrashSuspect();
+    }
     recordAttemptEnd(
         isEndpointLost && !result.responseStarted ? AttemptOutcome::ConnectionFailed : AttemptOutcome::Failed);
     if (takeRetry())
--- a/src/router/RoutedRequest.h
+++ b/src/router/RoutedRequest.h
@@ -121,6 +121,8 @@
     /// \brief Ends an attempt that was refused without waiting for the rest of the response.
     void abandonRefusalBody();
     void markCrashSuspect();
+    /// \brief Logs what tells apart the requests that an endpoint was lost with.
+    void logLoss(std::string_view cause, bool hasAnswerBegun) const;
     void reportFirstByte();
     void relayEvents(std::string_view chunk);
     void beginResponse();
