--- a/tests/RequestRouterTests.cpp
+++ b/tests/RequestRouterTests.cpp
@@ -123,15 +123,16 @@
             makeRegistration("d1", servicePool, "127.0.0.1:9003") };
     }
 
-    RecordingCaller& request(const std::string& target, const std::string& id)
+    RecordingCaller& request(
+        const std::string& target, const std::string& id, const std::string& promptParts = "aa:800,bb:200")
     {
         callers.push_back(std::make_unique<RecordingCaller>());
         CallerRequest request { .method = "POST",
             .target = target,
             .headers = { { "Host", "shop" }, { "X-Jasminestack-Attempt-Id", id },
                 { "X-Jasminestack-Deadline-Ms", "5000" }, { "X-Jasminestack-Model-Id", "m" },
-                { "X-Jasminestack-Token-Usage", "1000,50" }, { "X-Jasminestack-Prefix-Hash", "aa:800,bb:200" } },
-            .body = "text",
+                { "X-Jasminestack-Token-Usage", "1000,50" }, { "X-Jasminestack-Prefix-Hash", promptParts } },
+            .body = "text of " + id,
             .arrivedAt = clock.now() };
         router.onRequest(std::move(request), *callers.back());
         return *callers.back();
@@ -277,3 +278,88 @@
         { .status = PlacementStatus::Granted, .grantNumber = 1, .endpoint = endpointInstanceId(registrations[0]) });
     CHECK(fixture.endpointTransport.sentTo == std::vector<std::string> { "127.0.0.1:9002" });
 }
+
+namespace {
+
+HttpResponseHead eventStreamHead(const std::string& id)
+{
+    return { .status = 200,
+        .headers = { { "Content-Type", "text/event-stream" }, { "X-Jasminestack-Attempt-Id", id },
+            { "X-Jasminestack-Server-Signature", "s" } } };
+}
+
+/// \brief Twelve endpoints; an endpoint process that ends is replaced by another one at the same address.
+struct CrashingEndpoints {
+    Fixture fixture;
+    std::vector<Registration> registrations;
+    int requestCount { 0 };
+
+    CrashingEndpoints()
+    {
+        for (int i = 1; i <= 12; ++i)
+            registrations.push_back({ .id = EndpointId { "e" + std::to_string(i) },
+                .pool = modelPool,
+                .address = "127.0.0.1:" + std::to_string(9'000 + i),
+                .availabilityZone = "a",
+                .slots = 4,
+                .startedAtUnixMs = 1 });
+        setRegistrations(fixture.board.fleetView, registrations);
+    }
+
+    /// \brief Sends a request. Its endpoint ends after the head of its response if the prompt contains \p cause, and
+    /// answers it otherwise.
+    /// \returns How many endpoints ended.
+    int request(const std::string& promptParts, const std::string& cause)
+    {
+        std::string id = "id-" + std::to_string(++requestCount);
+        std::size_t handled = fixture.endpointTransport.sentTo.size();
+        int lostCount = 0;
+        fixture.request("/quote/x", id, promptParts + ",own-" + id + ":100");
+        for (; handled < fixture.endpointTransport.sentTo.size(); ++handled) {
+            EndpointListener& listener = *fixture.endpointTransport.listeners[handled];
+            listener.onConnected();
+            listener.onHead(eventStreamHead(id));
+            if (promptParts.find(cause) == std::string::npos) {
+                listener.onBody("id: 1\ndata: x\n\n");
+                listener.onEnd({ .isComplete = true, .requestMayHaveBeenSent = true, .responseStarted = true });
+                continue;
+            }
+            ++lostCount;
+            replaceProcess(fixture.endpointTransport.sentTo[handled]);
+            listener.onEnd(
+                { .requestMayHaveBeenSent = true, .responseStarted = true, .error = ErrorKind::AnswerTruncated });
+        }
+        fixture.clock.advance(Millis { 700 });
+        return lostCount;
+    }
+
+private:
+    void replaceProcess(const std::string& address)
+    {
+        for (Registration& registration : registrations) {
+            if (registration.address == address)
+                ++registration.startedAtUnixMs;
+        }
+        setRegistrations(fixture.board.fleetView, registrations);
+    }
+};
+
+}
+
+// Guards against requests that share one prompt part, but nothing else, and crash endpoint after endpoint.
+TEST_CASE("requests with a prompt part that crashes endpoints stop reaching them", "[router][flow][crash][!mayfail]")
+{
+    CrashingEndpoints endpoints;
+    int lostCount = 0;
+    for (int i = 0; i < 15; ++i) {
+        endpoints.request("aa:800", "dd");
+        lostCount += endpoints.request("aa:800,dd:300", "dd");
+    }
+    // A verdict takes three losses; each request until then may cost a second endpoint by its retry.
+    CHECK(lostCount <= 5);
+    // Requests with the other parts are served as before.
+    std::size_t sent = endpoints.fixture.endpointTransport.sentTo.size();
+    CHECK(endpoints.request("aa:800", "dd") == 0);
+    CHECK(endpoints.fixture.endpointTransport.sentTo.size() == sent + 1);
+    CHECK(endpoints.fixture.callers.back()->body == "id: 1\ndata: x\n\n");
+}
