End a resumed stream truncated if its next endpoint answers without events

Cause: a stream that had begun was checked for an error status of the next endpoint only. A success that is no event stream was buffered and then sent as a response of its own, or passed through when it was long. Evidence: the test with a 200 and application/json, short and of 300 kB, failed before; with a 500 and with a refusal it passed before: those could not happen here. Why the fix works: what follows in a stream that has begun is an event stream or nothing. Such an answer no longer counts as a loss of the endpoint either.

--- a/src/router/RoutedRequestResponse.cpp
+++ b/src/router/RoutedRequestResponse.cpp
@@ -60,12 +60,12 @@
             responseMetadata.isEncoded ? "encoded_answer" : "unsigned_answer");
         return;
     }
-    if (m_hasResponseBegun && !isSuccess(head.status)) {
+    bool isEventRelay = isSuccess(head.status) && m_route.kind == RequestKind::Stream && isEventStream(head);
+    if (m_hasResponseBegun && !isEventRelay) {
         cancelExchange();
-        handleAttemptFailure(ErrorKind::AnswerTruncated, unusableHeadResult, "resume_rejected");
+        handleAttemptFailure(ErrorKind::AnswerMismatch, unusableHeadResult, "resume_rejected");
         return;
     }
-    bool isEventRelay = isSuccess(head.status) && m_route.kind == RequestKind::Stream && isEventStream(head);
     m_relayMode = isEventRelay ? RelayMode::Events : RelayMode::Buffered;
     if (!isEventRelay)
         reportFirstByte();
--- a/tests/RouterLoopbackTests.cpp
+++ b/tests/RouterLoopbackTests.cpp
@@ -417,3 +417,45 @@
     CHECK(handler.requestCount == 1);
     CHECK(connectedCaller.readUntil("ok").starts_with("HTTP/1.1 200"));
 }
+
+// Guards against the text of another answer in the middle of a stream, and against a stream that looks complete.
+TEST_CASE("a stream ends truncated when the next engine does not continue it with events", "[router][resume]")
+{
+    LoopbackRouter router;
+    std::string answer = GENERATE(LoopbackRouter::response("id-1", "other-text", 500),
+        LoopbackRouter::response("id-1", "other-text", 503, "X-Jasminestack-Not-Executed: 1\r\n"),
+        LoopbackRouter::response("id-1", "other-text", 200, "Content-Type: application/json\r\n"),
+        LoopbackRouter::response("id-1", std::string(300'000, 'o'), 200, "Content-Type: application/json\r\n"));
+    CAPTURE(answer.substr(0, 40));
+    BlockingSocket caller = router.connectCaller();
+    caller.write(LoopbackRouter::request("POST", "/quote/x", "id-1", "prompt"));
+    auto [firstEngine, firstListener] = router.acceptEngineConnection();
+    static_cast<void>(firstEngine.readUntil("prompt"));
+    firstEngine.write(LoopbackRouter::eventStreamHead("id-1") + encodeHttpChunk(sseEvent(1) + sseEvent(2)));
+    static_cast<void>(caller.readUntil("token-2\n\n\r\n"));
+    firstEngine.closeWithReset();
+    const ListeningSocket& otherListener = firstListener == &router.engine1 ? router.engine2 : router.engine1;
+    BlockingSocket secondEngine = otherListener.accept();
+    static_cast<void>(secondEngine.readUntil("prompt"));
+    secondEngine.writeSome(answer, 500);
+    CHECK(caller.readToEnd().empty());
+}
+
+// Guards against a success with an empty or short body whose engine stopped in the middle of its answer's head.
+TEST_CASE("an answer that ends within its head is no success", "[router][head]")
+{
+    LoopbackRouter router;
+    std::string head = "HTTP/1.1 200 OK\r\nX-Jasminestack-Attempt-Id: id-1\r\nX-Jasminestack-Server-Signature: s\r\n"
+                       "Content-Type: text/event-stream\r\nContent-Length: 10\r\n\r\n";
+    std::size_t length = GENERATE_COPY(as<std::size_t> {}, 12, 15, 17, 60, head.size() - 8, head.size() - 4,
+        head.size() - 2, head.size() - 1, head.size());
+    CAPTURE(length);
+    bool isStream = GENERATE(false, true);
+    BlockingSocket caller = router.connectCaller();
+    caller.write(LoopbackRouter::request("POST", isStream ? "/review/x" : "/book/x", "id-1", "text"));
+    BlockingSocket endpoint = isStream ? router.acceptEngineConnection().first : router.serviceListener.accept();
+    static_cast<void>(endpoint.readUntil("text"));
+    endpoint.write(head.substr(0, length));
+    endpoint.close();
+    CHECK(caller.readUntil("\r\n\r\n").starts_with("HTTP/1.1 502"));
+}
