Do not trust answers without an id on reused connections

Cause: on a reused connection an answer with another request's id is skipped, but one without an id was taken for the request's own, also a refusal. Evidence: an endpoint that writes its refusal once more on a kept connection, without the id: the next booking, which runs, got 503; a success without an id was forwarded. Both tests failed before. With the id the repeated refusal was skipped before, too. Why the fix works: endpoints echo the id; an answer that cannot be matched says nothing about the request, so it ends as unknown (502) or is repeated if it may be. A first request on a connection has no earlier answer to confuse it with. The same request never goes twice to one endpoint process, so a repeated refusal never has the id of the request that waits.

--- a/src/net/EndpointClient.cpp
+++ b/src/net/EndpointClient.cpp
@@ -294,7 +294,10 @@
         ExchangeId id = exchange.id;
         if (exchange.parser.headComplete() && !exchange.headDelivered && !exchange.parser.failed()) {
             exchange.headDelivered = true;
-            exchange.listener->onHead(exchange.parser.head());
+            HttpResponseHead head = exchange.parser.head();
+            head.isUncorrelated = exchange.connectionWasReused && !exchange.request.correlationHeader.empty()
+                && findHeader(head.headers, exchange.request.correlationHeader).empty();
+            exchange.listener->onHead(head);
             if (!isInProgress(id))
                 return false;
         }
--- a/src/net/Interfaces.h
+++ b/src/net/Interfaces.h
@@ -105,6 +105,9 @@
 struct HttpResponseHead {
     int status { 0 };
     std::vector<std::pair<std::string, std::string>> headers;
+    /// It has no EndpointRequest::correlationHeader and arrived on a reused connection: the endpoint may have sent it
+    /// for an earlier request.
+    bool isUncorrelated { false };
 };
 
 /// \brief How an exchange with an endpoint ended.
--- a/src/router/RoutedRequestResponse.cpp
+++ b/src/router/RoutedRequestResponse.cpp
@@ -43,9 +43,10 @@
     EndpointExchangeResult unusableHeadResult {
         .requestMayHaveBeenSent = true, .responseStarted = true, .error = ErrorKind::AnswerMismatch
     };
-    if (!responseMetadata.echoedRequestId.empty() && responseMetadata.echoedRequestId != m_metadata.id) {
+    bool isForeign = !responseMetadata.echoedRequestId.empty() && responseMetadata.echoedRequestId != m_metadata.id;
+    if (isForeign || head.isUncorrelated) {
         cancelExchange();
-        handleAttemptFailure(ErrorKind::AnswerMismatch, unusableHeadResult, "foreign_answer");
+        handleAttemptFailure(ErrorKind::AnswerMismatch, unusableHeadResult, isForeign ? "foreign_answer" : "uncorrelated_answer");
         return;
     }
     m_responseHead = head;
--- a/tests/RouterLoopbackTests.cpp
+++ b/tests/RouterLoopbackTests.cpp
@@ -418,6 +418,44 @@
     CHECK(connectedCaller.readUntil("ok").starts_with("HTTP/1.1 200"));
 }
 
+// Guards against a refusal that an endpoint repeats on a kept connection and that is taken for the one of the next
+// request, which runs: its caller would be told that it has not run, or it would be sent to a second endpoint.
+TEST_CASE("a repeated refusal on a reused connection does not refuse the next request", "[router][repeated]")
+{
+    LoopbackRouter router;
+    bool hasId = GENERATE(true, false);
+    std::string refusal = "HTTP/1.1 503 X\r\nX-Jasminestack-Not-Executed: 1\r\n"
+        + std::string(hasId ? "X-Jasminestack-Attempt-Id: id-1\r\n" : "") + "Content-Length: 0\r\n\r\n";
+    BlockingSocket caller = router.connectCaller();
+    caller.write(LoopbackRouter::request("POST", "/book/x", "id-1", "order-1"));
+    BlockingSocket service = router.serviceListener.accept();
+    static_cast<void>(service.readUntil("order-1"));
+    service.write(refusal);
+    CHECK(caller.readUntil("\r\n\r\n").starts_with("HTTP/1.1 503"));
+    BlockingSocket secondCaller = router.connectCaller();
+    secondCaller.write(LoopbackRouter::request("POST", "/book/x", "id-2", "order-2"));
+    static_cast<void>(service.readUntil("order-2"));
+    service.write(refusal + LoopbackRouter::response("id-2", "second"));
+    std::string head = secondCaller.readUntil("\r\n\r\n");
+    CHECK(head.starts_with(hasId ? "HTTP/1.1 200" : "HTTP/1.1 502"));
+}
+
+// Guards against an answer without the request's id on a reused connection, which may be an earlier request's.
+TEST_CASE("an answer without an id is not forwarded from a reused connection", "[router][repeated]")
+{
+    LoopbackRouter router;
+    BlockingSocket caller = router.connectCaller();
+    caller.write(LoopbackRouter::request("POST", "/book/x", "id-1", "order-1"));
+    BlockingSocket service = router.serviceListener.accept();
+    static_cast<void>(service.readUntil("order-1"));
+    service.write(LoopbackRouter::response("id-1", "first"));
+    static_cast<void>(caller.readUntil("first"));
+    caller.write(LoopbackRouter::request("POST", "/book/x", "id-2", "order-2"));
+    static_cast<void>(service.readUntil("order-2"));
+    service.write("HTTP/1.1 200 OK\r\nX-Jasminestack-Server-Signature: s\r\nContent-Length: 5\r\n\r\nfirst");
+    CHECK(caller.readUntil("\r\n\r\n").starts_with("HTTP/1.1 502"));
+}
+
 // Guards against the text of another answer in the middle of a stream, and against a stream that looks complete.
 TEST_CASE("a stream ends truncated when the next engine does not continue it with events", "[router][resume]")
 {
