Treat streams that end inside an event, or unframed without events, as broken off

What callers saw: a stream that looks complete although its endpoint ended in the middle of it. Cause: an answer may have neither a length nor chunks and end with its connection; the end of the endpoint is then an orderly end of the answer. The bytes of an incomplete event were forwarded, and an empty stream was complete. Why the fix works: the stream is resumed after the last complete event where it may be, else it ends truncated. Also: a loopback test of the incident with eight engines that crash (three losses, then 503 with Retry-After; a sound request with the same first part is served).

--- a/src/router/RoutedRequestResponse.cpp
+++ b/src/router/RoutedRequestResponse.cpp
@@ -46,7 +46,8 @@
     bool isForeign = !responseMetadata.echoedRequestId.empty() && responseMetadata.echoedRequestId != m_metadata.id;
     if (isForeign || head.isUncorrelated) {
         cancelExchange();
-        handleAttemptFailure(ErrorKind::AnswerMismatch, unusableHeadResult, isForeign ? "foreign_answer" : "uncorrelated_answer");
+        handleAttemptFailure(
+            ErrorKind::AnswerMismatch, unusableHeadResult, isForeign ? "foreign_answer" : "uncorrelated_answer");
         return;
     }
     m_responseHead = head;
@@ -210,9 +211,18 @@
 
 void RoutedRequest::finishStream()
 {
+    std::string rest = m_splitter.takeIncompleteEvent();
+    bool endsInsideEvent = rest.find_first_not_of("\r\n") != std::string::npos;
+    bool endsBeforeFirstEvent = m_firstEventAt == Millis {} && endsWithConnection(m_responseHead);
+    if (endsInsideEvent || endsBeforeFirstEvent) {
+        handleAttemptFailure(ErrorKind::AnswerTruncated,
+            { .requestMayHaveBeenSent = true, .responseStarted = true, .error = ErrorKind::AnswerTruncated },
+            endsInsideEvent ? "ended_inside_event" : "ended_without_events");
+        return;
+    }
     beginResponse(); // The head has not been sent yet if the stream has no events.
-    if (std::string incompleteEvent = m_splitter.takeIncompleteEvent(); !incompleteEvent.empty())
-        sendToCaller(incompleteEvent);
+    if (!rest.empty())
+        sendToCaller(rest);
     if (!endsWithConnection(m_responseHead))
         recordSoundAnswer();
     recordAttemptEnd(AttemptOutcome::Answered);
--- a/tests/LoopbackHarness.h
+++ b/tests/LoopbackHarness.h
@@ -172,6 +172,9 @@
 
     [[nodiscard]] std::string address() const { return "127.0.0.1:" + std::to_string(m_port); }
 
+    /// \brief Ends listening; later connections are refused.
+    void close() { m_socket.close(); }
+
 private:
     BlockingSocket m_socket;
     std::uint16_t m_port { 0 };
--- a/tests/RouterHarness.h
+++ b/tests/RouterHarness.h
@@ -55,7 +55,11 @@
     std::unique_ptr<RouterDaemon> daemon;
     std::thread thread;
 
-    explicit LoopbackRouter(bool configured = true)
+    std::vector<ListeningSocket> moreEngines;
+
+    /// \param engineCount Model engines; the test accepts the connections to those after the second one itself.
+    explicit LoopbackRouter(bool configured = true, std::size_t engineCount = 2)
+        : moreEngines(engineCount - 2)
     {
         table.version = configured ? 3 : 0;
         table.requiresApiKey = true;
@@ -132,6 +136,20 @@
             + std::string(id) + "\r\nX-Jasminestack-Server-Signature: sig-" + std::string(id) + "\r\n\r\n";
     }
 
+    /// \brief Ends an engine: its connection is reset, and nothing listens at its address any more.
+    void crashEngine(BlockingSocket& connection, const ListeningSocket* engine)
+    {
+        connection.closeWithReset();
+        auto closeIfSame = [&](ListeningSocket& socket) {
+            if (&socket == engine)
+                socket.close();
+        };
+        closeIfSame(engine1);
+        closeIfSame(engine2);
+        for (ListeningSocket& socket : moreEngines)
+            closeIfSame(socket);
+    }
+
     /// \brief Accepts the next connection to one of the engines.
     /// \returns The connection and the engine's listening socket.
     /// \throws std::runtime_error if no connection arrives within about 20 s.
@@ -142,6 +160,10 @@
                 return { engine1.accept(), &engine1 };
             if (engine2.hasPendingConnection(5))
                 return { engine2.accept(), &engine2 };
+            for (const ListeningSocket& engine : moreEngines) {
+                if (engine.hasPendingConnection(1))
+                    return { engine.accept(), &engine };
+            }
         }
         throw std::runtime_error("no engine received a connection");
     }
@@ -171,6 +193,9 @@
                 deployment->table = std::make_shared<RoutingTable>(table);
             deployment->registrations = { makeRegistration("e1", "llm", engine1),
                 makeRegistration("e2", "llm", engine2), makeRegistration("d1", "desk", serviceListener) };
+            for (std::size_t i = 0; i < moreEngines.size(); ++i)
+                deployment->registrations.push_back(
+                    makeRegistration(("e" + std::to_string(i + 3)).c_str(), "llm", moreEngines[i]));
             return std::unique_ptr<DeploymentSource>(std::move(deployment));
         };
         daemon = std::make_unique<RouterDaemon>(settings,
--- a/tests/RouterLoopbackTests.cpp
+++ b/tests/RouterLoopbackTests.cpp
@@ -497,3 +497,92 @@
     endpoint.close();
     CHECK(caller.readUntil("\r\n\r\n").starts_with("HTTP/1.1 502"));
 }
+
+// Guards against a stream that looks complete although its engine ended in the middle of it.
+TEST_CASE("a stream that ends inside an event or before the first one is truncated", "[router][unframed]")
+{
+    LoopbackRouter router;
+    bool isFramed = GENERATE(false, true);
+    std::string events = GENERATE(sseEvent(1) + "id: 2\nda", sseEvent(1) + "id: 2\ndata: token-2\n", std::string());
+    if (isFramed && events.empty())
+        return; // Its engine states that the stream is empty.
+    CAPTURE(isFramed, events);
+    BlockingSocket caller = router.connectCaller();
+    caller.write(LoopbackRouter::request("POST", "/quote/x", "id-1", "prompt"));
+    auto [firstEngine, firstListener] = router.acceptEngineConnection();
+    static_cast<void>(firstEngine.readUntil("prompt"));
+    std::string unframedHead = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
+                               "X-Jasminestack-Attempt-Id: id-1\r\nX-Jasminestack-Server-Signature: s\r\n\r\n";
+    firstEngine.write(isFramed ? LoopbackRouter::eventStreamHead("id-1") + encodeHttpChunk(events) + lastChunk
+                               : unframedHead + events);
+    firstEngine.close();
+    const ListeningSocket& otherListener = firstListener == &router.engine1 ? router.engine2 : router.engine1;
+    REQUIRE(otherListener.hasPendingConnection(1'000));
+    BlockingSocket secondEngine = otherListener.accept();
+    CHECK(headerValue(secondEngine.readUntil("\r\n\r\n"), "Last-Event-Id") == (events.empty() ? "" : "1"));
+    std::string rest = events.empty() ? sseEvent(1) + sseEvent(2) : sseEvent(2);
+    secondEngine.write(LoopbackRouter::eventStreamHead("id-1") + encodeHttpChunk(rest) + lastChunk);
+    std::string stream = caller.readUntil(lastChunk);
+    CHECK(stream.find("token-1\n\n") != std::string::npos);
+    CHECK(stream.find("token-2\n\n") != std::string::npos);
+    CHECK(stream.find("id: 2\nda\n") == std::string::npos);
+}
+
+// Guards against a sound stream without a length that is cut at its end.
+TEST_CASE("a stream without a length that ends after an event is complete", "[router][unframed]")
+{
+    LoopbackRouter router;
+    BlockingSocket caller = router.connectCaller();
+    caller.write(LoopbackRouter::request("POST", "/review/x", "id-1", "prompt"));
+    auto [engine, listener] = router.acceptEngineConnection();
+    static_cast<void>(engine.readUntil("prompt"));
+    engine.write("HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nX-Jasminestack-Attempt-Id: id-1\r\n"
+                 "X-Jasminestack-Server-Signature: s\r\n\r\n"
+        + sseEvent(1) + sseEvent(2));
+    engine.close();
+    CHECK(caller.readUntil(lastChunk).find("token-2\n\n") != std::string::npos);
+}
+
+namespace {
+
+std::string requestWithParts(std::string_view id, std::string_view parts)
+{
+    std::string body = "prompt of " + std::string(id) + "\n";
+    return "POST /review/x HTTP/1.1\r\nHost: shop.example\r\nAuthorization: Token key-1\r\nX-Jasminestack-Attempt-Id: "
+        + std::string(id) + "\r\nX-Jasminestack-Model-Id: m\r\nX-Jasminestack-Token-Usage: 1000,50\r\n"
+        + "X-Jasminestack-Prefix-Hash: " + std::string(parts) + ",own-" + std::string(id)
+        + ":100\r\nX-Jasminestack-Deadline-Ms: 5000\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n"
+        + body;
+}
+
+}
+
+// Guards against requests that share one prompt part and crash engine after engine, and against the refusal of sound
+// requests that share the others.
+TEST_CASE("after three engines crashed with a prompt part its requests are refused", "[router][crash]")
+{
+    LoopbackRouter router(true, 8);
+    for (int i = 1; i <= 3; ++i) {
+        BlockingSocket caller = router.connectCaller();
+        std::string id = "guilty-" + std::to_string(i);
+        caller.write(requestWithParts(id, "aa:800,dd:300"));
+        auto [engine, listener] = router.acceptEngineConnection();
+        static_cast<void>(engine.readUntil(id + "\n"));
+        engine.write(LoopbackRouter::eventStreamHead(id));
+        std::this_thread::sleep_for(std::chrono::milliseconds(50));
+        router.crashEngine(engine, listener);
+        CHECK(caller.readUntil("\r\n\r\n").starts_with("HTTP/1.1 502"));
+        std::this_thread::sleep_for(std::chrono::milliseconds(1'100)); // Beyond the window of a common cause.
+    }
+    BlockingSocket caller = router.connectCaller();
+    caller.write(requestWithParts("guilty-4", "aa:800,dd:300"));
+    std::string head = caller.readUntil("\r\n\r\n");
+    CHECK(head.starts_with("HTTP/1.1 503"));
+    CHECK(!headerValue(head, "Retry-After").empty());
+    BlockingSocket soundCaller = router.connectCaller();
+    soundCaller.write(requestWithParts("sound", "aa:800"));
+    BlockingSocket engine = router.acceptEngineConnection().first;
+    static_cast<void>(engine.readUntil("sound\n"));
+    engine.write(LoopbackRouter::eventStreamHead("sound") + encodeHttpChunk(sseEvent(1)) + lastChunk);
+    CHECK(soundCaller.readUntil(lastChunk).find("token-1") != std::string::npos);
+}
