Test the exchange of crash evidence between daemons

Change: losses at different daemons quarantine a part at all of them (8 and 40 daemons); a daemon that was cut off for 14 s, or lost its state, takes the quarantine over; the end of one reaches all; one daemon at a time may send a trial.

--- a/tests/FleetSyncTests.cpp
+++ b/tests/FleetSyncTests.cpp
@@ -443,3 +443,84 @@
             CHECK(static_cast<double>(bytes) / span.seconds() <= 4'096.0);
     }
 }
+
+namespace {
+
+constexpr TraitHash crashingPart = 99;
+
+/// \brief One loss a second at the given members, in turn; all have requests with \c crashingPart in flight.
+void loseEndpoints(Fleet& fleet, unsigned count)
+{
+    for (unsigned i = 0; i < count; ++i) {
+        Fleet::Member& member = *fleet.members[i % fleet.members.size()];
+        recordLoss(member.board.crashes, crashAttributionOptions, 1'000 + i,
+            { .workspace = 5, .hasAnswerBegun = true, .traits = { 1, crashingPart } }, fleet.clock.now());
+        member.sync->scheduleUpdate();
+        fleet.runFor(Millis { 1'000 });
+        for (const auto& receiver : fleet.members)
+            (void)updateQuarantines(receiver->board.crashes, crashAttributionOptions, fleet.clock.now());
+    }
+}
+
+bool isQuarantined(const Fleet::Member& member)
+{
+    std::array traits { crashingPart };
+    return decideByTraits(member.board.crashes, crashAttributionOptions, traits, 5).verdict
+        == TraitVerdict::Quarantined;
+}
+
+}
+
+// Guards against daemons that go on to send what crashes endpoints, since each has seen only some of the losses.
+TEST_CASE("losses at different daemons quarantine a prompt part at all daemons", "[exchange][crash]")
+{
+    unsigned daemons = GENERATE(8U, 40U);
+    CAPTURE(daemons);
+    Fleet fleet(daemons, 64);
+    loseEndpoints(fleet, 4);
+    for (const auto& member : fleet.members)
+        CHECK(isQuarantined(*member));
+}
+
+// Guards against a daemon that does not know the quarantines after a cut or a restart, and against one that keeps a
+// quarantine after another daemon has had an answer.
+TEST_CASE("quarantines and their ends reach daemons that were cut off or restarted", "[exchange][crash]")
+{
+    unsigned daemons = GENERATE(8U, 40U);
+    CAPTURE(daemons);
+    Fleet fleet(daemons, 64);
+    std::string cutOff = fleet.members.back()->address;
+    fleet.network.unreachable.insert(cutOff);
+    loseEndpoints(fleet, 4);
+    CHECK_FALSE(isQuarantined(*fleet.members.back()));
+    fleet.runFor(Millis { 10'000 });
+    fleet.network.unreachable.erase(cutOff);
+    fleet.runFor(Millis { 3'000 });
+    CHECK(isQuarantined(*fleet.members.back()));
+    fleet.members[1]->board.crashes = {}; // As after a restart, except that its peers do not notice.
+    fleet.runFor(Millis { 3'000 });
+    CHECK(isQuarantined(*fleet.members[1]));
+    std::array traits { crashingPart };
+    CHECK(recordAnswer(fleet.members[2]->board.crashes, crashAttributionOptions, traits, fleet.clock.now()));
+    fleet.runFor(Millis { 1'500 });
+    for (const auto& member : fleet.members)
+        CHECK_FALSE(isQuarantined(*member));
+}
+
+// Guards against several daemons that try a quarantined part at the same time, and lose an endpoint each.
+TEST_CASE("one daemon at a time may try a quarantined part, each in its turn", "[exchange][crash]")
+{
+    Fleet fleet(8, 18);
+    std::set<std::string> triers;
+    for (int turn = 0; turn < 60; ++turn) {
+        std::size_t count = 0;
+        for (const auto& member : fleet.members) {
+            if (!member->sync->mayTry(crashingPart, Millis { 2'000 * turn }))
+                continue;
+            ++count;
+            triers.insert(member->address);
+        }
+        CHECK(count == 1);
+    }
+    CHECK(triers.size() == fleet.members.size());
+}
