Take over what endpoints say of themselves: that they leave, or want a pause

Change: platform/ decodes both; malformed, negative, repeated (the first counts) and dated values, and Retry-After with other statuses, mean nothing. The module that chooses endpoints skips an endpoint that leaves until its process is replaced, and one that wants a pause until its end, at most an hour. First attempts, retries, queued and resumed requests choose there; requests whose connection is being made move; a coordinator's grant of such an endpoint is not used. Answers that may belong to an earlier request are not believed. Evidence: the test of the request path fails without the call (new requests and grants reach the endpoint), and passes with it; tests of the choice and of the decoding.

--- a/src/router/RequestProtocol.h
+++ b/src/router/RequestProtocol.h
@@ -45,6 +45,8 @@
     bool isSigned { false };
     bool isNotExecuted { false }; ///< The endpoint states that it has not run the request and will not run it.
     bool isEncoded { false }; ///< An intermediary between the endpoint and the daemon has encoded the body.
+    bool isLeaving { false }; ///< The endpoint leaves and wants no further requests.
+    Millis requestedPause {}; ///< The endpoint wants no requests from this daemon for so long.
     std::string_view echoedRequestId; ///< Id of the request that it responds to; empty if the response has none.
 };
 
--- a/src/router/RequestRouter.cpp
+++ b/src/router/RequestRouter.cpp
@@ -52,6 +52,8 @@
     std::unordered_map<RoutedRequest*, std::unique_ptr<RoutedRequest>> requests;
     std::vector<std::unique_ptr<RoutedRequest>> endedRequests; ///< Destroyed by the reaper's event.
     EventPointer reaper;
+    EventPointer noticeEvent; ///< Moves unsent requests after an endpoint's notice, outside of a request's callbacks.
+    bool hasEndpointNotice { false };
 
     State(RequestRouterContext context, const RequestRouterOptions& options)
         : routerContext(std::move(context))
@@ -59,6 +61,14 @@
         , reaper(event_new(
               &routerContext.base, -1, 0,
               [](int, short, void* self) { static_cast<State*>(self)->endedRequests.clear(); }, this))
+        , noticeEvent(event_new(
+              &routerContext.base, -1, 0,
+              [](int, short, void* self) {
+                  auto& state = *static_cast<State*>(self);
+                  state.hasEndpointNotice = false;
+                  state.forEachRequest(&RoutedRequest::onEndpointsChanged);
+              },
+              this))
     {
     }
 
@@ -83,6 +93,12 @@
         requests.erase(entry);
     }
 
+    void onEndpointNotice() override
+    {
+        if (!std::exchange(hasEndpointNotice, true))
+            event_active(noticeEvent.get(), EV_TIMEOUT, 0);
+    }
+
     void attributeLosses() override
     {
         CrashAttributionState& crashes = routerContext.board.crashes;
--- a/src/router/RoutedRequest.cpp
+++ b/src/router/RoutedRequest.cpp
@@ -199,9 +199,10 @@
     }
     auto& endpointsByInstance = m_owner.context().board.fleetView.endpointsByInstance;
     auto entry = endpointsByInstance.find(reply.endpoint);
-    if (entry == endpointsByInstance.end() || entry->second->registration.isDraining) {
-        // Either the endpoint has begun to drain and the coordinator has not received this change yet, or the endpoint
-        // is new and this daemon has not received its registration yet. This daemon then places the request itself.
+    if (entry == endpointsByInstance.end() || !entry->second->acceptsRequests(now())) {
+        // Either the endpoint has begun to drain or asked for a pause, and the coordinator does not know, or the
+        // endpoint is new and this daemon has not received its registration yet. This daemon then places the request
+        // itself.
         onCoordinatorsUnresponsive();
         return;
     }
@@ -507,7 +508,7 @@
         return;
     const auto& endpoints = m_owner.context().board.fleetView.endpointsByInstance;
     auto endpoint = endpoints.find(m_placement.instanceId);
-    if (endpoint != endpoints.end() && !endpoint->second->registration.isDraining)
+    if (endpoint != endpoints.end() && endpoint->second->acceptsRequests(now()))
         return;
     cancelExchange();
     recordAttemptEnd(AttemptOutcome::Cancelled);
--- a/src/router/RoutedRequest.h
+++ b/src/router/RoutedRequest.h
@@ -35,6 +35,9 @@
     /// from one of the request's member functions.
     virtual void removeRequest(RoutedRequest&) = 0;
 
+    /// \brief An endpoint said that it leaves or wants a pause: requests that are not sent yet move to others later.
+    virtual void onEndpointNotice() = 0;
+
     /// \brief Derives quarantines from the losses recorded on the blackboard. Requests that they concern end later.
     virtual void attributeLosses() = 0;
 };
@@ -136,6 +139,8 @@
     void recordSoundAnswer();
     /// \brief Logs what tells apart the requests that an endpoint was lost with.
     void logLoss(std::string_view cause, bool hasAnswerBegun) const;
+    /// \brief Takes over what the endpoint says of itself: that it leaves, or wants a pause.
+    void takeEndpointNotice(const ResponseMetadata&);
     void reportFirstByte();
     void relayEvents(std::string_view chunk);
     void beginResponse();
--- a/src/router/RoutedRequestResponse.cpp
+++ b/src/router/RoutedRequestResponse.cpp
@@ -51,6 +51,7 @@
         return;
     }
     m_responseHead = head;
+    takeEndpointNotice(responseMetadata);
     if (responseMetadata.isNotExecuted && !isSuccess(head.status)) {
         m_relayMode = RelayMode::Refusal;
         armTimer();
@@ -73,6 +74,19 @@
         reportFirstByte();
 }
 
+void RoutedRequest::takeEndpointNotice(const ResponseMetadata& response)
+{
+    if (!response.isLeaving && response.requestedPause == Millis {})
+        return;
+    if (!recordEndpointNotice(m_owner.context().board.fleetView, m_placement.instanceId, response.isLeaving,
+            response.requestedPause, now()))
+        return;
+    logEvent(LogLevel::Info, "endpoint_notice",
+        { { "endpoint", m_placement.endpoint.value }, { "request", m_metadata.id },
+            { "leaving", response.isLeaving ? 1 : 0 }, { "pause_ms", response.requestedPause.count } });
+    m_owner.onEndpointNotice();
+}
+
 void RoutedRequest::reportFirstByte()
 {
     if (m_placement.firstByteReceived)
--- a/src/routing/FleetView.cpp
+++ b/src/routing/FleetView.cpp
@@ -33,6 +33,9 @@
     // remaining time allows for lost datagrams and a paused peer.
     constexpr Millis grantConfirmationTimeout { 500 };
 
+    // A pause that an endpoint asks for is limited to this, so that a faulty value does not exclude it for good.
+    constexpr Millis maximumPause { 3'600'000 };
+
     // Time for which an endpoint is excluded after it refused a request: it has more load than the daemons have
     // reported.
     constexpr Millis refusalExclusion { 100 };
@@ -170,7 +173,7 @@
 
     bool isUsable(const EndpointView& view, const EndpointChoiceRules& rules, Millis now)
     {
-        if (view.registration.isDraining || now < view.excludedUntil)
+        if (!view.acceptsRequests(now) || now < view.excludedUntil)
             return false;
         // Requests that must not run twice probe a failed endpoint only after a delay in which a repeatable request
         // may probe it.
@@ -497,6 +500,19 @@
         recordFirstByteSample(view, pool, static_cast<double>(report.backlogTokens), report.elapsedMs, now);
 }
 
+bool recordEndpointNotice(FleetView& fleetView, EndpointInstanceId endpoint, bool isLeaving, Millis pause, Millis now)
+{
+    auto found = fleetView.endpointsByInstance.find(endpoint);
+    if (found == fleetView.endpointsByInstance.end())
+        return false;
+    EndpointView& view = *found->second;
+    Millis pausedUntil = pause > Millis {} ? now + std::min(pause, maximumPause) : view.pausedUntil;
+    bool isNew = (isLeaving && !view.isLeaving) || pausedUntil > view.pausedUntil;
+    view.isLeaving = view.isLeaving || isLeaving;
+    view.pausedUntil = std::max(view.pausedUntil, pausedUntil);
+    return isNew;
+}
+
 void recordFirstByte(FleetView& fleetView, Placement& placement, Millis now)
 {
     if (placement.firstByteReceived)
--- a/src/routing/FleetView.h
+++ b/src/routing/FleetView.h
@@ -65,11 +65,21 @@
     /// AttemptOutcome::ConnectionFailed outcomes since its last complete response or refusal of a request.
     unsigned consecutiveConnectionFailures { 0 };
     Millis excludedUntil {}; ///< It is not chosen before this time.
+    Millis pausedUntil {}; ///< The endpoint asked this daemon for a pause until then.
+    /// The endpoint said in an answer that it leaves. Holds until the process is replaced, so a faulty one that stays
+    /// is lost as long as it says so, which costs its capacity only.
+    bool isLeaving { false };
     Millis lastResponseAt {}; ///< Time of the last first-byte sample, from this daemon or a peer's report.
     bool isProbeInFlight { false }; ///< A request was sent to test whether the endpoint works again.
     Millis probeStartedAt {};
     bool ownLoadChanged { false }; ///< \c ownLoad has changed since the last fleet update.
 
+    /// \returns Whether the endpoint accepts new requests of this daemon, by its registration and its own answers.
+    [[nodiscard]] bool acceptsRequests(Millis now) const noexcept
+    {
+        return !registration.isDraining && !isLeaving && now >= pausedUntil;
+    }
+
     /// \returns The load of all daemons: \c ownLoad plus \c peerLoadSum.
     [[nodiscard]] EndpointLoad load() const noexcept;
 };
@@ -181,6 +191,12 @@
 /// \brief Updates load and latency statistics at the first byte or event of the response. Later calls have no effect.
 void recordFirstByte(FleetView&, Placement&, Millis now);
 
+/// \brief Records what an endpoint said of itself in an answer. Unknown endpoints are ignored.
+/// \param isLeaving It wants no further requests.
+/// \param pause It wants no requests of this daemon for so long; at most an hour is taken over.
+/// \returns Whether something is new.
+bool recordEndpointNotice(FleetView&, EndpointInstanceId, bool isLeaving, Millis pause, Millis now);
+
 /// \brief How a request ended at its endpoint.
 enum class AttemptOutcome : std::uint8_t {
     Answered, ///< The response was complete.
--- a/tests/PlatformTests.cpp
+++ b/tests/PlatformTests.cpp
@@ -180,3 +180,25 @@
     for (std::size_t length = 0; length < bytes.size(); ++length)
         CHECK(!decodeFleetUpdate(std::string_view(bytes).substr(0, length), Millis { 5'000 }));
 }
+
+// Guards against a header of an endpoint that is taken for something else, or that stops the daemon.
+TEST_CASE("what an endpoint says of itself is decoded from its answers", "[platform][notice]")
+{
+    PlatformProtocol protocol;
+    auto decode = [&](int status, std::vector<std::pair<std::string, std::string>> headers) {
+        HttpResponseHead head { .status = status, .headers = std::move(headers) };
+        ResponseMetadata metadata = protocol.decodeResponse(head);
+        return std::pair(metadata.isLeaving, metadata.requestedPause);
+    };
+    CHECK(decode(200, { { "server-leaving", "1" } }) == std::pair(true, Millis {}));
+    CHECK(decode(200, { { "Server-Leaving", "0" } }) == std::pair(false, Millis {}));
+    CHECK(decode(200, { { "Server-Leaving", "yes" } }) == std::pair(false, Millis {}));
+    CHECK(decode(503, { { "Retry-After", "2" } }) == std::pair(false, Millis { 2'000 }));
+    CHECK(decode(503, { { "Retry-After", " 0.25 " } }) == std::pair(false, Millis { 250 }));
+    CHECK(decode(503, { { "Retry-After", "1" }, { "Retry-After", "9" } }).second == Millis { 1'000 });
+    for (const char* ignored : { "", "-3", "nan", "inf-", "2 s", "Sun, 06 Nov 1994 08:49:37 GMT", "1e999" })
+        CHECK(decode(503, { { "Retry-After", ignored } }).second == Millis {});
+    CHECK(decode(503, { { "Retry-After", "1e300" } }).second == Millis { 1'000'000'000 });
+    CHECK(decode(200, { { "Retry-After", "5" } }).second == Millis {});
+    CHECK(decode(429, { { "Retry-After", "5" } }).second == Millis {});
+}
--- a/tests/RequestRouterTests.cpp
+++ b/tests/RequestRouterTests.cpp
@@ -364,3 +364,53 @@
     CHECK(endpoints.fixture.endpointTransport.sentTo.size() == sent + 1);
     CHECK(endpoints.fixture.callers.back()->body == "id: 1\ndata: x\n\n");
 }
+
+// Guards against requests that reach an engine after it has said that it leaves or wants a pause: new ones, ones whose
+// connection is being made, and ones that a coordinator places there.
+TEST_CASE("no request is sent to an endpoint that says it leaves or wants a pause", "[router][flow][notice]")
+{
+    Fixture fixture;
+    bool isLeaving = GENERATE(true, false);
+    auto answer = [&](std::size_t index) {
+        HttpResponseHead head { .status = 503,
+            .headers = { { "X-Jasminestack-Attempt-Id", "id-1" }, { "X-Jasminestack-Not-Executed", "1" } } };
+        head.headers.emplace_back(isLeaving ? "Server-Leaving" : "Retry-After", isLeaving ? "1" : "30");
+        fixture.endpointTransport.listeners[index]->onConnected();
+        fixture.endpointTransport.listeners[index]->onHead(head);
+        event_base_loop(fixture.base.get(), EVLOOP_NONBLOCK);
+    };
+    fixture.request("/quote/x", "id-1");
+    std::string first = fixture.endpointTransport.sentTo.front();
+    SECTION("a new request")
+    {
+        answer(0);
+        for (int i = 2; i < 6; ++i)
+            fixture.request("/quote/x", "id-" + std::to_string(i));
+        REQUIRE(fixture.endpointTransport.sentTo.size() > 1);
+    }
+    SECTION("a request whose connection is being made")
+    {
+        fixture.request("/quote/x", "id-2", "aa:800,bb:200");
+        REQUIRE(fixture.endpointTransport.sentTo.size() == 2);
+        if (fixture.endpointTransport.sentTo[1] != first)
+            return; // The policy has spread the two requests.
+        answer(0);
+        CHECK(fixture.endpointTransport.cancelled == std::vector<ExchangeId> { 2 });
+        REQUIRE(fixture.endpointTransport.sentTo.size() == 3);
+        fixture.endpointTransport.sentTo.erase(fixture.endpointTransport.sentTo.begin() + 1);
+    }
+    SECTION("a request that a coordinator places there")
+    {
+        answer(0);
+        fixture.router.setFleetProperties(70, true);
+        fixture.coordinatorAddress = "c1";
+        fixture.request("/quote/x", "id-2");
+        std::size_t index = first == "127.0.0.1:9001" ? 0 : 1;
+        fixture.replyToLastRequest({ .status = PlacementStatus::Granted,
+            .grantNumber = 1,
+            .endpoint = endpointInstanceId(Fixture::registrations()[index]) });
+        REQUIRE(fixture.endpointTransport.sentTo.size() > 1);
+    }
+    for (std::size_t i = 1; i < fixture.endpointTransport.sentTo.size(); ++i)
+        CHECK(fixture.endpointTransport.sentTo[i] != first);
+}
--- a/tests/RoutingPolicyTests.cpp
+++ b/tests/RoutingPolicyTests.cpp
@@ -399,3 +399,50 @@
     CHECK(cache.cachedTokens(makePrompt(5, 6)) == 14'000);
     CHECK(cache.cachedTokens(makePrompt(1, 2)) == 0);
 }
+
+// Guards against requests to an engine that has said in an answer that it leaves, or that it wants a pause, before the
+// store reports it.
+TEST_CASE("an engine that says that it leaves or wants a pause is not chosen", "[policy][notice]")
+{
+    FleetView fleetView;
+    RoutingTable table = tableWithModelPool();
+    auto registrations = makeRegistrations(2);
+    setRegistrations(fleetView, registrations);
+    Millis now { 1'000 };
+    RequestWorkload workload { .promptTokens = 100 };
+    EndpointChoiceRules rules = rulesFor(admissionLimits(defaultInput));
+    EndpointInstanceId first = endpointInstanceId(registrations[0]);
+    auto isChosen = [&](Millis time) {
+        auto& second = fleetView.endpoints.at(registrations[1].id);
+        second.excludedUntil = time + Millis { 1 };
+        return chooseEndpoint(fleetView, table, llm, workload, rules, time).endpoint != nullptr;
+    };
+    REQUIRE(isChosen(now));
+    SECTION("a pause ends, and an earlier end does not shorten it")
+    {
+        CHECK(recordEndpointNotice(fleetView, first, false, Millis { 2'000 }, now));
+        CHECK_FALSE(recordEndpointNotice(fleetView, first, false, Millis { 500 }, now));
+        CHECK_FALSE(isChosen(now + Millis { 1'999 }));
+        CHECK(isChosen(now + Millis { 2'000 }));
+    }
+    SECTION("a huge pause is bounded")
+    {
+        CHECK(recordEndpointNotice(fleetView, first, false, Millis { 1'000'000'000 }, now));
+        CHECK(isChosen(now + Millis { 3'600'000 }));
+    }
+    SECTION("leaving holds for this process, also after the registrations are read again")
+    {
+        CHECK(recordEndpointNotice(fleetView, first, true, {}, now));
+        CHECK_FALSE(recordEndpointNotice(fleetView, first, true, {}, now));
+        setRegistrations(fleetView, registrations);
+        CHECK_FALSE(isChosen(now + Millis { 60'000 }));
+        registrations[0].startedAtUnixMs += 1;
+        setRegistrations(fleetView, registrations);
+        CHECK(isChosen(now + Millis { 60'000 }));
+    }
+    SECTION("the answer of an earlier process says nothing about the present one")
+    {
+        CHECK_FALSE(recordEndpointNotice(fleetView, first + 1, true, Millis { 2'000 }, now));
+        CHECK(isChosen(now));
+    }
+}
