--- a/src/observe/Metrics.cpp
+++ b/src/observe/Metrics.cpp
@@ -33,7 +33,8 @@
         MetricRow { "jasminestack_peer_rejected_total", "Messages from peers that were rejected.", { "reason" } },
         MetricRow { "jasminestack_log_requests_total", "Requests to the log service.", { "stream", "outcome" } },
         MetricRow { "jasminestack_claims_total", "Idempotency key claims by outcome.", { "outcome" } },
-        MetricRow { "jasminestack_quarantined_total", "Requests refused because their content crashes endpoints.", {} },
+        MetricRow {
+            "jasminestack_quarantined_total", "Requests refused because requests like them crash endpoints.", {} },
         MetricRow { "jasminestack_expired_total", "Queued requests whose deadline passed.", { "workspace" } },
     };
 
--- a/src/observe/Metrics.h
+++ b/src/observe/Metrics.h
@@ -21,7 +21,7 @@
     PeerRejected, ///< Label: reason.
     LogRequests, ///< Labels: stream, outcome.
     Claims, ///< Label: outcome.
-    Quarantined, ///< Requests rejected because their content is quarantined. No labels.
+    Quarantined, ///< Requests refused because requests like them crash endpoints. No labels.
     Expired, ///< Queued requests whose deadline passed. Label: workspace.
 };
 
--- a/src/router/RoutedRequest.cpp
+++ b/src/router/RoutedRequest.cpp
@@ -4,7 +4,6 @@
 #include "observe/Logging.h"
 #include "routing/Shards.h"
 
-#include <absl/strings/str_cat.h>
 #include <algorithm>
 #include <event2/event.h>
 
@@ -30,9 +29,8 @@
     // A refusal counts as complete after this time without its end.
     constexpr Millis refusalBodyTimeout { 300 };
 
-    // Retry-After values: for requests that giveUp() ends, and the least one for requests with a quarantined trait.
+    // Retry-After value of requests that giveUp() ends.
     constexpr Millis retryAfterFault { 300 };
-    constexpr Millis minRetryAfterQuarantine { 2'000 };
 
 }
 
@@ -358,83 +356,6 @@
     context.queue.onCapacityChanged();
 }
 
-TraitDecision RoutedRequest::crashDecision() const
-{
-    return decideByTraits(m_owner.context().board.crashes, crashAttributionOptions, m_traits, m_query.workspace);
-}
-
-bool RoutedRequest::passesQuarantine()
-{
-    RequestRouterContext& context = m_owner.context();
-    TraitDecision decision = crashDecision();
-    if (decision.verdict != TraitVerdict::Quarantined || m_isTrial)
-        return true;
-    Millis overdue = now() - decision.trialDueAt;
-    if (overdue < Millis {} || (context.mayTry && !context.mayTry(decision.trait, overdue)))
-        return false;
-    m_isTrial = true;
-    beginTrial(context.board.crashes, m_traits, m_query.workspace, now());
-    context.onLoadChanged();
-    logEvent(LogLevel::Info, "quarantine_trial",
-        { { "request", m_metadata.id }, { "trait", absl::StrCat(absl::Hex(decision.trait, absl::kZeroPad16)) } });
-    return true;
-}
-
-void RoutedRequest::endQuarantined()
-{
-    cancelPlacement();
-    if (m_exchange != 0) {
-        m_mayHaveRun = m_mayHaveRun || m_isConnected;
-        cancelExchange();
-        recordAttemptEnd(AttemptOutcome::Cancelled);
-    }
-    m_owner.context().metrics.add(Counter::Quarantined);
-    // The caller's retry would be refused, too, until the next trial.
-    Millis retryAfter = std::max(crashDecision().trialDueAt - now(), minRetryAfterQuarantine);
-    endWithError({ .kind = m_mayHaveRun ? ErrorKind::EndpointLost : ErrorKind::RequestQuarantined,
-        .cause = "crashes_endpoints",
-        .retryAfter = retryAfter });
-}
-
-void RoutedRequest::onQuarantinesChanged()
-{
-    bool isRunningOnce = m_stage == Stage::InFlight && m_route.kind == RequestKind::NonIdempotent;
-    if (m_stage == Stage::Ended || m_hasResponseBegun || isRunningOnce || m_isTrial
-        || crashDecision().verdict != TraitVerdict::Quarantined)
-        return;
-    endQuarantined();
-}
-
-void RoutedRequest::recordEndpointLoss(bool hasAnswerBegun)
-{
-    if (m_isAnswerSound)
-        return;
-    jasminestack::recordLoss(m_owner.context().board.crashes, crashAttributionOptions, m_placement.instanceId,
-        { .workspace = m_query.workspace, .hasAnswerBegun = hasAnswerBegun, .traits = m_traits }, now());
-    m_owner.attributeLosses();
-}
-
-void RoutedRequest::recordSoundAnswer()
-{
-    if (std::exchange(m_isAnswerSound, true))
-        return;
-    if (recordAnswer(m_owner.context().board.crashes, crashAttributionOptions, m_traits, now()))
-        logEvent(LogLevel::Info, "quarantine_ended",
-            { { "request", m_metadata.id }, { "endpoint", m_placement.endpoint.value } });
-}
-
-void RoutedRequest::logLoss(std::string_view cause, bool hasAnswerBegun) const
-{
-    std::string parts;
-    for (std::uint64_t part : m_metadata.sharedParts)
-        absl::StrAppend(&parts, parts.empty() ? "" : ",", absl::Hex(part, absl::kZeroPad16));
-    logEvent(LogLevel::Info, "attempt_lost",
-        { { "request", m_metadata.id }, { "endpoint", m_placement.endpoint.value }, { "cause", cause },
-            { "answer_begun", hasAnswerBegun ? 1 : 0 }, { "events", m_splitter.forwardedEventCount() },
-            { "since_send_ms", (now() - m_placement.sentAt).count },
-            { "content", absl::StrCat(absl::Hex(m_query.contentHash, absl::kZeroPad16)) }, { "parts", parts } });
-}
-
 void RoutedRequest::handleAttemptFailure(ErrorKind kind, const EndpointExchangeResult& result, std::string_view cause)
 {
     if (!result.requestMayHaveBeenSent) {
--- a/src/routing/FleetView.h
+++ b/src/routing/FleetView.h
@@ -66,8 +66,8 @@
     unsigned consecutiveConnectionFailures { 0 };
     Millis excludedUntil {}; ///< It is not chosen before this time.
     Millis pausedUntil {}; ///< The endpoint asked this daemon for a pause until then.
-    /// The endpoint said in an answer that it leaves. Holds until the process is replaced, so a faulty one that stays
-    /// is lost as long as it says so, which costs its capacity only.
+    /// The endpoint said in an answer that it leaves. Holds until the process is replaced; of a faulty one that stays,
+    /// only the capacity is lost.
     bool isLeaving { false };
     Millis lastResponseAt {}; ///< Time of the last first-byte sample, from this daemon or a peer's report.
     bool isProbeInFlight { false }; ///< A request was sent to test whether the endpoint works again.
