Test eight mechanisms of the quarantine that no test had noticed switched off

Change: tests of answers shortly before losses, waiting requests, the end of requests in flight, the check before a retry, no retry after the second loss, the trial, a stream that goes on, and an unframed end; no product code. A test that returned early where the policy spreads requests requires its case now.

--- a/tests/CrashAttributionTests.cpp
+++ b/tests/CrashAttributionTests.cpp
@@ -513,3 +513,29 @@
         RC_ASSERT(forward.quarantines == backward.quarantines);
     }));
 }
+
+// Guards against the refusal of a part that is rarely answered while endpoints are lost, although it was answered just
+// before.
+TEST_CASE("an answer shortly before losses clears a trait of them", "[crash]")
+{
+    CrashAttributionState state;
+    std::array traits { cause };
+    (void)recordAnswer(state, options, traits, Millis { 1'000 });
+    for (EndpointInstanceId endpoint = 1; endpoint <= 4; ++endpoint)
+        lose(state, endpoint, 1, { cause }, Millis { 1'000 + 2'000 * static_cast<std::int64_t>(endpoint) });
+    CHECK(updateQuarantines(state, options, Millis { 9'000 }).empty());
+    for (EndpointInstanceId endpoint = 11; endpoint <= 13; ++endpoint)
+        lose(state, endpoint, 1, { cause }, Millis { 1'000 * static_cast<std::int64_t>(endpoint) + 1'000 });
+    CHECK(updateQuarantines(state, options, Millis { 15'000 }).size() == 1);
+}
+
+// Guards against the refusal of requests that only waited at endpoints which others crashed.
+TEST_CASE("losses with waiting requests need more evidence than those with begun answers", "[crash]")
+{
+    CrashAttributionState state;
+    for (EndpointInstanceId endpoint = 1; endpoint <= options.waitingThreshold; ++endpoint) {
+        Millis now { 1'000 * static_cast<std::int64_t>(endpoint) };
+        recordLoss(state, options, endpoint, { .workspace = 1, .traits = { cause } }, now);
+        CHECK(updateQuarantines(state, options, now).size() == (endpoint == options.waitingThreshold ? 1 : 0));
+    }
+}
--- a/tests/RequestRouterTests.cpp
+++ b/tests/RequestRouterTests.cpp
@@ -392,8 +392,7 @@
     {
         fixture.request("/quote/x", "id-2", "aa:800,bb:200");
         REQUIRE(fixture.endpointTransport.sentTo.size() == 2);
-        if (fixture.endpointTransport.sentTo[1] != first)
-            return; // The policy has spread the two requests.
+        REQUIRE(fixture.endpointTransport.sentTo[1] == first);
         answer(0);
         CHECK(fixture.endpointTransport.cancelled == std::vector<ExchangeId> { 2 });
         REQUIRE(fixture.endpointTransport.sentTo.size() == 3);
@@ -414,3 +413,126 @@
     for (std::size_t i = 1; i < fixture.endpointTransport.sentTo.size(); ++i)
         CHECK(fixture.endpointTransport.sentTo[i] != first);
 }
+
+namespace {
+
+const std::string crashingParts = "aa:800,dd:300,own:100";
+
+/// \brief The fixture's route may be resumed, and its requests may be sent again.
+void allowRetries(Fixture& fixture)
+{
+    RoutingTable table = *fixture.board.table;
+    for (Route& route : table.routes["shop"])
+        route.isResumable = true;
+    fixture.board.table = std::make_shared<RoutingTable>(table);
+    fixture.router.setOptions({ .availabilityZone = "a", .retries = { .ratio = 1, .slack = 100 } });
+}
+
+/// \brief Quarantines the second part of \c crashingParts, as a peer's update does.
+void quarantineCrashingPart(Fixture& fixture)
+{
+    CallerRequest request { .headers
+        = { { "X-Jasminestack-Attempt-Id", "x" }, { "X-Jasminestack-Prefix-Hash", crashingParts } } };
+    TraitHash part = fixture.protocol.decode(request).value().sharedParts.at(1);
+    mergeEvidence(fixture.board.crashes, crashAttributionOptions,
+        { .quarantines = { { .trait = part, .since = fixture.clock.now() } } }, fixture.clock.now());
+}
+
+}
+
+// Guards against further losses by requests that were sent before the verdict.
+TEST_CASE("a new quarantine ends requests whose answer has not begun", "[router][flow][crash]")
+{
+    Fixture fixture;
+    RecordingCaller& waiting = fixture.request("/quote/x", "id-1", crashingParts);
+    RecordingCaller& answered = fixture.request("/quote/x", "id-2", crashingParts);
+    RecordingCaller& sound = fixture.request("/quote/x", "id-3", "aa:800,own:100");
+    REQUIRE(fixture.endpointTransport.listeners.size() == 3);
+    for (EndpointListener* listener : fixture.endpointTransport.listeners)
+        listener->onConnected();
+    fixture.endpointTransport.listeners[1]->onHead(eventStreamHead("id-2"));
+    fixture.endpointTransport.listeners[1]->onBody("id: 1\ndata: x\n\n");
+    quarantineCrashingPart(fixture);
+    fixture.router.updateQuarantines();
+    CHECK(fixture.endpointTransport.cancelled == std::vector<ExchangeId> { 1 });
+    REQUIRE(waiting.head);
+    CHECK(waiting.head->status == 502);
+    CHECK(answered.body == "id: 1\ndata: x\n\n");
+    CHECK(fixture.router.activeCount() == 2);
+    CHECK(!sound.head);
+}
+
+// Guards against a second endpoint for a request whose trait is quarantined while its connection is being made.
+TEST_CASE("a request with a quarantined part is not sent again", "[router][flow][crash]")
+{
+    Fixture fixture;
+    RecordingCaller& caller = fixture.request("/quote/x", "id-1", crashingParts);
+    quarantineCrashingPart(fixture);
+    fixture.endpointTransport.listeners.front()->onEnd({ .error = ErrorKind::EndpointUnavailable });
+    CHECK(fixture.endpointTransport.sentTo.size() == 1);
+    REQUIRE(caller.head);
+    CHECK(caller.head->status == 503);
+    CHECK(caller.body.find("not_run") != std::string::npos);
+}
+
+// Guards against a retry that costs one more endpoint after two were lost with the same part.
+TEST_CASE("a request is not retried after the second loss with one of its parts", "[router][flow][crash]")
+{
+    CrashingEndpoints endpoints;
+    allowRetries(endpoints.fixture);
+    CHECK(endpoints.request("aa:800,dd:300", "dd") == 2);
+    CHECK(endpoints.request("aa:800,dd:300", "dd") == 1);
+}
+
+// Guards against a quarantine that never ends.
+TEST_CASE("one request tests an old quarantine, and its answer ends it", "[router][flow][crash]")
+{
+    Fixture fixture;
+    quarantineCrashingPart(fixture);
+    CHECK(fixture.request("/quote/x", "id-1", crashingParts).head->status == 503);
+    fixture.clock.advance(crashAttributionOptions.firstTrialDelay);
+    fixture.request("/quote/x", "id-2", crashingParts);
+    REQUIRE(fixture.endpointTransport.sentTo.size() == 1);
+    CHECK(fixture.request("/quote/x", "id-3", crashingParts).head->status == 503);
+    EndpointListener& trial = *fixture.endpointTransport.listeners.front();
+    trial.onConnected();
+    trial.onHead(eventStreamHead("id-2"));
+    fixture.clock.advance(Millis { 100 });
+    trial.onBody("id: 1\ndata: x\n\n");
+    trial.onEnd({ .isComplete = true, .requestMayHaveBeenSent = true, .responseStarted = true });
+    fixture.request("/quote/x", "id-4", crashingParts);
+    CHECK(fixture.endpointTransport.sentTo.size() == 2);
+}
+
+// Guards against the accusation of streams that run at an endpoint when another request crashes it.
+TEST_CASE("a stream whose events have arrived for a second is not suspected", "[router][flow][crash]")
+{
+    Fixture fixture;
+    bool isLong = GENERATE(false, true);
+    fixture.request("/quote/x", "id-1", crashingParts);
+    EndpointListener& listener = *fixture.endpointTransport.listeners.front();
+    listener.onConnected();
+    listener.onHead(eventStreamHead("id-1"));
+    listener.onBody("id: 1\ndata: x\n\n");
+    fixture.clock.advance(Millis { isLong ? 1'000 : 900 });
+    listener.onBody("id: 2\ndata: x\n\n");
+    listener.onEnd({ .requestMayHaveBeenSent = true, .responseStarted = true, .error = ErrorKind::AnswerTruncated });
+    CHECK(fixture.board.crashes.losses.empty() == isLong);
+}
+
+// Guards against an endpoint's end that clears the part which caused it.
+TEST_CASE("an answer that ends with its connection clears no part", "[router][flow][crash]")
+{
+    Fixture fixture;
+    bool isFramed = GENERATE(false, true);
+    HttpResponseHead head = eventStreamHead("id-1");
+    if (!isFramed)
+        std::erase_if(head.headers, [](const auto& item) { return item.first == "Transfer-Encoding"; });
+    fixture.request("/quote/x", "id-1", crashingParts);
+    EndpointListener& listener = *fixture.endpointTransport.listeners.front();
+    listener.onConnected();
+    listener.onHead(head);
+    listener.onBody("id: 1\ndata: x\n\n");
+    listener.onEnd({ .isComplete = true, .requestMayHaveBeenSent = true, .responseStarted = true });
+    CHECK(fixture.board.crashes.lastAnswered.empty() == !isFramed);
+}
