Refuse answers of endpoints that violate the grammar of HTTP

A reader that takes a single line feed for a line end found two lengths in a signed 200.

Cause: HttpResponseParser::parseHead() took any three characters that from_chars reads for a status, and every byte of names and values; chunk extensions, chunk ends and trailers were skipped up to a line feed. Heads that it did refuse counted as the loss of the endpoint, so that their content was suspected of crashing endpoints.

Change: one function, parseResponseHead(), is as strict as RFC 9112 (4, 5) and RFC 9110 (5.5, 5.6.2) and names the violated part; framing and trailers are as strict. A malformed answer is an error kind of its own: possibly run, never repeated unless the request may be, the connection closed, no evidence against the content, a log line with the part.

--- a/src/base/Error.cpp
+++ b/src/base/Error.cpp
@@ -37,6 +37,7 @@
         ErrorResponse { ErrorKind::EndpointTimeout, "endpoint_timeout", 504, false },
         ErrorResponse { ErrorKind::AnswerMismatch, "answer_mismatch", 502, false },
         ErrorResponse { ErrorKind::AnswerTruncated, "answer_truncated", 502, false },
+        ErrorResponse { ErrorKind::AnswerMalformed, "answer_malformed", 502, false },
         ErrorResponse { ErrorKind::CallerGone, "caller_gone", 499, false },
         ErrorResponse { ErrorKind::ConfigurationInvalid, "configuration_invalid", 422, false },
         ErrorResponse { ErrorKind::ConfigurationConflict, "configuration_conflict", 409, false },
--- a/src/base/Error.h
+++ b/src/base/Error.h
@@ -48,6 +48,7 @@
     EndpointTimeout,
     AnswerMismatch,
     AnswerTruncated,
+    AnswerMalformed,
     CallerGone,
     ConfigurationInvalid,
     ConfigurationConflict,
--- a/src/daemon/ProxiedRequest.cpp
+++ b/src/daemon/ProxiedRequest.cpp
@@ -1,6 +1,7 @@
 #include "daemon/ProxiedRequest.h"
 
 #include "net/HttpResponseParser.h"
+#include "observe/Logging.h"
 
 #include <algorithm>
 
@@ -323,6 +324,11 @@
 void ProxiedRequest::onEnd(const EndpointExchangeResult& exchangeResult)
 {
     m_exchange = 0;
+    if (exchangeResult.error == ErrorKind::AnswerMalformed) {
+        logEvent(LogLevel::Warning, "answer_malformed",
+            { { "request", m_id.value }, { "endpoint", m_endpoint.value }, { "part", exchangeResult.malformedPart },
+                { "status", m_responseHead.status } });
+    }
     AttemptResult attempt { .isComplete = exchangeResult.isComplete,
         .requestMayHaveBeenSent = exchangeResult.requestMayHaveBeenSent || m_isResuming,
         .httpStatus = m_responseHead.status };
--- a/src/net/CallerServer.cpp
+++ b/src/net/CallerServer.cpp
@@ -3,6 +3,7 @@
 #include "net/AcceptPolicy.h"
 #include "net/EventPriority.h"
 #include "net/HttpClient.h"
+#include "net/HttpResponseHead.h"
 #include "net/HttpResponseParser.h"
 #include "net/Socket.h"
 #include "observe/Logging.h"
@@ -44,15 +45,6 @@
         .keepAliveIdleSeconds = 5, .keepAliveProbes = 3, .unacknowledgedTimeout = { 8'000 }
     };
 
-    bool isToken(std::string_view name) noexcept
-    {
-        return !name.empty() && std::all_of(name.begin(), name.end(), [](char c) {
-            auto byte = static_cast<unsigned char>(c);
-            return byte > 0x20 && byte < 0x7f
-                && std::string_view("()<>@,;:\\\"/[]?={}").find(c) == std::string_view::npos;
-        });
-    }
-
     bool statusHasNoBody(int status) noexcept { return status == 204 || status == 304; }
 
     std::size_t countHeaders(const CallerRequest& request, std::string_view name) noexcept
--- a/src/net/EndpointClient.cpp
+++ b/src/net/EndpointClient.cpp
@@ -234,7 +234,8 @@
             .requestMayHaveBeenSent = exchange.requestMayHaveBeenSent,
             .responseStarted = exchange.phase == Phase::ReceivingResponse,
             .connectionWasReused = exchange.connectionWasReused,
-            .error = error };
+            .error = error,
+            .malformedPart = toString(exchange.parser.malformedPart()) };
         EndpointListener& listener = *exchange.listener;
         std::string address = std::move(exchange.request.address);
         if (!isComplete)
@@ -267,7 +268,7 @@
                 return;
             }
             if (exchange.parser.failed()) {
-                finish(exchange, ErrorKind::AnswerMismatch);
+                finish(exchange, ErrorKind::AnswerMalformed);
                 return;
             }
             if (!exchange.parser.complete())
@@ -307,7 +308,7 @@
                 return false;
         }
         if (exchange.parser.failed()) {
-            finish(exchange, ErrorKind::AnswerTruncated);
+            finish(exchange, ErrorKind::AnswerMalformed);
             return false;
         }
         if (exchange.parser.complete()) {
--- a/src/net/HttpResponseParser.cpp
+++ b/src/net/HttpResponseParser.cpp
@@ -4,6 +4,7 @@
 #include <array>
 #include <charconv>
 #include <cstring>
+#include <utility>
 
 namespace jasminestack {
 
@@ -14,6 +15,8 @@
     // Interim responses, chunk extensions, line ends and trailers may not exceed this size between two body bytes, so
     // that an endpoint cannot send them without end.
     constexpr std::size_t maxOverheadBytes = 64U << 10U;
+    constexpr int switchingProtocolsStatus = 101;
+    constexpr int minFinalStatus = 200;
     // Hexadecimal digits; the limit keeps a chunk size from overflowing its 64 bits.
     constexpr unsigned maxChunkSizeDigits = 15;
 
@@ -22,15 +25,6 @@
         return c >= 'A' && c <= 'Z' ? static_cast<char>(c + ('a' - 'A')) : c;
     }
 
-    std::string_view trim(std::string_view text) noexcept
-    {
-        while (!text.empty() && (text.front() == ' ' || text.front() == '\t'))
-            text.remove_prefix(1);
-        while (!text.empty() && (text.back() == ' ' || text.back() == '\t' || text.back() == '\r'))
-            text.remove_suffix(1);
-        return text;
-    }
-
     int hexDigitValue(char c) noexcept
     {
         if (c >= '0' && c <= '9')
@@ -102,18 +96,9 @@
         case State::ChunkSize:
             feedChunkSize(data[position++]);
             break;
-        case State::ChunkDataEnd: {
-            char byte = data[position++];
-            countOverhead(1);
-            if (byte == '\n' && m_state != State::Failed) {
-                m_state = State::ChunkSize;
-                m_chunkSizeDigits = 0;
-                m_inChunkExtension = false;
-            } else if (byte != '\r') {
-                m_state = State::Failed;
-            }
+        case State::ChunkDataEnd:
+            feedChunkDataEnd(data[position++]);
             break;
-        }
         case State::Trailer:
             feedTrailer(data[position++]);
             break;
@@ -129,11 +114,17 @@
     return { data.data() + bodyStart, bodyEnd - bodyStart };
 }
 
+void HttpResponseParser::fail(MalformedPart part) noexcept
+{
+    m_state = State::Failed;
+    m_malformedPart = part;
+}
+
 void HttpResponseParser::countOverhead(std::size_t bytes) noexcept
 {
     m_overheadBytes += bytes;
     if (m_overheadBytes > maxOverheadBytes)
-        m_state = State::Failed;
+        fail(MalformedPart::TooLong);
 }
 
 void HttpResponseParser::endOfInput() noexcept
@@ -151,16 +142,21 @@
     std::size_t end = m_headText.find("\r\n\r\n", previousBytes < 3 ? 0 : previousBytes - 3);
     if (end == std::string::npos) {
         if (m_headText.size() > maxHeadBytes)
-            m_state = State::Failed;
+            fail(MalformedPart::TooLong);
         return data.size();
     }
     std::size_t headBytes = end + 4;
-    if (!parseHead(std::string_view(m_headText).substr(0, end))) {
-        m_state = State::Failed;
+    bool isHttp10 = false;
+    MalformedPart malformed = parseResponseHead(std::string_view(m_headText).substr(0, end), m_head, isHttp10);
+    m_headText.clear();
+    if (malformed == MalformedPart::None && m_head.status == switchingProtocolsStatus)
+        malformed = MalformedPart::ProtocolSwitch;
+    if (malformed != MalformedPart::None) {
+        fail(malformed);
         return data.size();
     }
-    m_headText.clear();
-    if (m_head.status >= 100 && m_head.status < 200) {
+    m_keepAlive = !isHttp10;
+    if (m_head.status < minFinalStatus) {
         m_head = {}; // Interim response; the final one follows.
         countOverhead(headBytes);
     } else {
@@ -169,28 +165,6 @@
     return headBytes - previousBytes;
 }
 
-bool HttpResponseParser::parseHead(std::string_view text)
-{
-    std::size_t lineEnd = text.find("\r\n");
-    std::string_view line = text.substr(0, lineEnd);
-    if (!line.starts_with("HTTP/1.") || line.size() < 12 || line[8] != ' ')
-        return false;
-    m_keepAlive = line[7] != '0';
-    auto parsed = std::from_chars(line.data() + 9, line.data() + 12, m_head.status);
-    if (parsed.ec != std::errc {} || parsed.ptr != line.data() + 12)
-        return false;
-    while (lineEnd != std::string_view::npos) {
-        text.remove_prefix(lineEnd + 2);
-        lineEnd = text.find("\r\n");
-        line = text.substr(0, lineEnd);
-        std::size_t colon = line.find(':');
-        if (colon == std::string_view::npos || colon == 0)
-            return false;
-        m_head.headers.emplace_back(line.substr(0, colon), trim(line.substr(colon + 1)));
-    }
-    return true;
-}
-
 void HttpResponseParser::selectFraming()
 {
     std::string_view connection = findHeader(m_head.headers, "Connection");
@@ -205,7 +179,7 @@
     }
     bool hasLength = false;
     if (!parseContentLength(hasLength)) {
-        m_state = State::Failed;
+        fail(MalformedPart::ContentLength);
         return;
     }
     auto isTransferEncoding
@@ -215,7 +189,11 @@
         // The daemon does not decode transfer codings other than chunked, nor forward them.
         bool isChunked
             = encodingCount == 1 && equalIgnoringAsciiCase(findHeader(m_head.headers, "Transfer-Encoding"), "chunked");
-        m_state = isChunked ? State::ChunkSize : State::Failed;
+        if (!isChunked) {
+            fail(MalformedPart::TransferEncoding);
+            return;
+        }
+        m_state = State::ChunkSize;
         if (hasLength)
             m_keepAlive = false; // Another recipient may have delimited the response by its length (RFC 9112, 6.3).
         m_remainingBytes = 0;
@@ -251,41 +229,61 @@
     countOverhead(1);
     if (m_state == State::Failed)
         return;
-    if (byte == '\n') {
-        if (m_chunkSizeDigits == 0) {
-            m_state = State::Failed;
-        } else if (m_remainingBytes == 0) {
-            m_state = State::Trailer;
-            m_trailerLineEmpty = true;
-        } else {
-            m_state = State::ChunkData;
-        }
+    if (std::exchange(m_lineEndBegun, byte == '\r')) {
+        if (byte != '\n')
+            fail(MalformedPart::ChunkExtension);
+        else if (m_chunkSizeDigits == 0)
+            fail(MalformedPart::ChunkSize);
+        else
+            m_state = m_remainingBytes == 0 ? State::Trailer : State::ChunkData;
+        m_chunkSizeDigits = 0;
+        m_inChunkExtension = false;
         return;
     }
-    if (m_inChunkExtension || byte == '\r' || byte == ';' || byte == ' ') {
+    if (byte == '\r')
+        return;
+    if (m_inChunkExtension || byte == ';' || byte == ' ' || byte == '\t') {
         m_inChunkExtension = true;
+        if (!isFieldValue({ &byte, 1 }))
+            fail(MalformedPart::ChunkExtension);
         return;
     }
     int digit = hexDigitValue(byte);
     if (digit < 0 || ++m_chunkSizeDigits > maxChunkSizeDigits) {
-        m_state = State::Failed;
+        fail(MalformedPart::ChunkSize);
         return;
     }
     m_remainingBytes = m_remainingBytes * 16 + static_cast<unsigned>(digit);
 }
 
+void HttpResponseParser::feedChunkDataEnd(char byte)
+{
+    countOverhead(1);
+    if (m_state == State::Failed)
+        return;
+    bool isSecondByte = std::exchange(m_lineEndBegun, !m_lineEndBegun);
+    if (byte != (isSecondByte ? '\n' : '\r'))
+        fail(MalformedPart::ChunkEnd);
+    else if (isSecondByte)
+        m_state = State::ChunkSize;
+}
+
 void HttpResponseParser::feedTrailer(char byte)
 {
     countOverhead(1);
     if (m_state == State::Failed)
         return;
-    if (byte == '\n') {
-        if (m_trailerLineEmpty)
-            m_state = State::Complete;
-        m_trailerLineEmpty = true;
-    } else if (byte != '\r') {
-        m_trailerLineEmpty = false;
-    }
+    m_headText += byte;
+    if (!m_headText.ends_with("\r\n"))
+        return;
+    std::string line = std::exchange(m_headText, {});
+    line.resize(line.size() - 2);
+    std::string_view name;
+    std::string_view value;
+    if (line.empty())
+        m_state = State::Complete;
+    else if (parseFieldLine(line, name, value) != MalformedPart::None)
+        fail(MalformedPart::Trailer);
 }
 
 }
--- a/src/net/HttpResponseParser.h
+++ b/src/net/HttpResponseParser.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "net/HttpResponseHead.h"
 #include "net/Interfaces.h"
 
 #include <cstddef>
@@ -36,6 +37,9 @@
     [[nodiscard]] bool complete() const noexcept { return m_state == State::Complete; }
     [[nodiscard]] bool failed() const noexcept { return m_state == State::Failed; }
 
+    /// \returns The part of the response that made it fail; None unless failed().
+    [[nodiscard]] MalformedPart malformedPart() const noexcept { return m_malformedPart; }
+
     /// \returns Whether the connection can be used for another exchange after this response.
     [[nodiscard]] bool connectionIsReusable() const noexcept { return complete() && m_keepAlive && !m_hasExcessBytes; }
 
@@ -58,26 +62,29 @@
         Failed
     };
 
+    void fail(MalformedPart) noexcept;
     /// \brief Counts bytes that are neither the final head nor body; too many since the last body byte fail the
     /// response.
     void countOverhead(std::size_t bytes) noexcept;
     [[nodiscard]] std::size_t feedHead(std::string_view data);
-    [[nodiscard]] bool parseHead(std::string_view text);
     void selectFraming();
     /// \returns Whether the headers state one length without contradiction; sets the length, if there is one.
     [[nodiscard]] bool parseContentLength(bool& hasLength);
+    /// \brief Reads the line of a chunk's size and its extension, up to the line feed.
     void feedChunkSize(char byte);
+    void feedChunkDataEnd(char byte);
     void feedTrailer(char byte);
 
     HttpResponseHead m_head;
-    std::string m_headText; ///< Bytes of the head received so far.
+    std::string m_headText; ///< Bytes of the head, or of the current line of the trailer, received so far.
     State m_state { State::Head };
     std::size_t m_consumedBytes { 0 };
     std::size_t m_overheadBytes { 0 }; ///< See countOverhead().
     std::uint64_t m_remainingBytes { 0 }; ///< Bytes of the body or of the current chunk that are not received yet.
     unsigned m_chunkSizeDigits { 0 };
     bool m_inChunkExtension { false };
-    bool m_trailerLineEmpty { true };
+    bool m_lineEndBegun { false }; ///< A carriage return was received; only a line feed may follow.
+    MalformedPart m_malformedPart { MalformedPart::None };
     bool m_isResponseToHead { false };
     bool m_keepAlive { true };
     bool m_hasExcessBytes { false };
--- a/src/net/Interfaces.h
+++ b/src/net/Interfaces.h
@@ -117,6 +117,7 @@
     bool responseStarted { false }; ///< At least one byte of a response was received.
     bool connectionWasReused { false }; ///< The connection had been used by an earlier exchange.
     ErrorKind error { ErrorKind::Internal }; ///< Valid if \c isComplete is false.
+    std::string_view malformedPart {}; ///< Name of the part that violates HTTP, if \c error is AnswerMalformed.
 };
 
 /// \brief Receives the events of one exchange. onEnd() is the last call; it is always made unless the exchange is
--- a/src/router/RoutedRequest.h
+++ b/src/router/RoutedRequest.h
@@ -142,6 +142,7 @@
     void recordSoundAnswer();
     /// \brief Logs what tells apart the requests that an endpoint was lost with.
     void logLoss(std::string_view cause, bool hasAnswerBegun) const;
+    void logMalformedAnswer(std::string_view malformedPart) const;
     /// \brief Takes over what the endpoint says of itself: that it leaves, or wants a pause.
     void takeEndpointNotice(const ResponseMetadata&);
     void reportFirstByte();
--- a/src/router/RoutedRequestResponse.cpp
+++ b/src/router/RoutedRequestResponse.cpp
@@ -206,6 +206,8 @@
         return;
     }
     if (!result.isComplete) {
+        if (result.error == ErrorKind::AnswerMalformed)
+            logMalformedAnswer(result.malformedPart);
         handleAttemptFailure(result.error, result, errorResponseFor(result.error).name);
         return;
     }
@@ -223,6 +225,14 @@
     finishBuffered();
 }
 
+void RoutedRequest::logMalformedAnswer(std::string_view malformedPart) const
+{
+    logEvent(LogLevel::Warning, "answer_malformed",
+        { { "request", m_metadata.id }, { "endpoint", m_placement.endpoint.value }, { "part", malformedPart },
+            { "status", m_responseHead.status }, { "events", m_splitter.forwardedEventCount() },
+            { "since_send_ms", (now() - m_placement.sentAt).count } });
+}
+
 void RoutedRequest::finishStream()
 {
     std::string rest = m_splitter.takeIncompleteEvent();
