Refuse callers' requests with control characters in target or values

Engines could receive request lines and fields that are no HTTP: a caller's target with a tab, form feed or control character was passed on as it came, since http_parser as Debian builds it accepts these in a target.

Cause: CallerServer checked names only and left targets and values to http_parser. Change: targets without control characters and spaces, values by the same grammar as those of responses; 400 otherwise.

--- a/src/net/CallerServer.cpp
+++ b/src/net/CallerServer.cpp
@@ -45,6 +45,16 @@
         .keepAliveIdleSeconds = 5, .keepAliveProbes = 3, .unacknowledgedTimeout = { 8'000 }
     };
 
+    // Control characters and spaces would change the request line that an endpoint receives.
+    bool isRequestTarget(std::string_view target) noexcept
+    {
+        return std::none_of(target.begin(), target.end(), [](char c) {
+            auto byte = static_cast<unsigned char>(c);
+            constexpr unsigned char del = 0x7f;
+            return byte <= ' ' || byte == del;
+        });
+    }
+
     bool statusHasNoBody(int status) noexcept { return status == 204 || status == 304; }
 
     std::size_t countHeaders(const CallerRequest& request, std::string_view name) noexcept
@@ -425,9 +435,14 @@
     int checkHead()
     {
         m_headComplete = true;
+        if (!isRequestTarget(m_request.target))
+            return setRequestError(ErrorKind::BadRequest, "the request target contains an invalid character");
         for (const auto& [name, value] : m_request.headers) {
             if (!isToken(name))
                 return setRequestError(ErrorKind::BadRequest, "a header name contains an invalid character");
+            if (!isFieldValue(value))
+                return setRequestError(
+                    ErrorKind::BadRequest, "the value of header " + name + " contains a control character");
         }
         std::size_t transferEncodingCount = countHeaders(m_request, "Transfer-Encoding");
         std::size_t contentLengthCount = countHeaders(m_request, "Content-Length");
