--- a/src/config/RouterSettings.cpp
+++ b/src/config/RouterSettings.cpp
@@ -9,6 +9,9 @@
     constexpr std::int64_t oneSecond = 1'000;
     constexpr std::int64_t oneMinute = 60 * oneSecond;
 
+    // Shorter times would need more calls to the store than it serves a fleet.
+    constexpr std::int64_t minContactTime = oneSecond;
+
     void readAddresses(JsonObjectReader& root, RouterSettings& settings, JsonProblems& problems)
     {
         {
@@ -35,6 +38,7 @@
         }
         JsonObjectReader store = root.object("store", FieldPresence::Required);
         store.address("address", settings.store.address, FieldPresence::Required);
+        store.millis("contactMs", settings.store.contactTime, minContactTime, oneMinute);
     }
 
     void readSeconds(JsonObjectReader& reader, std::string_view name, Millis& destination)
--- a/src/config/RouterSettings.h
+++ b/src/config/RouterSettings.h
@@ -40,6 +40,8 @@
 
     struct Store {
         std::string address;
+        /// A daemon that the store responds to again for this long has to know all changes.
+        Millis contactTime { 3'000 };
     } store;
 
     struct Retries {
