Keep no registration as expired beyond the contact time after an outage

Cause: the first successful read after a failure counted as the end of the outage, so that every deletion in it was kept for 2 s more. After a lost poll that read comes seconds after the end.

Change: the end of an outage is a span, from the sending of the latest lost call to that of the successful one. The grace period begins at its later end, unless it would then end later than 200 ms before the contact time after the earlier end.

Registrations that expire in outages from 3 to 9 s are kept for 2 s after the end in each of 62 lengths.

--- a/src/routing/StoreReadSchedule.cpp
+++ b/src/routing/StoreReadSchedule.cpp
@@ -155,7 +155,8 @@
 {
     if (schedule.consecutiveFailures == 0)
         return std::nullopt;
-    Millis start = schedule.reportedCall.sentAt;
+    Millis latestStart = schedule.outageSeenAt + expiry.contactTime - expiry.margin - expiry.grace;
+    Millis start = std::min(schedule.reportedCall.sentAt, latestStart);
     if (now - start >= expiry.grace)
         return std::nullopt;
     return start;
--- a/tests/StoreDeploymentSourceTests.cpp
+++ b/tests/StoreDeploymentSourceTests.cpp
@@ -205,6 +205,23 @@
     CHECK(fixture.clock.now() - changedAt < drainTime);
 }
 
+// Guards against an engine that left just after a short silence and is kept as if its registration had expired in it.
+TEST_CASE("an engine that leaves after a short silence is not kept beyond the contact time", "[platform][store]")
+{
+    Fixture fixture;
+    fixture.store.put("keyed.servers", "i-3", registrationJson());
+    REQUIRE(fixture.runUntil([&] { return fixture.hasReadyEndpoint("i-3"); }));
+    Millis silentAt = fixture.clock.now();
+    fixture.loseReadsInSilence();
+    fixture.store.setFault(KeyedStore::Fault::None);
+    Millis recoveredAt = fixture.clock.now();
+    REQUIRE(recoveredAt - silentAt < contactTime); // The store was silent for the first lost poll only.
+    fixture.runFor(Millis { 300 });
+    fixture.store.put("keyed.servers", "i-1", std::nullopt);
+    REQUIRE(fixture.runUntil([&] { return !fixture.hasReadyEndpoint("i-1"); }));
+    CHECK(fixture.registrationsChangedAt - recoveredAt < contactTime);
+}
+
 // Guards against a daemon that never reads a slow store again because each read is given up before its response.
 TEST_CASE("a store that responds slowly after a silent outage is read again", "[platform][store]")
 {
--- a/tests/StoreReadScheduleTests.cpp
+++ b/tests/StoreReadScheduleTests.cpp
@@ -72,6 +72,7 @@
     /// \brief When each change was read; changes without an entry were not.
     std::vector<Millis> appliedAt;
     std::vector<Millis> readsCompletedAt;
+    std::vector<std::optional<Millis>> graceStarts; ///< What expiryGraceStart() said of each change.
     unsigned calls { 0 };
 
     void run()
@@ -147,6 +148,7 @@
             m_listRequired = false;
             bool hasChanges = pending.responsePosition > appliedAt.size();
             while (appliedAt.size() < pending.responsePosition) {
+                graceStarts.push_back(expiryGraceStart(m_schedule, { .contactTime = contactTime }, now));
                 appliedAt.push_back(now);
             }
             readsCompletedAt.push_back(now);
@@ -231,6 +233,9 @@
         if (i >= reader.appliedAt.size() || reader.appliedAt[i] > due) {
             text << "change of " << history.changes[i].count << " due at " << due.count << ", applied at "
                  << (i < reader.appliedAt.size() ? reader.appliedAt[i].count : -1) << "; ";
+        } else if (reader.graceStarts[i] && *reader.graceStarts[i] + RegistrationExpiry {}.grace > due) {
+            text << "deletion of " << history.changes[i].count << " due at " << due.count << ", kept until "
+                 << (*reader.graceStarts[i] + RegistrationExpiry {}.grace).count << "; ";
         }
     }
     if (!history.pauses.empty())
@@ -320,6 +325,27 @@
     }
 }
 
+// Guards against a fleet without engines after an outage: registrations that expired in it are back within two seconds
+// of its end, and are kept until then if the outage was noticed while it lasted.
+TEST_CASE(
+    "registrations that expired in a long outage are kept while their endpoints register again", "[store][silence]")
+{
+    StoreReadTiming timing = timingWithPause();
+    constexpr Millis noticed { 3'000 }; // All calls before the outage have been noticed as lost by then.
+    for (Millis length = noticed; length < Millis { 9'000 }; length += Millis { 97 }) {
+        History history { .silences = { { Millis { 5'000 }, Millis { 5'000 } + length } },
+            .changes = { Millis { 4'900 }, Millis { 7'000 } } };
+        Reader reader(history, timing);
+        reader.run();
+        INFO(history.describe());
+        Millis end = history.silences.front().until;
+        REQUIRE(reader.appliedAt.size() == 2);
+        REQUIRE(reader.graceStarts[1]);
+        CHECK(*reader.graceStarts[1] >= end);
+        CHECK(*reader.graceStarts[1] + RegistrationExpiry {}.grace <= end + contactTime);
+    }
+}
+
 // Guards against calls without need: while the store responds, an idle daemon sends one call in each hold.
 TEST_CASE("an idle daemon sends one read in each hold", "[store][silence]")
 {
