Bound the memory of an event without end to 256 KiB

A faulty engine that sends an event without end made the router keep up to 1 MiB for each of its streams, and twice that while bytes are appended.

Cause: the limit of an incomplete event, in the router and in the daemon command, allowed four times what a buffered answer may take. The stream's end also counted as the loss of its endpoint, which it is not.

Change: 256 KiB, as for buffered answers; such a stream, and one whose events are out of order, counts as malformed.

Heads, interim responses, chunk extensions, trailers, refusals, error bodies and bodies with and without chunks were within the bound already.

--- a/src/daemon/SseScanner.h
+++ b/src/daemon/SseScanner.h
@@ -39,14 +39,14 @@
     /// \returns The number of returned events that have an index.
     [[nodiscard]] std::uint64_t tokenCount() const noexcept { return m_tokenCount; }
 
-    /// \returns Whether an incomplete event is longer than the limit of 1 MiB; the stream cannot be relayed.
+    /// \returns Whether an incomplete event is longer than the limit of 256 KiB; the stream cannot be relayed.
     [[nodiscard]] bool isEventTooLong() const noexcept { return m_pendingBytes.size() > maxEventBytes; }
 
     /// \returns The data of the last event that contains "usage", or an empty string.
     [[nodiscard]] const std::string& lastUsageData() const noexcept { return m_lastUsageData; }
 
 private:
-    static constexpr std::size_t maxEventBytes = 1U << 20U;
+    static constexpr std::size_t maxEventBytes = 256U << 10U;
 
     enum class EventAction : std::uint8_t { Pass, Skip, Stop };
 
--- a/src/router/RoutedRequestResponse.cpp
+++ b/src/router/RoutedRequestResponse.cpp
@@ -145,10 +145,11 @@
         sendToCaller(completeEvents);
     }
     if (m_splitter.isBroken() && m_stage == Stage::InFlight) {
+        std::string_view cause = m_splitter.isEventTooLong() ? "event_too_long" : "events_out_of_order";
+        logMalformedAnswer(cause);
         cancelExchange();
-        handleAttemptFailure(ErrorKind::AnswerTruncated,
-            { .requestMayHaveBeenSent = true, .responseStarted = true, .error = ErrorKind::AnswerTruncated },
-            "events_out_of_order");
+        handleAttemptFailure(ErrorKind::AnswerMalformed,
+            { .requestMayHaveBeenSent = true, .responseStarted = true, .error = ErrorKind::AnswerMalformed }, cause);
     }
 }
 
--- a/src/router/SseSplitter.cpp
+++ b/src/router/SseSplitter.cpp
@@ -106,8 +106,7 @@
         position += length;
     }
     m_incompleteEvent.assign(text.substr(position));
-    if (m_incompleteEvent.size() > maxEventBytes)
-        m_isBroken = true;
+    m_isBroken = m_isBroken || isEventTooLong();
     if (!isContiguous)
         return m_joinedEvents;
     if (joinedInput.empty())
--- a/src/router/SseSplitter.h
+++ b/src/router/SseSplitter.h
@@ -36,15 +36,17 @@
     [[nodiscard]] std::uint64_t contentEventCount() const noexcept { return m_contentEventCount; }
 
     /// \returns Whether the stream cannot be forwarded without a gap or a duplicate: an id was skipped; an id
-    /// did not increase, although resume() was not called; or the stored bytes of an incomplete event exceeded
-    /// 1 MiB.
+    /// did not increase, although resume() was not called; or isEventTooLong().
     [[nodiscard]] bool isBroken() const noexcept { return m_isBroken; }
 
+    /// \returns Whether the stored bytes of an incomplete event exceeded 256 KiB.
+    [[nodiscard]] bool isEventTooLong() const noexcept { return m_incompleteEvent.size() > maxEventBytes; }
+
 private:
     /// \returns Whether the event is forwarded.
     [[nodiscard]] bool acceptEvent(std::string_view event);
 
-    static constexpr std::size_t maxEventBytes = 1U << 20U;
+    static constexpr std::size_t maxEventBytes = 256U << 10U;
 
     std::string m_incompleteEvent; ///< Bytes of an event whose end has not been received.
     std::string m_joinedEvents; ///< Copy of the events that feed() returns if they are no contiguous part of its chunk.
