Read the configuration log again when a long poll is overdue

A daemon of the product's own interface could keep an older configuration for up to 9 s after its log had not responded for a moment; a change has to be in force everywhere within 7 s.

A long poll that is lost fails only 5 s after its hold of 4 s, and a second read was sent only while a publication waited for its outcome; one that was lost as well blocked the next ones.

Change: from 0.6 s after the hold on further reads are sent until the lost one ends, each at most 1 s after the one before.

--- a/src/daemon/ConfigurationService.cpp
+++ b/src/daemon/ConfigurationService.cpp
@@ -260,14 +260,24 @@
     resolvePublications();
     if (!m_isReading && now >= m_nextReadAt)
         read();
-    if (!m_isHedgedReadInFlight && now - m_lastHedgedReadAt >= m_options.hedgedReadDelay
-        && std::any_of(m_publications.begin(), m_publications.end(),
-            [&](const auto& entry) { return now - entry.second.startedAt >= m_options.hedgedReadDelay; }))
+    if (isHedgedReadDue(now))
         startHedgedRead();
     if (isCheckpointDue())
         writeCheckpoint();
 }
 
+bool ConfigurationService::isHedgedReadDue(Millis now) const
+{
+    // The hedged read before may have been lost as well.
+    Millis interval = m_isHedgedReadInFlight ? m_options.maximumRetryDelay : m_options.hedgedReadDelay;
+    if (now - m_lastHedgedReadAt < interval)
+        return false;
+    if (m_isReading && now - m_readStartedAt >= m_options.longPollWait + m_options.overdueTimeout)
+        return true;
+    return std::any_of(m_publications.begin(), m_publications.end(),
+        [&](const auto& entry) { return now - entry.second.startedAt >= m_options.hedgedReadDelay; });
+}
+
 bool ConfigurationService::isCheckpointDue() const
 {
     if (m_replica.version == 0 || m_replica.isSeekingCheckpoint || !m_isLogReachable || !m_isCheckpointWriter)
--- a/src/daemon/ConfigurationService.h
+++ b/src/daemon/ConfigurationService.h
@@ -24,6 +24,8 @@
     Millis publishTimeout { 10'000 }; ///< After this time the outcome of a publication is reported as unknown.
     /// A second read is sent if a publication has no outcome after this time, in case the first read hangs.
     Millis hedgedReadDelay { 500 };
+    /// Further reads are sent if a read has no response this long after its wait: it may have been lost.
+    Millis overdueTimeout { 600 };
     Millis checkpointInterval { 1'800'000 }; ///< Must not exceed half of the log's retention period.
     /// After this number of versions a checkpoint is written before checkpointInterval has passed.
     std::uint64_t checkpointChangeLimit { 256 };
@@ -110,6 +112,8 @@
     void resolvePublications();
     [[nodiscard]] bool findOutcome(const Publication&, Result<std::uint64_t>& outcome) const;
     [[nodiscard]] bool isCheckpointDue() const;
+    /// \returns Whether a second read is to be sent beside the one in flight.
+    [[nodiscard]] bool isHedgedReadDue(Millis now) const;
     void writeCheckpoint();
 
     LogClient& m_log;
--- a/tests/ConfigurationServiceTests.cpp
+++ b/tests/ConfigurationServiceTests.cpp
@@ -206,6 +206,29 @@
     REQUIRE(outcome->value() == 1);
 }
 
+// Guards against a daemon that keeps an older configuration because a long poll was lost while the log did not respond
+// for a moment: a change has to be in force everywhere within seven seconds.
+TEST_CASE("a change is applied in time although a long poll was lost, at any moment", "[configuration][silence]")
+{
+    constexpr std::int64_t applyMs = 7'000;
+    for (std::int64_t silentAtMs = 0; silentAtMs <= 9'000; silentAtMs += 300) {
+        for (std::int64_t silenceMs : { 100, 500, 2'500 }) {
+            for (std::int64_t changeAfterMs : { 0, 1'500, 4'000 }) {
+                CAPTURE(silentAtMs, silenceMs, changeAfterMs);
+                Fixture fixture;
+                fixture.pass(silentAtMs);
+                fixture.log.hangReads = true;
+                fixture.pass(silenceMs);
+                fixture.log.hangReads = false;
+                fixture.pass(changeAfterMs);
+                fixture.putChange(0, sharePatch("a", 5), "id-1");
+                fixture.pass(applyMs - 200); // The last step of pass() ends 100 ms later.
+                REQUIRE(fixture.share("a") == 5);
+            }
+        }
+    }
+}
+
 // Guards against skipping changes whose records expired before they were read.
 TEST_CASE("a gap of expired records is closed only by a checkpoint that covers it or by a peer", "[configuration]")
 {
