Keep a paused stream at its endpoint in a planned stop, and while there is no other one

Cause: checkStall() closed the connection of a stream without events for 1 s before it knew whether another endpoint takes the request; where none did, the answer was cut.

Outside a planned stop a moved stream is still lost if the next endpoint refuses it; the postmortem says so.

--- a/src/router/RequestRouter.h
+++ b/src/router/RequestRouter.h
@@ -59,6 +59,7 @@
     /// DeploymentSource::confirmationInterval() and a tolerance ago.
     bool isConfigurationCurrent { false };
     Millis requestReadLag {}; ///< Latest measured time that callers' requests wait before this daemon reads them.
+    bool isStopping { false }; ///< This daemon was asked to stop; it takes requests until refusesRequests is set.
     bool refusesRequests { false }; ///< This daemon shuts down and refuses new requests.
 };
 
--- a/src/router/RouterDaemon.cpp
+++ b/src/router/RouterDaemon.cpp
@@ -341,6 +341,7 @@
             return;
         phase = Phase::Stopping;
         stopRequestTime = clock.now();
+        board.isStopping = true;
         callerServer.disableKeepAlive();
         logEvent(LogLevel::Info, "shutdown_started",
             { { "in_progress", router.activeCount() }, { "connections", callerServer.connectionCount() } });
--- a/tests/RouterHarness.h
+++ b/tests/RouterHarness.h
@@ -89,6 +89,14 @@
             .kind = RequestKind::NonIdempotent,
             .pools = { { PoolId { "llm" } } },
             .maxEndpoints = 2 });
+        // A stream whose pool has a single endpoint.
+        addRoute({ .name = "report",
+            .pathPrefix = "/report/",
+            .kind = RequestKind::Stream,
+            .pools = { { PoolId { "desk" } } },
+            .eventGapObjective = Millis { 150 },
+            .maxEndpoints = 2,
+            .isResumable = true });
         addRoute({ .name = "check",
             .pathPrefix = "/check/",
             .kind = RequestKind::Idempotent,
--- a/tests/RouterLoopbackTests.cpp
+++ b/tests/RouterLoopbackTests.cpp
@@ -642,3 +642,36 @@
     CHECK(headerValue(answer, "Connection") == "close");
     CHECK(!router.serviceListener.hasPendingConnection(50));
 }
+
+// Guards against streams that are cut in a planned stop since their engine pauses them: it goes on with a preempted request
+// later, and the engine that would resume it may be full.
+TEST_CASE("in a planned stop a paused stream stays at its engine", "[router][stop][stall]")
+{
+    LoopbackRouter router(true, 2, Millis { 6'000 });
+    BlockingSocket caller = router.connectCaller();
+    caller.write(LoopbackRouter::request("POST", "/quote/x", "id-1", "prompt"));
+    auto [engine, listener] = router.acceptEngineConnection();
+    static_cast<void>(engine.readUntil("prompt"));
+    engine.write(LoopbackRouter::eventStreamHead("id-1") + encodeHttpChunk(sseEvent(1)));
+    static_cast<void>(caller.readUntil("token-1\n\n"));
+    kill(getpid(), SIGTERM);
+    // Longer than the stall timeout of a stream with this event gap.
+    CHECK(!(listener == &router.engine1 ? router.engine2 : router.engine1).hasPendingConnection(2'200));
+    engine.write(encodeHttpChunk(sseEvent(2)) + lastChunk);
+    CHECK(caller.readUntil(lastChunk).find("token-2") != std::string::npos);
+}
+
+// Guards against a request that is given up at its endpoint although no other one can take it.
+TEST_CASE("a stalled request stays at its endpoint while there is no other one", "[router][stall]")
+{
+    LoopbackRouter router;
+    BlockingSocket caller = router.connectCaller();
+    caller.write(LoopbackRouter::request("POST", "/report/x", "id-1", "prompt"));
+    BlockingSocket service = router.serviceListener.accept();
+    static_cast<void>(service.readUntil("prompt"));
+    service.write(LoopbackRouter::eventStreamHead("id-1") + encodeHttpChunk(sseEvent(1)));
+    static_cast<void>(caller.readUntil("token-1\n\n"));
+    std::this_thread::sleep_for(std::chrono::milliseconds(2'200)); // Longer than the stall timeout.
+    service.write(encodeHttpChunk(sseEvent(2)) + lastChunk);
+    CHECK(caller.readUntil(lastChunk).find("token-2") != std::string::npos);
+}
