Let endpoints read long requests late

Cause: TCP_USER_TIMEOUT of 2 s also bounds how long the other end may keep its receive window closed.

Change: for a request of more than 64 KiB the option is the time that the request has left; the connection is reused only once all bytes are acknowledged.

--- a/src/net/EndpointClient.cpp
+++ b/src/net/EndpointClient.cpp
@@ -20,6 +20,10 @@
 
     constexpr std::size_t readBufferBytes = 64U << 10U;
 
+    // An endpoint may read a request that is longer than its receive window late, even after it began to respond. The
+    // kernel would take it for one that is gone; the timeouts of the request decide instead.
+    constexpr std::size_t longRequestBytes = 64U << 10U;
+
     constexpr Millis half(Millis duration) noexcept { return { duration.count / 2 }; }
 
     std::string formatRequest(const EndpointRequest& request)
@@ -83,6 +87,7 @@
         bool connectionWasReused { false };
         bool skippingResponse { false }; ///< The response being read belongs to an earlier request.
         bool paused { false };
+        bool isLongRequest { false };
     };
 
     event_base& base;
@@ -199,6 +204,9 @@
         exchange.phase = Phase::AwaitingResponse;
         exchange.lastActivity = clock.now();
         exchange.output = formatRequest(exchange.request);
+        exchange.isLongRequest = exchange.output.size() > longRequestBytes;
+        if (exchange.isLongRequest)
+            setUnacknowledgedTimeout(exchange.socket.value(), exchange.request.firstByteTimeout);
         exchange.request.body = {};
         timeval timeout = toTimeval(exchange.request.firstByteTimeout);
         evtimer_add(exchange.timer.get(), &timeout);
@@ -228,6 +236,15 @@
             exchange.output = {};
     }
 
+    // Returns whether the endpoint has received the whole request, so that the next one does not wait behind its rest.
+    static bool prepareReuseAfterRequest(const Exchange& exchange)
+    {
+        if (!exchange.isLongRequest)
+            return true;
+        setUnacknowledgedTimeout(exchange.socket.value(), TcpKeepAliveOptions {}.unacknowledgedTimeout);
+        return isOutputAcknowledged(exchange.socket.value());
+    }
+
     void finish(Exchange& exchange, ErrorKind error, bool isComplete = false)
     {
         EndpointExchangeResult result { .isComplete = isComplete,
@@ -245,7 +262,8 @@
         if (auto announced = announcedIdleTime(exchange.parser.head()))
             idleTimeout
                 = std::min(idleTimeout, std::max(*announced - options.keepAliveMargin, *announced - half(*announced)));
-        if (isComplete && exchange.parser.connectionIsReusable() && exchange.output.empty()) {
+        if (isComplete && exchange.parser.connectionIsReusable() && exchange.output.empty()
+            && prepareReuseAfterRequest(exchange)) {
             exchange.readEvent.reset();
             exchange.writeEvent.reset();
             reusableSocket = std::move(exchange.socket);
--- a/src/net/Socket.cpp
+++ b/src/net/Socket.cpp
@@ -5,8 +5,10 @@
 #include <arpa/inet.h>
 #include <cerrno>
 #include <event2/event.h>
+#include <linux/sockios.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -36,7 +38,18 @@
     setOption(descriptor, IPPROTO_TCP, TCP_KEEPIDLE, options.keepAliveIdleSeconds);
     setOption(descriptor, IPPROTO_TCP, TCP_KEEPINTVL, 1);
     setOption(descriptor, IPPROTO_TCP, TCP_KEEPCNT, options.keepAliveProbes);
-    setOption(descriptor, IPPROTO_TCP, TCP_USER_TIMEOUT, static_cast<int>(options.unacknowledgedTimeout.count));
+    setUnacknowledgedTimeout(descriptor, options.unacknowledgedTimeout);
+}
+
+void setUnacknowledgedTimeout(int descriptor, Millis timeout) noexcept
+{
+    setOption(descriptor, IPPROTO_TCP, TCP_USER_TIMEOUT, static_cast<int>(timeout.count));
+}
+
+bool isOutputAcknowledged(int descriptor) noexcept
+{
+    int unacknowledgedBytes = 0;
+    return ioctl(descriptor, SIOCOUTQ, &unacknowledgedBytes) != 0 || unacknowledgedBytes == 0;
 }
 
 Result<FileDescriptor> startConnection(std::string_view address)
--- a/src/net/Socket.h
+++ b/src/net/Socket.h
@@ -59,6 +59,13 @@
 /// \brief Disables Nagle's algorithm and makes the kernel close the connection when its other end no longer responds.
 void configureConnection(int descriptor, const TcpKeepAliveOptions& = {}) noexcept;
 
+/// \brief Sets TcpKeepAliveOptions::unacknowledgedTimeout of a connection. The time also bounds how long the other end
+/// may refuse more bytes because it has not read the ones before, even if it acknowledges them.
+void setUnacknowledgedTimeout(int descriptor, Millis timeout) noexcept;
+
+/// \returns Whether all written bytes were acknowledged by the other end; true if the system does not tell.
+[[nodiscard]] bool isOutputAcknowledged(int descriptor) noexcept;
+
 /// \brief Creates a non-blocking TCP socket and starts to connect it.
 /// \returns EndpointUnavailable if the address is invalid or the connection fails at once.
 [[nodiscard]] Result<FileDescriptor> startConnection(std::string_view address);
--- a/tests/RouterLoopbackTests.cpp
+++ b/tests/RouterLoopbackTests.cpp
@@ -643,8 +643,8 @@
     CHECK(!router.serviceListener.hasPendingConnection(50));
 }
 
-// Guards against streams that are cut in a planned stop since their engine pauses them: it goes on with a preempted request
-// later, and the engine that would resume it may be full.
+// Guards against streams that are cut in a planned stop since their engine pauses them: it goes on with a preempted
+// request later, and the engine that would resume it may be full.
 TEST_CASE("in a planned stop a paused stream stays at its engine", "[router][stop][stall]")
 {
     LoopbackRouter router(true, 2, Millis { 6'000 });
@@ -675,3 +675,26 @@
     service.write(encodeHttpChunk(sseEvent(2)) + lastChunk);
     CHECK(caller.readUntil(lastChunk).find("token-2") != std::string::npos);
 }
+
+// Guards against streams that are cut because the kernel takes an engine that reads a long request late for one that is
+// gone, although its events arrive.
+TEST_CASE("an engine may read a long request after it began to respond", "[router][long]")
+{
+    LoopbackRouter router;
+    std::string prompt(2'000'000, 'p');
+    BlockingSocket caller = router.connectCaller();
+    caller.write(LoopbackRouter::request("POST", "/quote/x", "id-1", prompt));
+    auto [engine, listener] = router.acceptEngineConnection();
+    static_cast<void>(engine.readUntil("\r\n\r\n"));
+    engine.write(LoopbackRouter::eventStreamHead("id-1"));
+    constexpr int events = 16;
+    for (int i = 1; i <= events; ++i) {
+        engine.write(encodeHttpChunk(sseEvent(i)));
+        std::this_thread::sleep_for(std::chrono::milliseconds(200));
+    }
+    CHECK(engine.readUntil(prompt.substr(0, prompt.size() / 2)).size() == prompt.size() / 2);
+    engine.write(lastChunk);
+    std::string response = caller.readUntil(lastChunk);
+    CHECK(response.find("token-" + std::to_string(events) + "\n\n") != std::string::npos);
+    CHECK(!(listener == &router.engine1 ? router.engine2 : router.engine1).hasPendingConnection(10));
+}
