Hold the body of a request once, and bound the memory of all bodies

Cause: a body was held up to three times, about 14 MB, and nothing bounded the sum over all requests.

Change: a body with a length is received into a buffer of its size, and the request to an endpoint refers to it. All bodies may use half of the memory (router.memoryMb, by default what the system reports); a request beyond it is refused as not run with Retry-After. Bodies up to 64 KiB have a quarter of it for themselves.

Three tests; they were not run on the code before, which lacks the option.

--- a/src/config/RouterSettings.cpp
+++ b/src/config/RouterSettings.cpp
@@ -84,6 +84,7 @@
         daemon.identifier("id", settings.daemon.id.value, FieldPresence::Required);
         daemon.identifier("availabilityZone", settings.daemon.availabilityZone, FieldPresence::Required);
         daemon.integer("maxDescriptors", settings.daemon.maxDescriptors, 256U, 10'000'000U);
+        daemon.integer("memoryMb", settings.daemon.memoryMb, 0U, 1'000'000U);
         daemon.number("processorShare", settings.daemon.cpuCores, 0.01, 1'024.0);
     }
     readAddresses(reader, settings, problems);
--- a/src/config/RouterSettings.h
+++ b/src/config/RouterSettings.h
@@ -19,6 +19,7 @@
         DaemonId id;
         std::string availabilityZone;
         unsigned maxDescriptors { 1'024 }; ///< Files and sockets that the process may have open.
+        unsigned memoryMb { 0 }; ///< Memory that the process may use; 0: all that the system reports.
         double cpuCores { 1.0 }; ///< Cores that the process may use; daemons with more coordinate more shards.
     } daemon;
 
--- a/src/net/CallerServer.cpp
+++ b/src/net/CallerServer.cpp
@@ -45,6 +45,12 @@
         .keepAliveIdleSeconds = 5, .keepAliveProbes = 3, .unacknowledgedTimeout = { 8'000 }
     };
 
+    // A part of the memory for bodies, one in so many, is left for small ones.
+    constexpr std::size_t smallBodyShare = 4;
+
+    // Time in which some of the requests that use the memory for bodies end.
+    constexpr Millis retryAfterFullMemory { 500 };
+
     // Control characters and spaces would change the request line that an endpoint receives.
     bool isRequestTarget(std::string_view target) noexcept
     {
@@ -69,6 +75,24 @@
 
 std::string_view CallerRequest::path() const noexcept { return std::string_view(target).substr(0, target.find('?')); }
 
+namespace {
+
+    /// \brief A part of the memory for request bodies; given back when the request ends.
+    struct BodyReservation {
+        std::shared_ptr<std::size_t> totalBytes; ///< Of all reservations.
+        std::size_t bytes { 0 };
+
+        explicit BodyReservation(std::shared_ptr<std::size_t> total)
+            : totalBytes(std::move(total))
+        {
+        }
+        BodyReservation(const BodyReservation&) = delete;
+        BodyReservation& operator=(const BodyReservation&) = delete;
+        ~BodyReservation() { *totalBytes -= bytes; }
+    };
+
+}
+
 struct CallerServer::State {
     class Connection;
 
@@ -93,6 +117,7 @@
     std::vector<std::unique_ptr<Connection>> closedConnections;
     EventPointer destroyClosedEvent;
     std::vector<char> readBuffer;
+    std::shared_ptr<std::size_t> totalBodyBytes { std::make_shared<std::size_t>(0) };
 
     State(event_base& eventBase, CallerHandler& callerHandler, const CallerServerOptions& serverOptions)
         : base(eventBase)
@@ -273,6 +298,7 @@
         m_listener = nullptr;
         m_phase = Phase::Idle;
         m_request = {};
+        m_reservation.reset();
         if (m_isHttp10)
             m_keepAlive = false;
         if (bufferedBytes() == 0)
@@ -311,6 +337,8 @@
         m_phase = Phase::Responding;
         CallerResponseHead head { .status = errorResponseFor(kind).httpStatus,
             .headers = { { "Content-Type", "application/json" } } };
+        if (kind == ErrorKind::RouterOverloaded)
+            head.headers.emplace_back("Retry-After", formatSeconds(retryAfterFullMemory));
         sendResponse(head, m_owner.handler.onInvalidRequest(kind, message));
     }
 
@@ -349,6 +377,7 @@
         if (m_phase == Phase::Idle) {
             m_phase = Phase::Receiving;
             m_request = { .arrivedAt = m_owner.clock.now() };
+            m_reservation.reset();
             m_headBytes = 0;
             m_headComplete = false;
             m_requestComplete = false;
@@ -393,6 +422,7 @@
         m_isHeadRequest = m_parser.method == HTTP_HEAD;
         m_isHttp10 = m_parser.http_minor == 0;
         m_keepAlive = !m_isHttp10 && http_should_keep_alive(&m_parser) != 0;
+        m_reservation.reset();
         m_owner.handler.onRequest(std::move(m_request), *this);
     }
 
@@ -458,6 +488,11 @@
         std::uint64_t length = m_parser.content_length;
         if (contentLengthCount == 1 && length > m_owner.options.maxBodyBytes)
             return setBodyTooLarge();
+        if (contentLengthCount == 1 && length != 0) {
+            if (!reserveBody(static_cast<std::size_t>(length)))
+                return setMemoryFull();
+            m_request.body.reserve(static_cast<std::size_t>(length));
+        }
         if (equalIgnoringAsciiCase(m_request.header("Expect"), "100-continue"))
             enqueue("HTTP/1.1 100 Continue\r\n\r\n");
         startTimer(m_owner.options.readTimeout);
@@ -470,10 +505,37 @@
             "the body is longer than " + std::to_string(m_owner.options.maxBodyBytes) + " bytes");
     }
 
+    // Returns whether there is memory for a body of \p bytes in all.
+    [[nodiscard]] bool reserveBody(std::size_t bytes)
+    {
+        if (!m_reservation) {
+            m_reservation = std::make_shared<BodyReservation>(m_owner.totalBodyBytes);
+            m_request.bodyReservation = m_reservation;
+        }
+        if (bytes <= m_reservation->bytes)
+            return true;
+        std::size_t limit = m_owner.options.maxTotalBodyBytes;
+        if (bytes > smallBodyBytes)
+            limit -= limit / smallBodyShare;
+        std::size_t total = *m_owner.totalBodyBytes - m_reservation->bytes + bytes;
+        if (m_owner.options.maxTotalBodyBytes != 0 && total > limit)
+            return false;
+        *m_owner.totalBodyBytes = total;
+        m_reservation->bytes = bytes;
+        return true;
+    }
+
+    int setMemoryFull()
+    {
+        return setRequestError(ErrorKind::RouterOverloaded, "the bodies of the requests in progress need all memory");
+    }
+
     int addBody(std::string_view text)
     {
         if (m_request.body.size() + text.size() > m_owner.options.maxBodyBytes)
             return setBodyTooLarge();
+        if (!reserveBody(m_request.body.size() + text.size()))
+            return setMemoryFull();
         m_request.body.append(text);
         return 0;
     }
@@ -562,6 +624,7 @@
     std::string m_pendingHead; ///< Head of a stream; sent together with its first chunk.
     std::size_t m_writtenBytes { 0 };
     CallerRequest m_request;
+    std::shared_ptr<BodyReservation> m_reservation; ///< Of the request that is being received.
     std::size_t m_headBytes { 0 };
     std::optional<ErrorKind> m_requestError;
     std::string m_requestErrorMessage;
--- a/src/net/CallerServer.h
+++ b/src/net/CallerServer.h
@@ -21,6 +21,7 @@
     std::string target; ///< Path and query as sent.
     std::vector<std::pair<std::string, std::string>> headers;
     std::string body;
+    std::shared_ptr<void> bodyReservation; ///< The body's part of CallerServerOptions::maxTotalBodyBytes.
     Millis arrivedAt {}; ///< Time at which the request's first byte was read.
 
     /// \returns The value of the first header \p name (any case), or an empty view.
@@ -95,6 +96,9 @@
     /// For further connections those that have been idle for longest are closed or, if there are none, the new ones
     /// unread; 0: no limit.
     std::size_t maxConnections { 0 };
+    /// Of all requests that are being received or handled; later ones are refused as not run. Bodies of more than
+    /// CallerServer::smallBodyBytes may use three quarters of it. 0: no limit.
+    std::size_t maxTotalBodyBytes { 0 };
 };
 
 /// \brief What became of callers' connections since the counts were last taken.
@@ -115,6 +119,8 @@
 /// calls for each chunk of a stream.
 class CallerServer {
 public:
+    static constexpr std::size_t smallBodyBytes { 64U << 10U };
+
     CallerServer(event_base&, CallerHandler&, const CallerServerOptions&);
 
     /// \brief Closes the listener and all connections; exchanges in progress receive no further event.
--- a/src/net/EndpointClient.cpp
+++ b/src/net/EndpointClient.cpp
@@ -5,11 +5,13 @@
 #include "net/Socket.h"
 
 #include <algorithm>
+#include <array>
 #include <cerrno>
 #include <charconv>
 #include <event2/event.h>
 #include <optional>
 #include <sys/socket.h>
+#include <sys/uio.h>
 #include <unordered_map>
 #include <utility>
 #include <vector>
@@ -26,17 +28,29 @@
 
     constexpr Millis half(Millis duration) noexcept { return { duration.count / 2 }; }
 
-    std::string formatRequest(const EndpointRequest& request)
+    std::string formatHead(const EndpointRequest& request)
     {
         std::string text;
-        text.reserve(512 + request.body.size());
+        text.reserve(512);
         text.append(request.method).append(" ").append(request.target).append(" HTTP/1.1\r\nHost: ");
         text.append(request.host.empty() ? request.address : request.host).append("\r\n");
         for (const auto& [name, value] : request.headers)
             text.append(name).append(": ").append(value).append("\r\n");
         if (!request.body.empty() || (request.method != "GET" && request.method != "HEAD"))
             text.append("Content-Length: ").append(std::to_string(request.body.size())).append("\r\n");
-        return text.append("\r\n").append(request.body);
+        return text.append("\r\n");
+    }
+
+    // Returns what sendmsg() does for the bytes of both views.
+    ssize_t sendBoth(int descriptor, std::string_view first, std::string_view second)
+    {
+        // The system does not write to the buffers, although their pointers are not const.
+        std::array<iovec, 2> buffers { iovec { const_cast<char*>(first.data()), first.size() },
+            iovec { const_cast<char*>(second.data()), second.size() } };
+        msghdr message {};
+        message.msg_iov = buffers.data();
+        message.msg_iovlen = buffers.size();
+        return sendmsg(descriptor, &message, MSG_NOSIGNAL);
     }
 
     // Returns the idle time that the endpoint announced in `Keep-Alive: timeout=SECONDS`, if any.
@@ -77,8 +91,8 @@
         EventPointer readEvent;
         EventPointer writeEvent;
         EventPointer timer;
-        std::string output; ///< The serialised request.
-        std::size_t writtenBytes { 0 };
+        std::string head; ///< The serialised request without its body.
+        std::size_t writtenBytes { 0 }; ///< Of the head and then of the body.
         HttpResponseParser parser;
         Phase phase { Phase::NotStarted };
         Millis lastActivity {};
@@ -88,6 +102,9 @@
         bool skippingResponse { false }; ///< The response being read belongs to an earlier request.
         bool paused { false };
         bool isLongRequest { false };
+
+        [[nodiscard]] std::size_t requestBytes() const noexcept { return head.size() + request.body.size(); }
+        [[nodiscard]] bool isRequestWritten() const noexcept { return writtenBytes == requestBytes(); }
     };
 
     event_base& base;
@@ -203,11 +220,10 @@
     {
         exchange.phase = Phase::AwaitingResponse;
         exchange.lastActivity = clock.now();
-        exchange.output = formatRequest(exchange.request);
-        exchange.isLongRequest = exchange.output.size() > longRequestBytes;
+        exchange.head = formatHead(exchange.request);
+        exchange.isLongRequest = exchange.requestBytes() > longRequestBytes;
         if (exchange.isLongRequest)
             setUnacknowledgedTimeout(exchange.socket.value(), exchange.request.firstByteTimeout);
-        exchange.request.body = {};
         timeval timeout = toTimeval(exchange.request.firstByteTimeout);
         evtimer_add(exchange.timer.get(), &timeout);
         if (!exchange.paused)
@@ -220,8 +236,11 @@
 
     void write(Exchange& exchange)
     {
-        std::string_view unwritten = std::string_view(exchange.output).substr(exchange.writtenBytes);
-        ssize_t sent = send(exchange.socket.value(), unwritten.data(), unwritten.size(), MSG_NOSIGNAL);
+        std::string_view head
+            = std::string_view(exchange.head).substr(std::min(exchange.writtenBytes, exchange.head.size()));
+        std::string_view body = exchange.request.body.substr(
+            exchange.writtenBytes - std::min(exchange.writtenBytes, exchange.head.size()));
+        ssize_t sent = sendBoth(exchange.socket.value(), head, body);
         if (sent > 0) {
             exchange.requestMayHaveBeenSent = true;
             exchange.writtenBytes += static_cast<std::size_t>(sent);
@@ -230,10 +249,8 @@
                 exchange, exchange.requestMayHaveBeenSent ? ErrorKind::EndpointLost : ErrorKind::EndpointUnavailable);
             return;
         }
-        if (exchange.writtenBytes < exchange.output.size())
+        if (!exchange.isRequestWritten())
             event_add(exchange.writeEvent.get(), nullptr);
-        else
-            exchange.output = {};
     }
 
     // Returns whether the endpoint has received the whole request, so that the next one does not wait behind its rest.
@@ -262,7 +279,7 @@
         if (auto announced = announcedIdleTime(exchange.parser.head()))
             idleTimeout
                 = std::min(idleTimeout, std::max(*announced - options.keepAliveMargin, *announced - half(*announced)));
-        if (isComplete && exchange.parser.connectionIsReusable() && exchange.output.empty()
+        if (isComplete && exchange.parser.connectionIsReusable() && exchange.isRequestWritten()
             && prepareReuseAfterRequest(exchange)) {
             exchange.readEvent.reset();
             exchange.writeEvent.reset();
--- a/src/net/Interfaces.h
+++ b/src/net/Interfaces.h
@@ -87,7 +87,7 @@
     std::string target; ///< Path and query.
     std::string host; ///< Value of the Host header; if empty, \c address is used.
     std::vector<std::pair<std::string, std::string>> headers;
-    std::string body;
+    std::string_view body; ///< Must stay valid until the exchange has ended or is cancelled.
     /// Name of the response header in which the endpoint returns \c correlationValue; if empty, responses are not
     /// checked. On a reused connection, a response with another value in this header belongs to an earlier request and
     /// is skipped.
--- a/src/router/RouterDaemon.cpp
+++ b/src/router/RouterDaemon.cpp
@@ -24,6 +24,7 @@
 #include <fstream>
 #include <sstream>
 #include <sys/stat.h>
+#include <unistd.h>
 
 namespace jasminestack {
 
@@ -84,6 +85,17 @@
         return static_cast<std::size_t>(callerDescriptorFraction * settings.daemon.maxDescriptors);
     }
 
+    // The other half is for the process without requests, answers, and bytes in the kernel's buffers.
+    std::size_t maxTotalBodyBytes(const RouterSettings& settings)
+    {
+        constexpr std::size_t bytesPerMb = 1'000'000;
+        std::size_t memoryBytes = settings.daemon.memoryMb * bytesPerMb;
+        long pages = sysconf(_SC_PHYS_PAGES);
+        if (memoryBytes == 0 && pages > 0)
+            memoryBytes = static_cast<std::size_t>(pages) * static_cast<std::size_t>(sysconf(_SC_PAGESIZE));
+        return memoryBytes / 2;
+    }
+
     std::optional<std::string> readFile(const std::string& path)
     {
         std::ifstream file(path);
@@ -172,7 +184,8 @@
         , callerServer(*base, router,
               { .address = settings.callers.address,
                   .writeTimeout = settings.callers.writeTimeout,
-                  .maxConnections = maxCallerConnections(settings) })
+                  .maxConnections = maxCallerConnections(settings),
+                  .maxTotalBodyBytes = maxTotalBodyBytes(settings) })
         , fleetSync({ .base = *base,
                         .clock = clock,
                         .board = board,
@@ -231,7 +244,8 @@
             .readTimeout = std::max(limits.idleTimeout, limits.headerTimeout),
             .idleTimeout = limits.idleTimeout,
             .writeTimeout = settings.callers.writeTimeout,
-            .maxConnections = maxCallerConnections(settings) });
+            .maxConnections = maxCallerConnections(settings),
+            .maxTotalBodyBytes = maxTotalBodyBytes(settings) });
         metrics.set(Gauge::ConfigurationVersion, {}, static_cast<double>(board.table->version));
         updateReadiness();
     }
--- /dev/null
+++ b/tests/RequestMemoryTests.cpp
@@ -0,0 +1,135 @@
+#include "RouterHarness.h"
+#include "net/CallerServer.h"
+#include "net/EventPriority.h"
+
+#include <catch2/catch.hpp>
+#include <event2/event.h>
+#include <list>
+#include <malloc.h>
+
+using namespace jasminestack;
+using namespace jasminestack::test;
+
+namespace {
+
+constexpr std::size_t maxTotalBodyBytes = 1'000'000;
+
+/// \brief Keeps all requests until the test ends them.
+struct KeepingHandler final : CallerHandler {
+    std::list<CallerRequest> requests;
+    std::list<CallerExchange*> exchanges;
+
+    void onRequest(CallerRequest request, CallerExchange& exchange) override
+    {
+        requests.push_back(std::move(request));
+        exchanges.push_back(&exchange);
+    }
+    std::string onInvalidRequest(ErrorKind, std::string_view message) override { return std::string(message); }
+};
+
+/// \brief A server with a limit for all bodies; it runs only inside runFor().
+struct Fixture {
+    EventBasePointer base = makePrioritizedEventBase();
+    KeepingHandler handler;
+    CallerServer server { *base, handler, { .address = "127.0.0.1:0", .maxTotalBodyBytes = maxTotalBodyBytes } };
+
+    Fixture() { REQUIRE(server.listen()); }
+
+    void run() const
+    {
+        for (int i = 0; i < 100; ++i) {
+            event_base_loop(base.get(), EVLOOP_NONBLOCK);
+            std::this_thread::sleep_for(std::chrono::milliseconds(1));
+        }
+    }
+
+    [[nodiscard]] BlockingSocket send(std::size_t bodyBytes, bool isChunked = false) const
+    {
+        BlockingSocket caller = BlockingSocket::connectTo(server.port());
+        std::string body(bodyBytes, 'x');
+        std::string head = "POST /x HTTP/1.1\r\nHost: a\r\n";
+        head += isChunked ? "Transfer-Encoding: chunked\r\n\r\n"
+                          : "Content-Length: " + std::to_string(bodyBytes) + "\r\n\r\n";
+        std::thread writer([&] {
+            try {
+                caller.write(head + (isChunked ? LoopbackDaemon::encodeChunk(body) + "0\r\n\r\n" : body));
+            } catch (const std::runtime_error&) {
+                // The server has refused the request and closed the connection before the end of the body.
+            }
+        });
+        run();
+        writer.join();
+        return caller;
+    }
+};
+
+/// \returns Bytes that the process has allocated; 0 with AddressSanitizer, which has its own allocator.
+std::size_t allocatedBytes()
+{
+    struct mallinfo2 info = mallinfo2();
+    return info.uordblks + info.hblkhd;
+}
+
+}
+
+// Guards against a burst of large requests that takes a router over the memory of its host, so that the killed process
+// loses the requests of all its callers.
+TEST_CASE("requests are refused as not run while the bodies of others need all memory", "[callers][memory]")
+{
+    bool isChunked = GENERATE(false, true);
+    Fixture fixture;
+    BlockingSocket first = fixture.send(400'000, isChunked);
+    REQUIRE(fixture.handler.requests.size() == 1);
+    BlockingSocket second = fixture.send(400'000, isChunked);
+    std::string head = second.readUntil("\r\n\r\n");
+    CHECK(head.starts_with("HTTP/1.1 503"));
+    CHECK(!headerValue(head, "Retry-After").empty());
+    // Small requests have a part of their own.
+    BlockingSocket small = fixture.send(20'000, isChunked);
+    CHECK(fixture.handler.requests.size() == 2);
+    // The memory is in use until the request is destroyed, not only until it is answered.
+    fixture.handler.exchanges.front()->sendResponse({ .status = 200 }, "done");
+    BlockingSocket third = fixture.send(400'000, isChunked);
+    CHECK(fixture.handler.requests.size() == 2);
+    fixture.handler.requests.pop_front();
+    BlockingSocket fourth = fixture.send(400'000, isChunked);
+    CHECK(fixture.handler.requests.size() == 2);
+}
+
+// Guards against memory that stays reserved for requests whose callers leave while they send them.
+TEST_CASE("an interrupted request gives its memory back", "[callers][memory]")
+{
+    Fixture fixture;
+    constexpr int interrupted = 5;
+    for (int i = 0; i < interrupted; ++i) {
+        BlockingSocket caller = BlockingSocket::connectTo(fixture.server.port());
+        caller.write("POST /x HTTP/1.1\r\nHost: a\r\nContent-Length: 600000\r\n\r\npart of the body");
+        fixture.run();
+        caller.close();
+        fixture.run();
+    }
+    BlockingSocket complete = fixture.send(600'000);
+    CHECK(fixture.handler.requests.size() == 1);
+}
+
+// Guards against several copies of each body in a router.
+TEST_CASE("a router holds the body of a request once", "[router][memory]")
+{
+    constexpr int requests = 6;
+    constexpr std::size_t bodyBytes = 3'000'000;
+    LoopbackRouter router;
+    std::vector<BlockingSocket> callers;
+    std::vector<BlockingSocket> engines;
+    std::string body(bodyBytes, 'x');
+    std::size_t before = allocatedBytes();
+    std::size_t peak = before;
+    for (int number = 0; number < requests; ++number) {
+        callers.push_back(router.connectCaller());
+        callers.back().write(LoopbackRouter::request("POST", "/check/x", "id-" + std::to_string(number), body));
+        engines.push_back(router.acceptEngineConnection().first);
+        static_cast<void>(engines.back().readUntil("\r\n\r\n"));
+        peak = std::max(peak, allocatedBytes());
+    }
+    // The engines read no more. A quarter is for buffers and for the copies that the test itself has.
+    CHECK(peak - before < requests * bodyBytes * 5 / 4 + bodyBytes);
+}
--- a/tests/RouterSettingsTests.cpp
+++ b/tests/RouterSettingsTests.cpp
@@ -27,6 +27,7 @@
     CHECK(settings.value().shutdown.grace == Millis { 8'000 });
     CHECK(settings.value().placement.policy == "predicted");
     CHECK(settings.value().peers.seeds.size() == 1);
+    CHECK(settings.value().daemon.memoryMb == 0);
     CHECK(settings.value().store.contactTime == Millis { 3'000 });
     JsonProblems problems;
     CHECK(checkDocument(settingsText, problems) == DocumentKind::RouterSettings);
