Add a test of deadly contents, and format the stalled streams' change

The new test runs three crashes of one content on loopback, with another content of the same parts served in between and after the refusal.

--- a/src/router/RoutedRequest.cpp
+++ b/src/router/RoutedRequest.cpp
@@ -333,8 +333,8 @@
         armTimer();
         return;
     }
-    // A stream that has begun may go on after a pause. In a planned stop it isn't moved, since another endpoint may refuse
-    // it and no time is left for a third one.
+    // A stream that has begun may go on after a pause. In a planned stop it isn't moved, since another endpoint may
+    // refuse it and no time is left for a third one.
     bool isKept = m_hasResponseBegun && m_owner.context().board.isStopping;
     if (isKept || !chooseRetryEndpoint().endpoint || !takeRetry()) {
         m_lastProgress = currentTime; // The attempt continues for another stall timeout.
--- a/tests/RouterLoopbackTests.cpp
+++ b/tests/RouterLoopbackTests.cpp
@@ -545,12 +545,14 @@
 
 namespace {
 
-std::string requestWithParts(std::string_view id, std::string_view parts)
+// \param content Requests with the same one have the same body and prompt; the id by default.
+std::string requestWithParts(std::string_view id, std::string_view parts, std::string_view content = {})
 {
-    std::string body = "prompt of " + std::string(id) + "\n";
+    content = content.empty() ? id : content;
+    std::string body = "prompt of " + std::string(content) + "\n";
     return "POST /review/x HTTP/1.1\r\nHost: shop.example\r\nAuthorization: Token key-1\r\nX-Jasminestack-Attempt-Id: "
         + std::string(id) + "\r\nX-Jasminestack-Model-Id: m\r\nX-Jasminestack-Token-Usage: 1000,50\r\n"
-        + "X-Jasminestack-Prefix-Hash: " + std::string(parts) + ",own-" + std::string(id)
+        + "X-Jasminestack-Prefix-Hash: " + std::string(parts) + ",own-" + std::string(content)
         + ":100\r\nX-Jasminestack-Deadline-Ms: 5000\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n"
         + body;
 }
@@ -587,6 +589,44 @@
     CHECK(soundCaller.readUntil(lastChunk).find("token-1") != std::string::npos);
 }
 
+// Guards against a whole content that its callers send again, with new ids, and that crashes engine after engine
+// (deploy/days/deadly.toml), and against the refusal of others with the same prompt parts.
+TEST_CASE("after three engines crashed with a content it is refused, and others are served", "[router][crash]")
+{
+    LoopbackRouter router(true, 8);
+    std::string deadly = "deadly";
+    for (int i = 1; i <= 3; ++i) {
+        BlockingSocket caller = router.connectCaller();
+        caller.write(requestWithParts("id-" + std::to_string(i), "aa:800,bb:300", deadly));
+        auto [engine, listener] = router.acceptEngineConnection();
+        static_cast<void>(engine.readUntil(deadly + "\n"));
+        engine.write(LoopbackRouter::eventStreamHead("id-" + std::to_string(i)));
+        std::this_thread::sleep_for(std::chrono::milliseconds(50));
+        router.crashEngine(engine, listener);
+        CHECK(caller.readUntil("\r\n\r\n").starts_with("HTTP/1.1 502"));
+        // Another content with the same parts is answered in between.
+        BlockingSocket soundCaller = router.connectCaller();
+        std::string sound = "sound-" + std::to_string(i);
+        soundCaller.write(requestWithParts(sound, "aa:800,bb:300"));
+        BlockingSocket soundEngine = router.acceptEngineConnection().first;
+        static_cast<void>(soundEngine.readUntil(sound + "\n"));
+        soundEngine.write(LoopbackRouter::eventStreamHead(sound) + encodeHttpChunk(sseEvent(1)) + lastChunk);
+        CHECK(soundCaller.readUntil(lastChunk).find("token-1") != std::string::npos);
+        std::this_thread::sleep_for(std::chrono::milliseconds(1'100)); // Beyond the window of a common cause.
+    }
+    BlockingSocket caller = router.connectCaller();
+    caller.write(requestWithParts("id-4", "aa:800,bb:300", deadly));
+    std::string head = caller.readUntil("\r\n\r\n");
+    CHECK(head.starts_with("HTTP/1.1 503"));
+    CHECK(!headerValue(head, "Retry-After").empty());
+    BlockingSocket soundCaller = router.connectCaller();
+    soundCaller.write(requestWithParts("sound-4", "aa:800,bb:300"));
+    BlockingSocket engine = router.acceptEngineConnection().first;
+    static_cast<void>(engine.readUntil("sound-4\n"));
+    engine.write(LoopbackRouter::eventStreamHead("sound-4") + encodeHttpChunk(sseEvent(1)) + lastChunk);
+    CHECK(soundCaller.readUntil(lastChunk).find("token-1") != std::string::npos);
+}
+
 // Guards against requests that are cut without an answer at the end of a planned stop, among them ones that may not be
 // repeated, whose callers then do not know that they may have run.
 TEST_CASE("at the end of a planned stop each remaining request gets an answer or a truncated stream", "[router][stop]")
