--- a/tests/LoopbackHarness.h
+++ b/tests/LoopbackHarness.h
@@ -189,8 +189,24 @@
     return head.substr(start, head.find('\r', start) - start);
 }
 
-/// \returns A loopback address with a free port.
-inline std::string freeAddress() { return ListeningSocket().address(); }
+/// \returns A loopback address with a free port, another one at each call. It is below the range from which the system
+/// takes the ports of connections and of listeners without a fixed port, so that none of them takes it before it is
+/// used.
+inline std::string freeAddress()
+{
+    constexpr unsigned firstPort = 10'000;
+    constexpr unsigned portCount = 20'000;
+    constexpr unsigned portsPerProcess = 97; // Processes with successive ids start far from each other.
+    static std::atomic<unsigned> next { static_cast<unsigned>(getpid()) * portsPerProcess };
+    for (unsigned i = 0; i < portCount; ++i) {
+        auto port = static_cast<std::uint16_t>(firstPort + next++ % portCount);
+        BlockingSocket socket(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0));
+        sockaddr_in address = BlockingSocket::loopbackAddress(port);
+        if (bind(socket.descriptor(), reinterpret_cast<sockaddr*>(&address), sizeof(address)) == 0)
+            return "127.0.0.1:" + std::to_string(port);
+    }
+    throw std::runtime_error("no port is free");
+}
 
 /// \brief A daemon on its own thread with one engine and one plain service, for both of which the test responds.
 struct LoopbackDaemon {
