Name what is wrong with an event of a stream, in a log line and a counter

Callers received pieces that no run made (ORDER), and neither logs nor metrics could tell a spoilt event from spoilt framing or two joined answers: such a stream left request_done outcome=ok.

The router logs answer_malformed with the violation, the endpoint, the last sound id and the length of the event (never its bytes), and counts jasminestack_malformed_answers_total by pool and part. What is passed on is not changed yet.

--- a/src/observe/Metrics.cpp
+++ b/src/observe/Metrics.cpp
@@ -36,6 +36,8 @@
         MetricRow {
             "jasminestack_quarantined_total", "Requests refused because requests like them crash endpoints.", {} },
         MetricRow { "jasminestack_expired_total", "Queued requests whose deadline passed.", { "workspace" } },
+        MetricRow { "jasminestack_malformed_answers_total",
+            "Answers of endpoints that violate HTTP or the grammar of events.", { "pool", "part" } },
         MetricRow { "jasminestack_caller_connections_total", "Connections of callers by outcome.", { "outcome" } },
     };
 
--- a/src/observe/Metrics.h
+++ b/src/observe/Metrics.h
@@ -23,6 +23,7 @@
     Claims, ///< Label: outcome.
     Quarantined, ///< Requests refused because requests like them crash endpoints. No labels.
     Expired, ///< Queued requests whose deadline passed. Label: workspace.
+    MalformedAnswers, ///< Answers of endpoints that violate HTTP or the grammar of events. Labels: pool, part.
     CallerConnections, ///< Label: outcome ("accepted", "abandoned", "expired", "dropped").
 };
 
--- a/src/router/RoutedRequestResponse.cpp
+++ b/src/router/RoutedRequestResponse.cpp
@@ -131,6 +131,8 @@
 {
     std::uint64_t eventsBefore = m_splitter.contentEventCount();
     std::string_view completeEvents = m_splitter.feed(chunk);
+    if (m_splitter.violation() != EventViolation::None && !std::exchange(m_isViolationLogged, true))
+        logMalformedAnswer(toString(m_splitter.violation()), m_splitter.violatingBytes());
     // Bytes without a complete event, or comments, do not keep a stalled stream alive.
     if (m_splitter.contentEventCount() != eventsBefore) {
         m_lastProgress = now();
@@ -226,11 +228,13 @@
     finishBuffered();
 }
 
-void RoutedRequest::logMalformedAnswer(std::string_view malformedPart) const
+void RoutedRequest::logMalformedAnswer(std::string_view malformedPart, std::size_t eventBytes) const
 {
+    m_owner.context().metrics.add(Counter::MalformedAnswers, { m_pool.value, malformedPart });
     logEvent(LogLevel::Warning, "answer_malformed",
         { { "request", m_metadata.id }, { "endpoint", m_placement.endpoint.value }, { "part", malformedPart },
             { "status", m_responseHead.status }, { "events", m_splitter.forwardedEventCount() },
+            { "last_event", m_splitter.lastId() }, { "event_bytes", eventBytes },
             { "since_send_ms", (now() - m_placement.sentAt).count } });
 }
 
--- a/src/router/SseSplitter.cpp
+++ b/src/router/SseSplitter.cpp
@@ -59,6 +59,11 @@
 
 bool SseSplitter::acceptEvent(std::string_view event)
 {
+    if (m_violation == EventViolation::None) {
+        SseEvent parsed;
+        m_violation = parseSseEvent(event, {}, parsed);
+        m_violatingBytes = event.size();
+    }
     std::string_view id = eventIdOf(event);
     auto number = parseIdNumber(id);
     if (number && m_lastIdNumber) {
--- a/src/router/SseSplitter.h
+++ b/src/router/SseSplitter.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "net/SseEvent.h"
+
 #include <cstddef>
 #include <cstdint>
 #include <optional>
@@ -39,6 +41,12 @@
     /// did not increase, although resume() was not called; or isEventTooLong().
     [[nodiscard]] bool isBroken() const noexcept { return m_isBroken; }
 
+    /// \returns What is wrong with the first event that violates the grammar, which is forwarded all the same.
+    [[nodiscard]] EventViolation violation() const noexcept { return m_violation; }
+
+    /// \returns Number of bytes of that event.
+    [[nodiscard]] std::size_t violatingBytes() const noexcept { return m_violatingBytes; }
+
     /// \returns Whether the stored bytes of an incomplete event exceeded 256 KiB.
     [[nodiscard]] bool isEventTooLong() const noexcept { return m_incompleteEvent.size() > maxEventBytes; }
 
@@ -46,14 +54,14 @@
     /// \returns Whether the event is forwarded.
     [[nodiscard]] bool acceptEvent(std::string_view event);
 
-    static constexpr std::size_t maxEventBytes = 256U << 10U;
-
     std::string m_incompleteEvent; ///< Bytes of an event whose end has not been received.
     std::string m_joinedEvents; ///< Copy of the events that feed() returns if they are no contiguous part of its chunk.
     std::string m_lastId;
     std::optional<std::uint64_t> m_lastIdNumber;
     std::uint64_t m_eventCount { 0 };
     std::uint64_t m_contentEventCount { 0 };
+    EventViolation m_violation { EventViolation::None };
+    std::size_t m_violatingBytes { 0 };
     bool m_isResumed { false };
     bool m_isBroken { false };
 };
