Add failing tests of spoilt events on loopback

24 ways to spoil a stream, on a route that may be resumed and one that may not, for callers with and without Last-Event-Id, in one or two parts; sound streams in each form of the specification have to stay as they are.

--- /dev/null
+++ b/tests/SpoiltEventTests.cpp
@@ -0,0 +1,214 @@
+#include "RouterHarness.h"
+
+#include <catch2/catch.hpp>
+#include <optional>
+
+using namespace jasminestack;
+using namespace jasminestack::test;
+using namespace std::string_literals;
+
+namespace {
+
+constexpr int lastEvent = 6;
+
+std::string sseEvent(int id) { return "id: " + std::to_string(id) + "\ndata: token-" + std::to_string(id) + "\n\n"; }
+
+std::string sseEvents(int first, int last)
+{
+    std::string events;
+    for (int id = first; id <= last; ++id)
+        events += sseEvent(id);
+    return events;
+}
+
+/// \brief A way to spoil the events of a stream: bytes in place of the event \c id.
+struct SpoiltEvent {
+    const char* name;
+    int id; ///< lastEvent + 1: behind the last event.
+    std::string bytes;
+};
+
+const std::vector<SpoiltEvent>& spoiltEvents()
+{
+    static const std::vector<SpoiltEvent> all {
+        { "bytes without a field before the first event", 1, "garbage\n\n" + sseEvent(1) },
+        { "bytes without a field between two events", 4, "\x01\x02 garbage\r\n\r\n" + sseEvent(4) },
+        { "bytes without a field behind the last event", lastEvent + 1, "garbage\n\n" },
+        { "bytes without a line end behind the last event", lastEvent + 1, "garbage" },
+        { "bytes that are not UTF-8 in a comment", 4, ":\xff\xfe\n\n" + sseEvent(4) },
+        { "data without an id", 4, "data: token-9\n\n" + sseEvent(4) },
+        { "an empty id", 4, "id\ndata: token-9\n\n" + sseEvent(4) },
+        { "words for an id", 4, "id: four\ndata: token-4\n\n" },
+        { "a signed id", 4, "id: +4\ndata: token-4\n\n" },
+        { "a fraction for an id", 4, "id: 4.0\ndata: token-4\n\n" },
+        { "an id with a leading zero", 4, "id: 04\ndata: token-4\n\n" },
+        { "an id of 65 bits", 4, "id: 18446744073709551620\ndata: token-4\n\n" },
+        { "NUL in an id", 4, "id: 4\0\ndata: token-4\n\n"s },
+        { "bytes in front of an event", 4, "garbage" + sseEvent(4) },
+        { "a byte order mark in front of an event", 4, "\xef\xbb\xbf" + sseEvent(4) },
+        { "a line of garbage in an event", 4, "id: 4\ngarbage\ndata: token-4\n\n" },
+        { "a bare CR in the data", 4, "id: 4\ndata: tok\ren-4\n\n" },
+        { "an event that ends with bare CRs within another one", 4, "id: 4\ndata: a\r\rdata: token-4\n\n" },
+        { "an id without data", 4, "id: 4\n\n" },
+        { "two ids", 4, "id: 9\nid: 4\ndata: token-4\n\n" },
+        { "an event twice", 4, sseEvent(3) + sseEvent(4) },
+        { "a missing event", 4, "" },
+        { "an earlier event", 4, sseEvent(1) },
+        { "a first event that is not the next one", 1, sseEvent(2) },
+    };
+    return all;
+}
+
+/// \returns The stream from event \p first on, in which event \p spoilt is replaced.
+std::string spoiltStream(int first, const SpoiltEvent& spoilt)
+{
+    int place = std::max(spoilt.id, first);
+    std::string bytes = spoilt.bytes;
+    return sseEvents(first, place - 1) + bytes + sseEvents(place + 1, lastEvent);
+}
+
+/// \returns The caller's request for events behind \p lastId, or all if it is 0.
+std::string streamRequest(std::string_view path, const std::string& id, int lastId)
+{
+    std::string request = LoopbackRouter::request("POST", path, id, "prompt-" + id + ".");
+    std::string fields = "Connection: close\r\n";
+    if (lastId != 0)
+        fields += "Last-Event-Id: " + std::to_string(lastId) + "\r\n";
+    return request.insert(request.find("Content-Length"), fields);
+}
+
+/// \brief Writes a stream with its end, its events in two parts of which the first one has \p firstBytes.
+void writeStream(BlockingSocket& engine, const std::string& id, const std::string& events, std::size_t firstBytes)
+{
+    auto encode = [](const std::string& part) { return part.empty() ? part : LoopbackDaemon::encodeChunk(part); };
+    engine.write(LoopbackRouter::eventStreamHead(id) + encode(events.substr(0, firstBytes)));
+    if (firstBytes < events.size()) {
+        std::this_thread::sleep_for(std::chrono::milliseconds(2));
+        engine.write(encode(events.substr(firstBytes)));
+    }
+    engine.write("0\r\n\r\n");
+}
+
+/// \returns The body of a response with chunks, as far as it was received.
+std::string decodedBody(std::string response)
+{
+    std::size_t head = response.find("\r\n\r\n");
+    if (head == std::string::npos)
+        return {};
+    std::string rest = response.substr(head + 4);
+    std::string body;
+    while (true) {
+        std::size_t lineEnd = rest.find("\r\n");
+        if (lineEnd == std::string::npos)
+            return body;
+        std::size_t size = std::stoul(rest.substr(0, lineEnd), nullptr, 16);
+        if (size == 0)
+            return body;
+        body += rest.substr(lineEnd + 2, size);
+        rest.erase(0, std::min(rest.size(), lineEnd + 2 + size + 2));
+    }
+}
+
+bool isComplete(const std::string& response) { return response.ends_with("\r\n0\r\n\r\n"); }
+
+}
+
+// Guards against pieces that no run made in a stream that may not be repeated, and against its end as if it were whole.
+TEST_CASE("a stream that may not be resumed ends broken off at a spoilt event", "[router][events][!mayfail]")
+{
+    LoopbackRouter router;
+    int number = 0;
+    for (const SpoiltEvent& spoilt : spoiltEvents()) {
+        for (int lastId : { 0, 2 }) {
+            CAPTURE(spoilt.name, lastId);
+            std::string id = "id-" + std::to_string(++number);
+            BlockingSocket caller = router.connectCaller();
+            caller.write(streamRequest("/review/x", id, lastId));
+            auto [engine, listener] = router.acceptEngineConnection();
+            static_cast<void>(engine.readUntil("."));
+            std::string events = spoiltStream(lastId + 1, spoilt);
+            // An event that fits at this place is sound.
+            if (events == sseEvents(lastId + 1, lastEvent))
+                continue;
+            writeStream(engine, id, events, number % 2 == 0 ? events.size() / 2 : events.size());
+            std::string response = caller.readToEnd();
+            std::string body = decodedBody(response);
+            if (response.starts_with("HTTP/1.1 200")) {
+                CHECK_FALSE(isComplete(response));
+                CHECK(sseEvents(lastId + 1, lastEvent).starts_with(body));
+            } else {
+                CHECK(response.starts_with("HTTP/1.1 502 "));
+                CHECK(response.find("\"run_status\":\"unknown\"") != std::string::npos);
+            }
+        }
+    }
+}
+
+// Guards against pieces that no run made in a stream that may be resumed, against ids that no run made towards its next
+// engine, and against a stream that is lost although another engine can go on with it.
+TEST_CASE("a stream that may be resumed goes on after the last sound event", "[router][events][!mayfail]")
+{
+    LoopbackRouter router;
+    int number = 0;
+    for (const SpoiltEvent& spoilt : spoiltEvents()) {
+        for (int lastId : { 0, 2 }) {
+            CAPTURE(spoilt.name, lastId);
+            std::string events = spoiltStream(lastId + 1, spoilt);
+            if (events == sseEvents(lastId + 1, lastEvent))
+                continue;
+            std::string id = "id-" + std::to_string(++number);
+            BlockingSocket caller = router.connectCaller();
+            caller.write(streamRequest("/quote/x", id, lastId));
+            auto [firstEngine, firstListener] = router.acceptEngineConnection();
+            static_cast<void>(firstEngine.readUntil("."));
+            writeStream(firstEngine, id, events, number % 2 == 0 ? events.size() / 2 : events.size());
+            const ListeningSocket& other = firstListener == &router.engine1 ? router.engine2 : router.engine1;
+            REQUIRE(other.hasPendingConnection(2'000));
+            BlockingSocket secondEngine = other.accept();
+            std::string position = headerValue(secondEngine.readUntil("."), "Last-Event-Id");
+            int soundId = position.empty() ? 0 : std::stoi(position);
+            CHECK(position == (soundId == 0 ? "" : std::to_string(soundId)));
+            CHECK(soundId >= lastId);
+            CHECK(soundId < std::max(spoilt.id, lastId + 1));
+            writeStream(secondEngine, id, sseEvents(soundId + 1, lastEvent), 0);
+            std::string response = caller.readToEnd();
+            CHECK(response.starts_with("HTTP/1.1 200"));
+            CHECK(isComplete(response));
+            CHECK(decodedBody(response) == sseEvents(lastId + 1, lastEvent));
+        }
+    }
+}
+
+// Guards against changes to streams that are sound, in each form that the specification of server-sent events allows.
+TEST_CASE("sound streams reach the caller byte for byte", "[router][events][!mayfail]")
+{
+    LoopbackRouter router;
+    std::string lf = sseEvents(1, lastEvent);
+    auto withLineEnds = [&](std::string_view lineEnd) {
+        std::string text;
+        for (char c : lf)
+            text += c == '\n' ? std::string(lineEnd) : std::string(1, c);
+        return text;
+    };
+    const std::vector<std::string> streams { lf, withLineEnds("\r\n"), withLineEnds("\r"), "\xef\xbb\xbf" + lf,
+        ": comment\n\n" + lf + ":\n\n\n", "retry: 100\n\n" + sseEvent(1) + "\n\r\n" + sseEvent(2),
+        "event: token\nid:1\ndata:\n\ndata: a\ndata: b\nid: 2\n\n" + sseEvent(3),
+        "x-jasminestack-weight-versions: 4\n" + sseEvent(1) + ": keep-alive\ndata\nid: 2\n\n",
+        "id: 1\ndata: \xc3\xa4\xe2\x82\xac\xf0\x9f\x8c\xb8 \t{\"a\": 1}\n\n", "" };
+    int number = 0;
+    for (const std::string& stream : streams) {
+        for (std::size_t firstBytes = 0; firstBytes <= stream.size(); firstBytes += 1 + stream.size() / 12) {
+            CAPTURE(stream, firstBytes);
+            std::string id = "id-" + std::to_string(++number);
+            BlockingSocket caller = router.connectCaller();
+            caller.write(streamRequest(number % 2 == 0 ? "/quote/x" : "/review/x", id, 0));
+            auto [engine, listener] = router.acceptEngineConnection();
+            static_cast<void>(engine.readUntil("."));
+            writeStream(engine, id, stream, firstBytes);
+            std::string response = caller.readToEnd();
+            CHECK(response.starts_with("HTTP/1.1 200"));
+            CHECK(isComplete(response));
+            CHECK(decodedBody(response) == stream);
+        }
+    }
+}
