Number the events of the endless stream test

Events without an id end their answer since, so the case of endless events no longer reached the memory that it bounds. Its events carry increasing ids now; the bound and the number of bytes are the same.

--- a/tests/EndlessAnswerTests.cpp
+++ b/tests/EndlessAnswerTests.cpp
@@ -16,6 +16,7 @@
     std::string target;
     std::string start;
     std::string repeated;
+    bool isNumbered { false }; ///< Each \c repeated follows an id line with the next number.
 };
 
 const std::string signedHead = "X-Jasminestack-Attempt-Id: ID\r\nX-Jasminestack-Server-Signature: sig\r\n";
@@ -42,7 +43,7 @@
         { "comments", "/review/x", "HTTP/1.1 200 OK\r\n" + signedHead + "Content-Type: text/event-stream\r\n\r\n",
             ":\n\n" },
         { "events", "/review/x", "HTTP/1.1 200 OK\r\n" + signedHead + "Content-Type: text/event-stream\r\n\r\n",
-            "data: token\n\n" },
+            "data: token\n\n", true },
     };
 }
 
@@ -99,9 +100,14 @@
         std::string request = endpoints.back().readUntil("order.");
         endpoints.back().write(withId(endless.start, headerValue(request, "X-Jasminestack-Attempt-Id")));
     }
-    std::string block;
-    while (block.size() < (64U << 10U))
-        block += endless.repeated;
+    std::vector<std::string> unsent(answers);
+    std::vector<int> ids(answers);
+    auto refill = [&](std::size_t i) {
+        while (unsent[i].size() < (64U << 10U))
+            unsent[i] += (endless.isNumbered ? "id: " + std::to_string(++ids[i]) + "\n" : "") + endless.repeated;
+    };
+    for (std::size_t i = 0; i < unsent.size(); ++i)
+        refill(i);
     std::size_t before = allocatedBytes();
     std::size_t peak = before;
     std::vector<char> discarded(64U << 10U);
@@ -111,11 +117,9 @@
         isProgressing = false;
         for (std::size_t i = 0; i < endpoints.size(); ++i) {
             if (written[i] < bytesPerAnswer) {
-                std::size_t sent = endpoints[i].writeSome(block, 20);
-                // A block that was sent in part only is continued at the same place of the repeated text.
-                std::size_t rest = sent % endless.repeated.size();
-                if (sent != 0 && rest != 0)
-                    endpoints[i].write(endless.repeated.substr(rest));
+                std::size_t sent = endpoints[i].writeSome(unsent[i], 20);
+                unsent[i].erase(0, sent);
+                refill(i);
                 written[i] += sent;
                 isProgressing = isProgressing || sent != 0;
             }
