Pass on no success of a stream's route that is no event stream

Cause: the check of events was chosen by a field of the answer instead of by the route, so a spoilt or missing Content-Type switched it off.

Change: a success on a stream's route has to be an event stream; another one fails the attempt as answer_mismatch (no_event_stream): possibly run, repeated only if the stream may be resumed. The media type is compared without case and parameters, so that sound streams pass; before, any type that began with the same letters was taken.

--- a/src/net/SseEvent.cpp
+++ b/src/net/SseEvent.cpp
@@ -1,5 +1,7 @@
 #include "net/SseEvent.h"
 
+#include "net/HttpResponseParser.h"
+
 #include <algorithm>
 #include <charconv>
 #include <cstring>
@@ -120,6 +122,14 @@
     return number;
 }
 
+bool isEventStreamType(std::string_view contentType) noexcept
+{
+    std::string_view type = contentType.substr(0, contentType.find(';'));
+    while (type.ends_with(' ') || type.ends_with('\t'))
+        type.remove_suffix(1);
+    return equalIgnoringAsciiCase(type, "text/event-stream");
+}
+
 EventViolation parseSseEvent(std::string_view text, const EventRules& rules, SseEvent& event) noexcept
 {
     event = {};
--- a/src/net/SseEvent.h
+++ b/src/net/SseEvent.h
@@ -63,6 +63,9 @@
 /// \returns Nothing unless \p text is a decimal number of 64 bits without sign and leading zeros.
 [[nodiscard]] std::optional<std::uint64_t> parseEventId(std::string_view text) noexcept;
 
+/// \returns Whether the value of a Content-Type field states an event stream; its parameters do not matter.
+[[nodiscard]] bool isEventStreamType(std::string_view contentType) noexcept;
+
 /// \brief Divides the bytes of one stream into blocks: an event with its blank line, or a blank line alone. Lines end
 /// with LF, CR or CRLF; the LF of a CRLF that is received later than its CR is a block of its own. Each byte is looked
 /// at once.
--- a/src/router/RoutedRequestResponse.cpp
+++ b/src/router/RoutedRequestResponse.cpp
@@ -31,7 +31,7 @@
 
     bool isEventStream(const HttpResponseHead& head) noexcept
     {
-        return findHeader(head.headers, "Content-Type").starts_with("text/event-stream");
+        return isEventStreamType(findHeader(head.headers, "Content-Type"));
     }
 
 }
@@ -63,7 +63,12 @@
             responseMetadata.isEncoded ? "encoded_answer" : "unsigned_answer");
         return;
     }
-    bool isEventRelay = isSuccess(head.status) && m_route.kind == RequestKind::Stream && isEventStream(head);
+    bool isEventRelay = isSuccess(head.status) && m_route.kind == RequestKind::Stream;
+    if (isEventRelay && !isEventStream(head)) {
+        cancelExchange();
+        handleAttemptFailure(ErrorKind::AnswerMismatch, unusableHeadResult, "no_event_stream");
+        return;
+    }
     if (m_hasResponseBegun && !isEventRelay) {
         cancelExchange();
         handleAttemptFailure(ErrorKind::AnswerMismatch, unusableHeadResult, "resume_rejected");
--- a/tests/SpoiltEventTests.cpp
+++ b/tests/SpoiltEventTests.cpp
@@ -1,7 +1,9 @@
 #include "RouterHarness.h"
 
 #include <catch2/catch.hpp>
+#include <cerrno>
 #include <stdexcept>
+#include <sys/socket.h>
 
 using namespace jasminestack;
 using namespace jasminestack::test;
@@ -214,3 +216,35 @@
         }
     }
 }
+
+// Guards against bytes that nothing checks, because an answer to a stream's request does not call itself an event
+// stream.
+TEST_CASE("a success on a stream's route that is no event stream is not passed on", "[router][events]")
+{
+    LoopbackRouter router;
+    std::string type = GENERATE(as<std::string> {}, "", "Content-Type: text/plain\r\n",
+        "Content-Type: text/event-streams\r\n", "Content-Type: text/event-stream/x\r\n");
+    std::string body = GENERATE(sseEvents(1, lastEvent), std::string(300'000, 'o'));
+    CAPTURE(type, body.size());
+    BlockingSocket caller = router.connectCaller();
+    caller.write(streamRequest("/review/x", "id-1", 0));
+    auto [engine, listener] = router.acceptEngineConnection();
+    static_cast<void>(engine.readUntil("prompt-id-1."));
+    engine.writeSome(LoopbackRouter::response("id-1", body, 200, type), 500);
+    std::string response = caller.readToEnd();
+    CHECK(response.starts_with("HTTP/1.1 502 "));
+    CHECK(response.find("\"run_status\":\"unknown\"") != std::string::npos);
+}
+
+// Guards against sound streams that are refused for the form in which they state their media type.
+TEST_CASE("the media type of an event stream may have parameters and upper case letters", "[router][events]")
+{
+    LoopbackRouter router;
+    std::string type = GENERATE(as<std::string> {}, "text/event-stream;charset=utf-8", "Text/Event-Stream ; a=b");
+    BlockingSocket caller = router.connectCaller();
+    caller.write(streamRequest("/review/x", "id-1", 0));
+    auto [engine, listener] = router.acceptEngineConnection();
+    static_cast<void>(engine.readUntil("prompt-id-1."));
+    engine.write(LoopbackRouter::response("id-1", sseEvents(1, lastEvent), 200, "Content-Type: " + type + "\r\n"));
+    CHECK(decodedBody(caller.readToEnd()) == sseEvents(1, lastEvent));
+}
