Refuse a stream's request whose Last-Event-Id is no event's id

Engines were sent positions that no run made: words, signs, fractions and numbers of 20 digits in a caller's Last-Event-Id. The first event of the answer to such a request can't be checked.

Cause: the header was copied as it came; the router did not read it.

Change: on a stream's route it has to be a number as events have it; otherwise the request is refused with 400, which names the header. Other routes pass it on unread.

Evidence: the test failed before for each of seven values and passes.

--- a/src/router/RequestRouter.cpp
+++ b/src/router/RequestRouter.cpp
@@ -225,6 +225,10 @@
             return;
         }
     }
+    if (route->kind == RequestKind::Stream && !metadata.value().lastEventId) {
+        state.refuse(request, exchange, ErrorKind::BadRequest, "header Last-Event-Id is not the id of an event");
+        return;
+    }
     auto routedRequest = std::make_unique<RoutedRequest>(state,
         RoutedRequest::Parameters { .request = std::move(request),
             .metadata = std::move(metadata).value(),
--- a/tests/SpoiltEventTests.cpp
+++ b/tests/SpoiltEventTests.cpp
@@ -248,3 +248,21 @@
     engine.write(LoopbackRouter::response("id-1", sseEvents(1, lastEvent), 200, "Content-Type: " + type + "\r\n"));
     CHECK(decodedBody(caller.readToEnd()) == sseEvents(1, lastEvent));
 }
+
+// Guards against engines that are sent a position that no run made, and against answers whose first event can't be
+// checked.
+TEST_CASE("a stream's request with a malformed Last-Event-Id is refused", "[router][events]")
+{
+    LoopbackRouter router;
+    std::string value = GENERATE(as<std::string> {}, "five", "-1", "+5", "5.0", "05", "18446744073709551616", "5 6");
+    CAPTURE(value);
+    BlockingSocket caller = router.connectCaller();
+    std::string request = streamRequest("/quote/x", "id-1", 5);
+    request.replace(request.find(": 5\r\n"), 5, ": " + value + "\r\n");
+    caller.write(request);
+    std::string response = caller.readToEnd();
+    CHECK(response.starts_with("HTTP/1.1 400 "));
+    CHECK(response.find("Last-Event-Id") != std::string::npos);
+    CHECK(!router.engine1.hasPendingConnection(20));
+    CHECK(!router.engine2.hasPendingConnection(20));
+}
