End a broken response to HTTP/1.0 with a reset

A caller that speaks HTTP/1.0 took a stream that was broken off for a complete one: its body has no chunks, so it ends with the connection, and a normal close looks like the end of the stream.

Cause: abort() relies on the missing last chunk, which only HTTP/1.1 has.

Change: abort() sets the connection to close with a reset if the caller speaks HTTP/1.0.

Evidence: the test read an orderly end of the connection before, and ECONNRESET now.

--- a/src/net/CallerServer.cpp
+++ b/src/net/CallerServer.cpp
@@ -236,7 +236,10 @@
 
     void abort() override
     {
-        // The missing last chunk lets the caller detect that the response is truncated.
+        // The missing last chunk lets the caller detect that the response is truncated. HTTP/1.0 has none, so only a
+        // reset does.
+        if (m_isHttp10)
+            resetOnClose(m_socket.value());
         m_listener = nullptr;
         m_owner.close(this);
     }
--- a/src/net/Socket.cpp
+++ b/src/net/Socket.cpp
@@ -52,6 +52,12 @@
     return ioctl(descriptor, SIOCOUTQ, &unacknowledgedBytes) != 0 || unacknowledgedBytes == 0;
 }
 
+void resetOnClose(int descriptor) noexcept
+{
+    linger option { .l_onoff = 1, .l_linger = 0 };
+    setsockopt(descriptor, SOL_SOCKET, SO_LINGER, &option, sizeof(option));
+}
+
 Result<FileDescriptor> startConnection(std::string_view address)
 {
     auto split = splitAddress(address);
--- a/tests/SpoiltEventTests.cpp
+++ b/tests/SpoiltEventTests.cpp
@@ -266,3 +266,21 @@
     CHECK(!router.engine1.hasPendingConnection(20));
     CHECK(!router.engine2.hasPendingConnection(20));
 }
+
+// Guards against a broken stream that looks complete: without chunks only a reset tells the end of the bytes from the
+// end of the stream.
+TEST_CASE("a broken stream ends with a reset for a caller that speaks HTTP/1.0", "[router][events]")
+{
+    LoopbackRouter router;
+    BlockingSocket caller = router.connectCaller();
+    std::string request = streamRequest("/review/x", "id-1", 0);
+    caller.write(request.replace(request.find("HTTP/1.1"), 8, "HTTP/1.0"));
+    auto [engine, listener] = router.acceptEngineConnection();
+    static_cast<void>(engine.readUntil("prompt-id-1."));
+    engine.write(LoopbackRouter::eventStreamHead("id-1") + LoopbackDaemon::encodeChunk(sseEvents(1, 2)));
+    static_cast<void>(caller.readUntil("token-2\n\n"));
+    engine.write(LoopbackDaemon::encodeChunk("garbage\n\n"));
+    char byte = 0;
+    CHECK(recv(caller.descriptor(), &byte, 1, 0) == -1);
+    CHECK(errno == ECONNRESET);
+}
