--- a/src/router/RoutedRequest.h
+++ b/src/router/RoutedRequest.h
@@ -150,6 +150,8 @@
     /// \brief Takes over what the endpoint says of itself: that it leaves, or wants a pause.
     void takeEndpointNotice(const ResponseMetadata&);
     void reportFirstByte();
+    /// \brief Adds to the buffered body, or passes all of it on if it becomes too long.
+    void bufferBody(std::string_view chunk);
     void relayEvents(std::string_view chunk);
     void beginResponse();
     void sendToCaller(std::string_view bytes);
--- a/src/router/RoutedRequestResponse.cpp
+++ b/src/router/RoutedRequestResponse.cpp
@@ -2,6 +2,7 @@
 #include "observe/Logging.h"
 #include "router/RoutedRequest.h"
 
+#include <algorithm>
 #include <cmath>
 #include <event2/event.h>
 
@@ -122,16 +123,29 @@
         sendToCaller(chunk);
         break;
     case RelayMode::Buffered:
-        m_responseBody.append(chunk);
-        if (m_responseBody.size() > m_owner.options().maxBufferedResponseBytes) {
-            m_relayMode = RelayMode::PassThrough;
-            beginResponse();
-            sendToCaller(std::exchange(m_responseBody, {}));
-        }
+        bufferBody(chunk);
         break;
     }
 }
 
+void RoutedRequest::bufferBody(std::string_view chunk)
+{
+    std::size_t maxBytes = m_owner.options().maxBufferedResponseBytes;
+    std::size_t size = m_responseBody.size() + chunk.size();
+    if (size > m_responseBody.capacity()) {
+        // The string would double its memory beyond the limit.
+        std::string grown;
+        grown.reserve(std::max(size, std::min(2 * size, maxBytes)));
+        m_responseBody = std::move(grown.append(m_responseBody));
+    }
+    m_responseBody.append(chunk);
+    if (size <= maxBytes)
+        return;
+    m_relayMode = RelayMode::PassThrough;
+    beginResponse();
+    sendToCaller(std::exchange(m_responseBody, {}));
+}
+
 void RoutedRequest::relayEvents(std::string_view chunk)
 {
     std::uint64_t eventsBefore = m_splitter.eventCount();
