Close the gaps that the review of the event checks found

- A line feed behind a complete CRLF at the end of a read was taken for a part of that line end: 'id: 2' CRLF, then an empty line and data, became one event, which callers read as data without an id; sound streams with mixed line ends were broken off.
- A second byte order mark was forwarded in the middle of a resumed stream, where it hides the id from callers.
- An answer that should continue a stream and ended before its position let the stream end as complete.
- The largest number as a caller's position overflowed: each event was out of order, and engines were blamed.
- Bytes at the end of a stream without a length counted as the loss of its engine even if no event begins like them.

Cause: each is a state of the reader that no test had (pieces, several answers, the end). An event with a blank line in it is a violation by itself now, so a mistake of the reader can't pass two events as one.

--- a/src/net/SseEvent.cpp
+++ b/src/net/SseEvent.cpp
@@ -106,6 +106,8 @@
         return "events_out_of_order";
     case EventViolation::TooLong:
         return "event_too_long";
+    case EventViolation::BlankLine:
+        return "event_blank_line";
     case EventViolation::Incomplete:
         return "event_incomplete";
     }
@@ -140,6 +142,8 @@
     std::size_t dataFields = 0;
     while (!text.empty()) {
         std::string_view line = takeLine(text);
+        if (line.empty() && !text.empty())
+            return EventViolation::BlankLine;
         if (line.empty() || line.front() == ':')
             continue;
         std::string_view name = line.substr(0, line.find(':'));
@@ -173,6 +177,29 @@
     return EventViolation::None;
 }
 
+EventViolation parseIncompleteEvent(std::string_view text, const EventRules& rules) noexcept
+{
+    std::size_t lastLineEnd = text.find_last_of(lineEnds);
+    std::size_t lastLineStart = lastLineEnd == std::string_view::npos ? 0 : lastLineEnd + 1;
+    std::string_view lastLine = text.substr(lastLineStart);
+    SseEvent event;
+    EventViolation violation = parseSseEvent(text.substr(0, lastLineStart), rules, event);
+    bool mayBecomeSound = violation == EventViolation::None || violation == EventViolation::MissingId
+        || violation == EventViolation::MissingData;
+    if (!mayBecomeSound)
+        return violation;
+    std::size_t colon = lastLine.find(':');
+    std::string_view name = lastLine.substr(0, colon);
+    auto isPossibleName = [&](std::string_view field) {
+        return colon == std::string_view::npos ? field.starts_with(name) : field == name;
+    };
+    constexpr std::string_view comment;
+    bool isPossible = isPossibleName("id") || isPossibleName("data") || isPossibleName("event")
+        || isPossibleName("retry") || isPossibleName(comment)
+        || (!rules.extensionField.empty() && isPossibleName(rules.extensionField));
+    return isPossible ? EventViolation::Incomplete : EventViolation::UnknownField;
+}
+
 void SseBlockReader::append(std::string_view chunk)
 {
     m_buffer.erase(0, m_consumedBytes);
@@ -203,7 +230,7 @@
         std::size_t size = text.substr(lineEnd).starts_with(lineEnds) ? lineEnds.size() : 1;
         m_lineStart = m_scanStart = lineEnd + size;
         if (!isBlank) {
-            m_lineFeedMayFollow = text[lineEnd] == '\r' && m_scanStart == text.size();
+            m_lineFeedMayFollow = size == 1 && text[lineEnd] == '\r' && m_scanStart == text.size();
             continue;
         }
         std::string_view block = text.substr(m_consumedBytes, m_scanStart - m_consumedBytes);
--- a/src/net/SseEvent.h
+++ b/src/net/SseEvent.h
@@ -31,7 +31,8 @@
     MissingData, ///< An id without data: callers' parsers drop such an event.
     OutOfOrder, ///< The id is not the one that follows.
     TooLong, ///< More than maxEventBytes.
-    Incomplete, ///< The stream ended within the event.
+    BlankLine, ///< Behind a blank line there is more: several events.
+    Incomplete, ///< The stream ended within an event, or before the events that the caller has.
 };
 
 /// \returns A name for log lines, for example "unknown_field".
@@ -59,6 +60,10 @@
 /// \returns The first violation, or EventViolation::None.
 [[nodiscard]] EventViolation parseSseEvent(std::string_view text, const EventRules&, SseEvent& event) noexcept;
 
+/// \brief Checks the beginning of an event whose rest is missing.
+/// \returns EventViolation::Incomplete if a sound event may begin with \p text, otherwise its violation.
+[[nodiscard]] EventViolation parseIncompleteEvent(std::string_view text, const EventRules&) noexcept;
+
 /// \brief Parses an event's id as endpoints write it, which is also what a caller sends to resume a stream.
 /// \returns Nothing unless \p text is a decimal number of 64 bits without sign and leading zeros.
 [[nodiscard]] std::optional<std::uint64_t> parseEventId(std::string_view text) noexcept;
@@ -67,8 +72,8 @@
 [[nodiscard]] bool isEventStreamType(std::string_view contentType) noexcept;
 
 /// \brief Divides the bytes of one stream into blocks: an event with its blank line, or a blank line alone. Lines end
-/// with LF, CR or CRLF; the LF of a CRLF that is received later than its CR is a block of its own. Each byte is looked
-/// at once.
+/// with LF, CR or CRLF; the LF of a blank line's CRLF that is received later than its CR is a block of its own. The
+/// search for line ends takes a time that grows with the received bytes, whatever their pieces.
 ///
 /// \code
 /// reader.append(received);
@@ -84,8 +89,11 @@
     /// if the rest is incomplete.
     [[nodiscard]] std::optional<std::string_view> next();
 
-    /// \returns Number of received bytes that belong to no complete block yet, after next() has returned nothing.
-    [[nodiscard]] std::size_t incompleteBytes() const noexcept { return m_buffer.size() - m_consumedBytes; }
+    /// \returns The received bytes that belong to no complete block yet, after next() has returned nothing.
+    [[nodiscard]] std::string_view incompleteBlock() const noexcept
+    {
+        return std::string_view(m_buffer).substr(m_consumedBytes);
+    }
 
     /// \brief Discards the bytes of an incomplete block, because another connection continues the stream.
     void clear() noexcept;
--- a/src/router/RoutedRequest.h
+++ b/src/router/RoutedRequest.h
@@ -142,10 +142,10 @@
     void recordSoundAnswer();
     /// \brief Logs what tells apart the requests that an endpoint was lost with.
     void logLoss(std::string_view cause, bool hasAnswerBegun) const;
+    /// \brief Ends the attempt at an event that is malformed or not the next one; the stream goes on at another
+    /// endpoint, or is broken off.
+    void handleMalformedEvent();
     /// \param eventBytes Length of the event that is malformed; 0 if the fault is outside of the events.
-    /// \brief Ends the attempt at an event that no sound stream has; the stream goes on at another endpoint, or is
-    /// broken off.
-    void handleSpoiltEvent();
     void logMalformedAnswer(std::string_view malformedPart, std::size_t eventBytes = 0) const;
     /// \brief Takes over what the endpoint says of itself: that it leaves, or wants a pause.
     void takeEndpointNotice(const ResponseMetadata&);
--- a/src/router/RoutedRequestResponse.cpp
+++ b/src/router/RoutedRequestResponse.cpp
@@ -64,10 +64,12 @@
             responseMetadata.isEncoded ? "encoded_answer" : "unsigned_answer");
         return;
     }
-    bool isEventRelay = isSuccess(head.status) && m_route.kind == RequestKind::Stream;
-    if (isEventRelay && !isEventStream(head)) {
+    bool isStreamAnswer = m_route.kind == RequestKind::Stream && m_request.method != "HEAD";
+    bool isEventRelay = isStreamAnswer && isSuccess(head.status);
+    if (isStreamAnswer && isEventRelay != isEventStream(head)) {
         cancelExchange();
-        handleAttemptFailure(ErrorKind::AnswerMismatch, unusableHeadResult, "no_event_stream");
+        handleAttemptFailure(ErrorKind::AnswerMismatch, unusableHeadResult,
+            isEventRelay ? "no_event_stream" : "event_stream_with_error");
         return;
     }
     if (m_hasResponseBegun && !isEventRelay) {
@@ -165,11 +167,11 @@
     }
     if (m_splitter.violation() != EventViolation::None && m_stage == Stage::InFlight) {
         cancelExchange();
-        handleSpoiltEvent();
+        handleMalformedEvent();
     }
 }
 
-void RoutedRequest::handleSpoiltEvent()
+void RoutedRequest::handleMalformedEvent()
 {
     std::string_view violation = toString(m_splitter.violation());
     logMalformedAnswer(violation, m_splitter.violatingBytes());
@@ -263,10 +265,10 @@
 void RoutedRequest::finishStream()
 {
     m_splitter.endAnswer();
-    bool endsInsideEvent = m_splitter.violation() != EventViolation::None;
+    bool endsInsideEvent = m_splitter.violation() == EventViolation::Incomplete;
     bool endsWithEndpoint = endsWithConnection(m_responseHead);
-    if (endsInsideEvent && !endsWithEndpoint) {
-        handleSpoiltEvent();
+    if (m_splitter.violation() != EventViolation::None && !(endsInsideEvent && endsWithEndpoint)) {
+        handleMalformedEvent();
         return;
     }
     bool endsBeforeFirstEvent = m_firstEventAt == Millis {} && endsWithEndpoint;
--- a/src/router/SseSplitter.cpp
+++ b/src/router/SseSplitter.cpp
@@ -13,11 +13,14 @@
     std::string_view forwarded;
     while (auto block = m_reader.next()) {
         std::string_view event = *block;
-        bool isFirst = std::exchange(m_isAnswerStart, false);
-        // Parsers of callers skip a byte order mark only at the start of what they are sent.
-        if (isFirst && event.starts_with(byteOrderMark) && m_hasForwarded)
-            event.remove_prefix(byteOrderMark.size());
-        Action action = check(isFirst && event.starts_with(byteOrderMark) ? event.substr(byteOrderMark.size()) : event);
+        std::string_view text = event;
+        if (std::exchange(m_isAnswerStart, false) && text.starts_with(byteOrderMark)) {
+            text.remove_prefix(byteOrderMark.size());
+            // Callers' parsers skip a byte order mark only at the start of what they are sent.
+            if (m_hasForwarded)
+                event = text;
+        }
+        Action action = check(text);
         if (action == Action::Stop)
             return forwarded;
         if (action == Action::Omit)
@@ -33,8 +36,8 @@
             forwarded = m_joinedEvents.append(event);
         }
     }
-    if (m_reader.incompleteBytes() > maxEventBytes)
-        stop(EventViolation::TooLong, m_reader.incompleteBytes());
+    if (std::size_t size = m_reader.incompleteBlock().size(); size > maxEventBytes)
+        stop(EventViolation::TooLong, size);
     return forwarded;
 }
 
@@ -42,13 +45,8 @@
 {
     SseEvent event;
     EventViolation violation = parseSseEvent(text, m_rules, event);
-    if (violation == EventViolation::None && event.id) {
-        // An answer may begin with events that the caller has, but without a gap, and never goes back.
-        bool isInOrder
-            = m_lastIdOfAnswer ? *event.id == *m_lastIdOfAnswer + 1 : *event.id != 0 && *event.id <= m_lastId + 1;
-        if (!isInOrder)
-            violation = EventViolation::OutOfOrder;
-    }
+    if (violation == EventViolation::None && event.id && !isInOrder(*event.id))
+        violation = EventViolation::OutOfOrder;
     if (violation != EventViolation::None) {
         stop(violation, text.size());
         return Action::Stop;
@@ -63,10 +61,23 @@
     return Action::Forward;
 }
 
+bool SseSplitter::isInOrder(std::uint64_t id) const noexcept
+{
+    if (id == 0)
+        return false;
+    if (m_lastIdOfAnswer)
+        return id - 1 == *m_lastIdOfAnswer;
+    return m_mayRepeat ? id - 1 <= m_lastId : id - 1 == m_lastId;
+}
+
 void SseSplitter::endAnswer() noexcept
 {
-    if (m_violation == EventViolation::None && m_reader.incompleteBytes() != 0)
-        stop(EventViolation::Incomplete, m_reader.incompleteBytes());
+    if (m_violation != EventViolation::None)
+        return;
+    if (std::string_view rest = m_reader.incompleteBlock(); !rest.empty())
+        stop(parseIncompleteEvent(rest, m_rules), rest.size());
+    else if (m_lastIdOfAnswer && *m_lastIdOfAnswer < m_lastId)
+        stop(EventViolation::Incomplete, 0);
 }
 
 void SseSplitter::stop(EventViolation violation, std::size_t bytes) noexcept
@@ -78,6 +89,7 @@
 void SseSplitter::resume() noexcept
 {
     m_reader.clear();
+    m_mayRepeat = true;
     m_lastIdOfAnswer.reset();
     m_violation = EventViolation::None;
     m_violatingBytes = 0;
--- a/src/router/SseSplitter.h
+++ b/src/router/SseSplitter.h
@@ -16,16 +16,18 @@
 public:
     /// \param rules What the deployment's streams contain beside the fields of the specification.
     /// \param lastId Id of the last event that the caller has; 0 at the start of a stream, whose first event is
-    /// number 1.
-    explicit SseSplitter(const EventRules& rules, std::uint64_t lastId = 0) noexcept
+    /// number 1. \param mayRepeat Whether an answer may begin with events that the caller has, without a gap. They are
+    /// omitted. The answers after resume() always may.
+    explicit SseSplitter(const EventRules& rules, std::uint64_t lastId = 0, bool mayRepeat = true) noexcept
         : m_rules(rules)
         , m_lastId(lastId)
+        , m_mayRepeat(mayRepeat)
     {
     }
 
     /// \param chunk The next received bytes.
     /// \returns The complete events to forward, up to the first violation; valid until the next call or until \p chunk
-    /// is destroyed, whichever is earlier. Events up to lastId() at the start of an endpoint's answer are omitted.
+    /// is destroyed, whichever is earlier.
     [[nodiscard]] std::string_view feed(std::string_view chunk);
 
     /// \brief Ends the answer. Bytes behind the last complete event are a violation.
@@ -51,8 +53,8 @@
 
 private:
     enum class Action : std::uint8_t { Forward, Omit, Stop };
-
     [[nodiscard]] Action check(std::string_view event);
+    [[nodiscard]] bool isInOrder(std::uint64_t id) const noexcept;
     void stop(EventViolation, std::size_t bytes) noexcept;
 
     EventRules m_rules;
@@ -63,6 +65,7 @@
     std::uint64_t m_eventCount { 0 };
     EventViolation m_violation { EventViolation::None };
     std::size_t m_violatingBytes { 0 };
+    bool m_mayRepeat;
     bool m_isAnswerStart { true }; ///< No block of this answer has been read.
     bool m_hasForwarded { false };
 };
