Pause the next endpoint of a stream whose caller has not read, and leave Last-Event-Id alone on other routes

A stream that moved to another endpoint while its caller's send buffer was full was not paused there, so the router would hold the whole answer: the flag said that the endpoint was paused already. Malformed events make such moves more frequent. On routes without streams the caller's Last-Event-Id was replaced by its own number, although it should be passed on unread.

Found by reading the code in the review; by the code, not seen in a run and without a test of its own.

--- a/src/router/RoutedRequest.cpp
+++ b/src/router/RoutedRequest.cpp
@@ -46,7 +46,8 @@
     , m_timer(evtimer_new(
           &owner.context().base, [](int, short, void* self) { static_cast<RoutedRequest*>(self)->onTimer(); }, this))
     , m_deadline(m_request.arrivedAt + m_route.timeout)
-    , m_splitter(owner.context().protocol.eventRules(), m_metadata.lastEventId.value_or(0))
+    , m_splitter(owner.context().protocol.eventRules(),
+          m_route.kind == RequestKind::Stream ? m_metadata.lastEventId.value_or(0) : 0, m_route.isResumable)
 {
     if (m_metadata.timeLeft && *m_metadata.timeLeft < m_route.timeout) {
         m_deadline = m_request.arrivedAt + *m_metadata.timeLeft;
@@ -277,6 +278,8 @@
     request.firstByteTimeout = timeLeft() + Millis { 1'000 };
     request.responseIdleTimeout = request.firstByteTimeout;
     m_exchange = context.transport.start(request, *this);
+    if (m_isEndpointPaused) // The caller has not read what the endpoint before sent.
+        context.transport.setPaused(m_exchange, true);
     armTimer();
 }
 
