Reset connections of HTTP/1.0 callers until their response is written

Only an abort reset the connection: a write timeout or the death of the process in the middle of a stream still closed it in order, which such callers take for the end of the body.

Change: the connection is set to reset from the start of the stream, and back once its end is written.

The death of a process was not run.

--- a/src/net/CallerServer.cpp
+++ b/src/net/CallerServer.cpp
@@ -202,9 +202,10 @@
     void startStream(const CallerResponseHead& head) override
     {
         std::string text = formatHead(head);
-        if (m_isHttp10)
+        if (m_isHttp10) {
             m_keepAlive = false; // HTTP/1.0 has no chunked encoding; the body ends where the connection is closed.
-        else
+            setResetOnClose(m_socket.value(), true);
+        } else
             text.append("Transfer-Encoding: chunked\r\n");
         text.append("\r\n");
         m_pendingHead = std::move(text);
@@ -236,10 +237,7 @@
 
     void abort() override
     {
-        // The missing last chunk lets the caller detect that the response is truncated. HTTP/1.0 has none, so only a
-        // reset does.
-        if (m_isHttp10)
-            resetOnClose(m_socket.value());
+        // The missing last chunk, or for HTTP/1.0 the reset, lets the caller detect that the response is truncated.
         m_listener = nullptr;
         m_owner.close(this);
     }
@@ -311,6 +309,8 @@
     void onResponseWritten()
     {
         if (!m_keepAlive) {
+            if (m_isHttp10)
+                setResetOnClose(m_socket.value(), false);
             m_phase = Phase::Lingering;
             shutdown(m_socket.value(), SHUT_WR);
             startTimer(lingerTimeout);
--- a/src/net/Socket.cpp
+++ b/src/net/Socket.cpp
@@ -52,9 +52,9 @@
     return ioctl(descriptor, SIOCOUTQ, &unacknowledgedBytes) != 0 || unacknowledgedBytes == 0;
 }
 
-void resetOnClose(int descriptor) noexcept
+void setResetOnClose(int descriptor, bool isReset) noexcept
 {
-    linger option { .l_onoff = 1, .l_linger = 0 };
+    linger option { .l_onoff = isReset ? 1 : 0, .l_linger = 0 };
     setsockopt(descriptor, SOL_SOCKET, SO_LINGER, &option, sizeof(option));
 }
 
--- a/src/net/Socket.h
+++ b/src/net/Socket.h
@@ -63,8 +63,9 @@
 /// may refuse more bytes because it has not read the ones before, even if it acknowledges them.
 void setUnacknowledgedTimeout(int descriptor, Millis timeout) noexcept;
 
-/// \brief Makes the close of a connection a reset, by which the other end can tell it from the end of a response.
-void resetOnClose(int descriptor) noexcept;
+/// \brief Chooses whether the close of a connection, also by the end of the process, is a reset, by which the other end
+/// can tell it from the end of a response.
+void setResetOnClose(int descriptor, bool isReset) noexcept;
 
 /// \returns Whether all written bytes were acknowledged by the other end; true if the system does not tell.
 [[nodiscard]] bool isOutputAcknowledged(int descriptor) noexcept;
