--- a/tests/EndlessAnswerTests.cpp
+++ b/tests/EndlessAnswerTests.cpp
@@ -106,8 +106,10 @@
         while (unsent[i].size() < (64U << 10U))
             unsent[i] += (endless.isNumbered ? "id: " + std::to_string(++ids[i]) + "\n" : "") + endless.repeated;
     };
-    for (std::size_t i = 0; i < unsent.size(); ++i)
+    for (std::size_t i = 0; i < unsent.size(); ++i) {
+        unsent[i].reserve(128U << 10U); // The memory of the test itself does not grow.
         refill(i);
+    }
     std::size_t before = allocatedBytes();
     std::size_t peak = before;
     std::vector<char> discarded(64U << 10U);
--- a/tests/SpoiltEventTests.cpp
+++ b/tests/SpoiltEventTests.cpp
@@ -139,7 +139,7 @@
             std::string body = decodedBody(response);
             if (response.starts_with("HTTP/1.1 200")) {
                 CHECK_FALSE(isComplete(response));
-                CHECK(sseEvents(lastId + 1, lastEvent).starts_with(body));
+                CHECK(body == sseEvents(lastId + 1, std::max(spoilt.id, lastId + 1) - 1));
             } else {
                 CHECK(response.starts_with("HTTP/1.1 502 "));
                 CHECK(response.find("\"run_status\":\"unknown\"") != std::string::npos);
@@ -284,3 +284,35 @@
     CHECK(recv(caller.descriptor(), &byte, 1, 0) == -1);
     CHECK(errno == ECONNRESET);
 }
+
+// Guards against a response whose status an endpoint has not given: the events show that the status is damaged.
+TEST_CASE("an event stream with the status of an error is not passed on", "[router][events]")
+{
+    LoopbackRouter router;
+    std::string status = GENERATE(as<std::string> {}, "300", "400", "500");
+    BlockingSocket caller = router.connectCaller();
+    caller.write(streamRequest("/review/x", "id-1", 0));
+    auto [engine, listener] = router.acceptEngineConnection();
+    static_cast<void>(engine.readUntil("prompt-id-1."));
+    std::string head = LoopbackRouter::eventStreamHead("id-1");
+    engine.write(
+        head.replace(head.find("200"), 3, status) + LoopbackDaemon::encodeChunk(sseEvents(1, lastEvent)) + "0\r\n\r\n");
+    std::string response = caller.readToEnd();
+    CHECK(response.starts_with("HTTP/1.1 502 "));
+    CHECK(response.find("Server-Signature") == std::string::npos);
+}
+
+// Guards against a reset of a complete stream, by which the caller would take it for broken.
+TEST_CASE("a complete stream ends in order for a caller that speaks HTTP/1.0", "[router][events]")
+{
+    LoopbackRouter router;
+    BlockingSocket caller = router.connectCaller();
+    std::string request = streamRequest("/review/x", "id-1", 0);
+    caller.write(request.replace(request.find("HTTP/1.1"), 8, "HTTP/1.0"));
+    auto [engine, listener] = router.acceptEngineConnection();
+    static_cast<void>(engine.readUntil("prompt-id-1."));
+    writeStream(engine, "id-1", sseEvents(1, lastEvent), 10);
+    static_cast<void>(caller.readUntil("token-6\n\n"));
+    char byte = 0;
+    CHECK(recv(caller.descriptor(), &byte, 1, 0) == 0);
+}
