--- a/tests/RequestRouterTests.cpp
+++ b/tests/RequestRouterTests.cpp
@@ -1,4 +1,5 @@
 #include "net/EventPriority.h"
+#include "net/HttpResponseParser.h"
 #include "platform/PlatformProtocol.h"
 #include "router/PlacementClient.h"
 #include "router/PlacementCodec.h"
@@ -31,22 +32,31 @@
     void sendChunk(std::string_view bytes) override { body += bytes; }
     void endStream() override { }
     void abort() override { }
-    [[nodiscard]] std::size_t bufferedBytes() const override { return 0; }
+    [[nodiscard]] std::size_t bufferedBytes() const override { return unsentBytes; }
+
+    std::size_t unsentBytes { 0 };
 };
 
 struct RecordingEndpointTransport final : EndpointTransport {
     std::vector<std::string> sentTo; ///< Addresses of the requests, in the order of sending.
     std::vector<EndpointListener*> listeners; ///< Of the requests, in the same order.
     std::vector<ExchangeId> cancelled;
+    std::vector<ExchangeId> paused;
+    std::vector<std::string> lastEventIds; ///< Of the requests, in the same order.
 
     [[nodiscard]] ExchangeId start(const EndpointRequest& request, EndpointListener& listener) override
     {
+        lastEventIds.emplace_back(findHeader(request.headers, "Last-Event-Id"));
         sentTo.push_back(request.address);
         listeners.push_back(&listener);
         return sentTo.size();
     }
     void cancel(ExchangeId id) override { cancelled.push_back(id); }
-    void setPaused(ExchangeId, bool) override { }
+    void setPaused(ExchangeId id, bool isPaused) override
+    {
+        if (isPaused)
+            paused.push_back(id);
+    }
 };
 
 struct RecordingPeerTransport final : PeerTransport {
@@ -123,8 +133,8 @@
             makeRegistration("d1", servicePool, "127.0.0.1:9003") };
     }
 
-    RecordingCaller& request(
-        const std::string& target, const std::string& id, const std::string& promptParts = "aa:800,bb:200")
+    RecordingCaller& request(const std::string& target, const std::string& id,
+        const std::string& promptParts = "aa:800,bb:200", const std::string& lastEventId = {})
     {
         callers.push_back(std::make_unique<RecordingCaller>());
         CallerRequest request { .method = "POST",
@@ -134,6 +144,8 @@
                 { "X-Jasminestack-Token-Usage", "1000,50" }, { "X-Jasminestack-Prefix-Hash", promptParts } },
             .body = "text of " + id,
             .arrivedAt = clock.now() };
+        if (!lastEventId.empty())
+            request.headers.emplace_back("Last-Event-Id", lastEventId);
         router.onRequest(std::move(request), *callers.back());
         return *callers.back();
     }
@@ -536,3 +548,29 @@
     listener.onEnd({ .isComplete = true, .requestMayHaveBeenSent = true, .responseStarted = true });
     CHECK(fixture.board.crashes.lastAnswered.empty() == !isFramed);
 }
+
+// Guards against a router that holds a whole answer, because a stream moved to another endpoint while its caller did
+// not read.
+TEST_CASE("the next endpoint of a stream is paused while the caller's send buffer is full", "[router][events]")
+{
+    Fixture fixture;
+    allowRetries(fixture);
+    RecordingCaller& caller = fixture.request("/quote/x", "id-1");
+    caller.unsentBytes = 1U << 20U;
+    EndpointListener& listener = *fixture.endpointTransport.listeners.front();
+    listener.onHead(eventStreamHead("id-1"));
+    listener.onBody("id: 1\ndata: a\n\ngarbage\n\n");
+    REQUIRE(fixture.endpointTransport.sentTo.size() == 2);
+    CHECK(fixture.endpointTransport.lastEventIds.back() == "1");
+    CHECK(fixture.endpointTransport.paused == std::vector<ExchangeId> { 1, 2 });
+}
+
+// Guards against a change of a header that means nothing to the router on a route without streams.
+TEST_CASE("Last-Event-Id is passed on unread on routes without streams", "[router][events]")
+{
+    Fixture fixture;
+    std::string value = GENERATE(as<std::string> {}, "7", "007", "seven");
+    static_cast<void>(fixture.request("/book/x", "id-1", "", value));
+    REQUIRE(fixture.endpointTransport.lastEventIds.size() == 1);
+    CHECK(fixture.endpointTransport.lastEventIds.front() == value);
+}
