Recognize a blank line that is received after a CRLF

An event whose lines end with CRLF but whose blank line is a lone LF was taken for incomplete if the LF was received in a piece of its own: the next event was joined to it, and a sound stream ended as a violation.

Cause: the reader expected the LF of a CRLF after each CR of the last received line, also if that LF had been received with it.

Change: it does so only if the CR is the last received byte.

--- a/src/net/SseEvent.cpp
+++ b/src/net/SseEvent.cpp
@@ -203,7 +203,7 @@
         std::size_t size = text.substr(lineEnd).starts_with(lineEnds) ? lineEnds.size() : 1;
         m_lineStart = m_scanStart = lineEnd + size;
         if (!isBlank) {
-            m_lineFeedMayFollow = text[lineEnd] == '\r' && m_scanStart == text.size();
+            m_lineFeedMayFollow = text.substr(lineEnd) == "\r";
             continue;
         }
         std::string_view block = text.substr(m_consumedBytes, m_scanStart - m_consumedBytes);
--- a/tests/SseEventTests.cpp
+++ b/tests/SseEventTests.cpp
@@ -21,6 +21,21 @@
     return parseSseEvent(text, rules, event);
 }
 
+/// \returns Sizes of the blocks that are found if the text is received in pieces, and then of the incomplete rest.
+std::vector<std::size_t> blockSizes(const std::string& text, std::size_t pieceBytes)
+{
+    SseBlockReader reader;
+    std::vector<std::size_t> sizes;
+    for (std::size_t i = 0; i < text.size(); i += pieceBytes) {
+        std::string piece = text.substr(i, pieceBytes);
+        reader.append(piece);
+        while (auto block = reader.next())
+            sizes.push_back(block->size());
+    }
+    sizes.push_back(reader.incompleteBytes());
+    return sizes;
+}
+
 }
 
 // Guards against an event that callers' parsers read in another way than the router, or that no endpoint sends.
@@ -203,6 +218,42 @@
     CHECK(sound < text.size() * 512 * 2);
 }
 
+// Guards against another end of an event than callers' parsers find, and against its dependence on received pieces.
+TEST_CASE("blocks end with a blank line of any line end", "[sse][events]")
+{
+    auto [text, sizes] = GENERATE(table<std::string, std::vector<std::size_t>>({
+        { "", { 0 } },
+        { "a\n\nb\n\n", { 3, 3, 0 } },
+        { "a\r\n\r\nb\r\n\r\n", { 5, 5, 0 } },
+        { "a\r\rb\r\r", { 3, 3, 0 } },
+        { "a\n\r\nb\r\n\n", { 4, 4, 0 } },
+        { "a\r\n\rb\n\r", { 4, 3, 0 } },
+        { "\n\r\n\ra", { 1, 2, 1, 1 } },
+        { "a\nb\rc\r\nd", { 8 } },
+        { "a\n", { 2 } },
+        { "a\r", { 2 } },
+    }));
+    CAPTURE(text);
+    CHECK(blockSizes(text, text.size() + 1) == sizes);
+    for (std::size_t pieceBytes = 1; pieceBytes <= text.size(); ++pieceBytes) {
+        // The LF of a CRLF that is received later than its CR is a block of its own.
+        std::vector<std::size_t> expected;
+        std::size_t end = 0;
+        for (std::size_t size : sizes) {
+            end += size;
+            bool isDivided = size > 1 && text.substr(end - 2, 2) == "\r\n" && (end - 1) % pieceBytes == 0;
+            if (isDivided && &size != &sizes.back()) {
+                expected.push_back(size - 1);
+                expected.push_back(1);
+            } else {
+                expected.push_back(size);
+            }
+        }
+        CAPTURE(pieceBytes);
+        CHECK(blockSizes(text, pieceBytes) == expected);
+    }
+}
+
 // Guards against a position that no run made in a caller's request or in an endpoint's event.
 TEST_CASE("an event's id is a decimal number of 64 bits", "[sse][events]")
 {
