Refuse a second byte order mark at the start of a resumed answer

Where an answer that resumed a stream began with two byte order marks, the caller was sent one of them in front of the event: its parser ignores that line, so the event kept the id of the one before.

Cause: the first mark was removed from what is forwarded, and then the second one from what is checked.

Change: one mark is removed from both.

Evidence: the test failed before and passes.

--- a/src/router/SseSplitter.cpp
+++ b/src/router/SseSplitter.cpp
@@ -13,11 +13,14 @@
     std::string_view forwarded;
     while (auto block = m_reader.next()) {
         std::string_view event = *block;
-        bool isFirst = std::exchange(m_isAnswerStart, false);
-        // Parsers of callers skip a byte order mark only at the start of what they are sent.
-        if (isFirst && event.starts_with(byteOrderMark) && m_hasForwarded)
-            event.remove_prefix(byteOrderMark.size());
-        Action action = check(isFirst && event.starts_with(byteOrderMark) ? event.substr(byteOrderMark.size()) : event);
+        std::string_view text = event;
+        if (std::exchange(m_isAnswerStart, false) && event.starts_with(byteOrderMark)) {
+            text.remove_prefix(byteOrderMark.size());
+            // Parsers of callers skip a byte order mark only at the start of what they are sent.
+            if (m_hasForwarded)
+                event = text;
+        }
+        Action action = check(text);
         if (action == Action::Stop)
             return forwarded;
         if (action == Action::Omit)
--- a/tests/SseEventTests.cpp
+++ b/tests/SseEventTests.cpp
@@ -285,6 +285,31 @@
     }
 }
 
+// Guards against a byte order mark that makes callers' parsers ignore the first field, or that spoils a sound stream.
+TEST_CASE("one byte order mark may stand at the start of an answer", "[sse][events]")
+{
+    const std::string mark(byteOrderMark);
+    const std::string first = "id: 1\ndata: a\n\n";
+    const std::string second = "id: 2\ndata: b\n\n";
+    SseSplitter splitter({});
+    CHECK(std::string(splitter.feed(mark + first)) == mark + first);
+    splitter.resume();
+    CHECK(std::string(splitter.feed(mark + second)) == second);
+    CHECK(splitter.violation() == EventViolation::None);
+
+    SseSplitter twice({});
+    CHECK(twice.feed(mark + mark + first).empty());
+    CHECK(twice.violation() == EventViolation::UnknownField);
+    SseSplitter resumed({});
+    CHECK(std::string(resumed.feed(first)) == first);
+    resumed.resume();
+    CHECK(resumed.feed(mark + mark + second).empty());
+    CHECK(resumed.violation() == EventViolation::UnknownField);
+    SseSplitter later({});
+    CHECK(std::string(later.feed(first + mark + second)) == first);
+    CHECK(later.violation() == EventViolation::UnknownField);
+}
+
 // Guards against memory that an event without end fills.
 TEST_CASE("an event without end is a violation after the largest event's size", "[sse][events]")
 {
