Accept no event behind the largest id

The number after was taken for 0, so events that start again were omitted without a violation, and an endpoint that repeated the caller's last event was refused.

Cause: the sum of an id and one overflows.

Change: the comparison subtracts.

Evidence: the test failed before and passes.

--- a/src/router/SseSplitter.cpp
+++ b/src/router/SseSplitter.cpp
@@ -48,7 +48,7 @@
     if (violation == EventViolation::None && event.id) {
         // An answer may begin with events that the caller has, but without a gap, and never goes back.
         bool isInOrder
-            = m_lastIdOfAnswer ? *event.id == *m_lastIdOfAnswer + 1 : *event.id != 0 && *event.id <= m_lastId + 1;
+            = *event.id != 0 && (m_lastIdOfAnswer ? *event.id - 1 == *m_lastIdOfAnswer : *event.id - 1 <= m_lastId);
         if (!isInOrder)
             violation = EventViolation::OutOfOrder;
     }
--- a/tests/SseEventTests.cpp
+++ b/tests/SseEventTests.cpp
@@ -310,6 +310,20 @@
     CHECK(later.violation() == EventViolation::UnknownField);
 }
 
+// Guards against a number that starts again behind the largest one.
+TEST_CASE("no event follows the one with the largest id", "[sse][events]")
+{
+    const std::string largest = "id: 18446744073709551615\ndata: a\n\n";
+    SseSplitter splitter({}, UINT64_MAX - 1);
+    CHECK(std::string(splitter.feed(largest)) == largest);
+    CHECK(splitter.feed("id: 0\ndata: b\n\n").empty());
+    CHECK(splitter.violation() == EventViolation::OutOfOrder);
+    SseSplitter ended({}, UINT64_MAX);
+    CHECK(ended.feed(largest).empty());
+    CHECK(ended.violation() == EventViolation::None);
+    CHECK(ended.lastId() == UINT64_MAX);
+}
+
 // Guards against memory that an event without end fills.
 TEST_CASE("an event without end is a violation after the largest event's size", "[sse][events]")
 {
