Omit an event that the caller has with all of its line end

The caller was sent a single LF for an omitted event whose CRLF was received in two pieces. Parsers ignore it, but what is forwarded depended on the received pieces.

Cause: the LF is a block of its own then, and blocks without an id are forwarded.

Change: an LF behind an omitted block that ends with CR is omitted, too.

--- a/src/router/SseSplitter.cpp
+++ b/src/router/SseSplitter.cpp
@@ -20,11 +20,14 @@
             if (m_hasForwarded)
                 event = text;
         }
-        Action action = check(text);
+        bool isRestOfOmittedEvent = std::exchange(m_hasOmittedCarriageReturn, false) && event == "\n";
+        Action action = isRestOfOmittedEvent ? Action::Omit : check(text);
         if (action == Action::Stop)
             return forwarded;
-        if (action == Action::Omit)
+        if (action == Action::Omit) {
+            m_hasOmittedCarriageReturn = event.ends_with('\r');
             continue;
+        }
         m_hasForwarded = true;
         if (forwarded.empty()) {
             forwarded = event;
@@ -85,6 +88,7 @@
     m_violation = EventViolation::None;
     m_violatingBytes = 0;
     m_isAnswerStart = true;
+    m_hasOmittedCarriageReturn = false;
 }
 
 }
--- a/src/router/SseSplitter.h
+++ b/src/router/SseSplitter.h
@@ -65,6 +65,7 @@
     std::size_t m_violatingBytes { 0 };
     bool m_isAnswerStart { true }; ///< No block of this answer has been read.
     bool m_hasForwarded { false };
+    bool m_hasOmittedCarriageReturn { false }; ///< The last block was omitted and ended with CR; its LF may follow.
 };
 
 }
--- a/tests/SseEventTests.cpp
+++ b/tests/SseEventTests.cpp
@@ -310,6 +310,21 @@
     CHECK(later.violation() == EventViolation::UnknownField);
 }
 
+// Guards against a line end of an omitted event that reaches the caller if it is received later than the event.
+TEST_CASE("an event that the caller has is omitted with all of its line end", "[sse][events]")
+{
+    const std::string omitted = "id: 1\r\ndata: a\r\n\r\n";
+    const std::string next = "id: 2\r\ndata: b\r\n\r\n";
+    for (std::size_t firstBytes = 0; firstBytes <= omitted.size(); ++firstBytes) {
+        CAPTURE(firstBytes);
+        SseSplitter splitter({}, 1);
+        std::string forwarded(splitter.feed(omitted.substr(0, firstBytes)));
+        forwarded += splitter.feed(omitted.substr(firstBytes) + next);
+        CHECK(forwarded == next);
+        CHECK(splitter.violation() == EventViolation::None);
+    }
+}
+
 // Guards against a number that starts again behind the largest one.
 TEST_CASE("no event follows the one with the largest id", "[sse][events]")
 {
