Bound the size of an event independently of received pieces

An event within a byte or three of the largest size was forwarded or a violation depending on the pieces in which it was received.

Cause: the bound counted the LF of the last CRLF, which may be a block of its own, and, before the end of the first event, the byte order mark.

Change: neither counts.

Evidence: the test of sizes around the largest one, with each line end, with a mark and without, failed before and passes.

--- a/src/net/SseEvent.cpp
+++ b/src/net/SseEvent.cpp
@@ -133,7 +133,8 @@
 EventViolation parseSseEvent(std::string_view text, const EventRules& rules, SseEvent& event) noexcept
 {
     event = {};
-    if (text.size() > maxEventBytes)
+    // The LF of a CRLF at the end may also be received as a block of its own.
+    if (text.size() - (text.ends_with(lineEnds) ? 1 : 0) > maxEventBytes)
         return EventViolation::TooLong;
     if (!isUtf8(text))
         return EventViolation::Encoding;
--- a/src/router/SseSplitter.cpp
+++ b/src/router/SseSplitter.cpp
@@ -39,7 +39,7 @@
             forwarded = m_joinedEvents.append(event);
         }
     }
-    if (m_reader.incompleteBytes() > maxEventBytes)
+    if (m_reader.incompleteBytes() > maxEventBytes + (m_isAnswerStart ? byteOrderMark.size() : 0))
         stop(EventViolation::TooLong, m_reader.incompleteBytes());
     return forwarded;
 }
--- a/tests/SseEventTests.cpp
+++ b/tests/SseEventTests.cpp
@@ -339,6 +339,36 @@
     CHECK(ended.lastId() == UINT64_MAX);
 }
 
+// Guards against the largest event's being sound or not by the pieces in which it is received.
+TEST_CASE("the size of the largest event does not depend on received pieces", "[sse][events]")
+{
+    const std::string mark = GENERATE(""s, std::string(byteOrderMark));
+    const std::string lineEnd = GENERATE("\n"s, "\r"s, "\r\n"s);
+    std::string event = "id: 1" + lineEnd + "data: ";
+    const std::size_t fixedBytes = event.size() + 2 * lineEnd.size();
+    for (std::size_t size = maxEventBytes - 1; size <= maxEventBytes + 3; ++size) {
+        std::string text = mark + event + std::string(size - fixedBytes, 'x') + lineEnd + lineEnd;
+        SseSplitter whole({});
+        const std::string forwarded(whole.feed(text));
+        CAPTURE(size, text.size());
+        CHECK((forwarded.empty() || forwarded == text));
+        if (size <= maxEventBytes)
+            CHECK(whole.violation() == EventViolation::None);
+        if (size > maxEventBytes + 1)
+            CHECK(whole.violation() == EventViolation::TooLong);
+        for (std::size_t lastBytes = 1; lastBytes <= 5; ++lastBytes) {
+            CAPTURE(lastBytes);
+            SseSplitter divided({});
+            const std::string first = text.substr(0, text.size() - lastBytes);
+            const std::string last = text.substr(first.size());
+            std::string parts(divided.feed(first));
+            parts += divided.feed(last);
+            CHECK(parts.size() == forwarded.size());
+            CHECK(divided.violation() == whole.violation());
+        }
+    }
+}
+
 // Guards against memory that an event without end fills.
 TEST_CASE("an event without end is a violation after the largest event's size", "[sse][events]")
 {
