--- a/src/router/SseSplitter.cpp
+++ b/src/router/SseSplitter.cpp
@@ -20,11 +20,14 @@
             if (m_hasForwarded)
                 event = text;
         }
-        Action action = check(text);
+        bool isRestOfOmittedEvent = std::exchange(m_hasOmittedCarriageReturn, false) && event == "\n";
+        Action action = isRestOfOmittedEvent ? Action::Omit : check(text);
         if (action == Action::Stop)
             return forwarded;
-        if (action == Action::Omit)
+        if (action == Action::Omit) {
+            m_hasOmittedCarriageReturn = event.ends_with('\r');
             continue;
+        }
         m_hasForwarded = true;
         if (forwarded.empty()) {
             forwarded = event;
@@ -36,7 +39,8 @@
             forwarded = m_joinedEvents.append(event);
         }
     }
-    if (std::size_t size = m_reader.incompleteBlock().size(); size > maxEventBytes)
+    std::size_t markBytes = m_isAnswerStart ? byteOrderMark.size() : 0;
+    if (std::size_t size = m_reader.incompleteBlock().size(); size > maxEventBytes + markBytes)
         stop(EventViolation::TooLong, size);
     return forwarded;
 }
@@ -94,6 +98,7 @@
     m_violation = EventViolation::None;
     m_violatingBytes = 0;
     m_isAnswerStart = true;
+    m_hasOmittedCarriageReturn = false;
 }
 
 }
--- a/src/router/SseSplitter.h
+++ b/src/router/SseSplitter.h
@@ -68,6 +68,7 @@
     bool m_mayRepeat;
     bool m_isAnswerStart { true }; ///< No block of this answer has been read.
     bool m_hasForwarded { false };
+    bool m_hasOmittedCarriageReturn { false }; ///< The last block was omitted and ended with CR; its LF may follow.
 };
 
 }
