--- a/tests/SseEventTests.cpp
+++ b/tests/SseEventTests.cpp
@@ -32,7 +32,7 @@
         while (auto block = reader.next())
             sizes.push_back(block->size());
     }
-    sizes.push_back(reader.incompleteBytes());
+    sizes.push_back(reader.incompleteBlock().size());
     return sizes;
 }
 
