Find the line ends of an event without a search per character

Cause: find_first_of() looks each character up in the set of line ends.

Change: a plain comparison of each character.

The tests of events pass as before.

--- a/src/net/SseEvent.cpp
+++ b/src/net/SseEvent.cpp
@@ -73,7 +73,8 @@
     // Takes a line and its end from the text.
     std::string_view takeLine(std::string_view& text) noexcept
     {
-        std::string_view line = text.substr(0, text.find_first_of(lineEnds));
+        const auto* end = std::find_if(text.begin(), text.end(), [](char c) { return c == '\n' || c == '\r'; });
+        std::string_view line = text.substr(0, static_cast<std::size_t>(end - text.begin()));
         text.remove_prefix(line.size());
         text.remove_prefix(text.starts_with(lineEnds) ? lineEnds.size() : std::min<std::size_t>(text.size(), 1));
         return line;
