--- a/src/net/SseEvent.cpp
+++ b/src/net/SseEvent.cpp
@@ -73,7 +73,8 @@
     // Takes a line and its end from the text.
     std::string_view takeLine(std::string_view& text) noexcept
     {
-        std::string_view line = text.substr(0, text.find_first_of(lineEnds));
+        const auto* end = std::find_if(text.begin(), text.end(), [](char c) { return c == '\n' || c == '\r'; });
+        std::string_view line = text.substr(0, static_cast<std::size_t>(end - text.begin()));
         text.remove_prefix(line.size());
         text.remove_prefix(text.starts_with(lineEnds) ? lineEnds.size() : std::min<std::size_t>(text.size(), 1));
         return line;
@@ -141,11 +142,18 @@
     if (!isUtf8(text))
         return EventViolation::Encoding;
     std::size_t dataFields = 0;
+    bool hasLines = false;
+    bool hasEnded = false; // A blank line was found behind another line.
     while (!text.empty()) {
         std::string_view line = takeLine(text);
-        if (line.empty() && !text.empty())
+        if (line.empty()) {
+            hasEnded = hasLines;
+            continue;
+        }
+        if (hasEnded)
             return EventViolation::BlankLine;
-        if (line.empty() || line.front() == ':')
+        hasLines = true;
+        if (line.front() == ':')
             continue;
         std::string_view name = line.substr(0, line.find(':'));
         std::string_view value = line.substr(std::min(line.size(), name.size() + 1));
--- a/src/net/SseEvent.h
+++ b/src/net/SseEvent.h
@@ -31,7 +31,7 @@
     MissingData, ///< An id without data: callers' parsers drop such an event.
     OutOfOrder, ///< The id is not the one that follows.
     TooLong, ///< More than maxEventBytes.
-    BlankLine, ///< Behind a blank line there is more: several events.
+    BlankLine, ///< A blank line between two lines: several events.
     Incomplete, ///< The stream ended within an event, or before the events that the caller has.
 };
 
--- a/tests/ReferenceEventReader.h
+++ b/tests/ReferenceEventReader.h
@@ -127,6 +127,12 @@
             return {};
         Block block { .isSound = true };
         bool hasData = false;
+        // A blank line between other lines divides two events.
+        std::string shape;
+        for (const Line& line : linesOf(text))
+            shape += line.text.empty() ? '-' : 'x';
+        block.isSound
+            = shape.find("x-") == std::string::npos || shape.find('x', shape.find("x-") + 1) == std::string::npos;
         for (const Line& line : linesOf(text)) {
             auto field = line.text.empty() ? std::nullopt : fieldOf(line.text);
             if (!field || field->name == "event")
@@ -226,7 +232,9 @@
         }
         start = line.end;
     }
-    result.isSound = start == text.size() && (start != 0 || !hasMark);
+    // An answer that ends before the caller's position lacks events.
+    bool endsEarly = previous && *previous < lastId;
+    result.isSound = start == text.size() && (start != 0 || !hasMark) && !endsEarly;
     return result;
 }
 
