Relay only events that follow the grammar and the sequence on the daemon path

What callers saw: the daemon command passed on whatever stood between two blank lines of a model engine's stream: blocks without an id, with an id that is no number, with bytes in front of the first line. A first event of any index was accepted, and a resumed answer could go back to old events at any place. Cause: SseScanner looked for id and data fields and passed on each block in which it found none. Change: the scanner reads events through SseBlockReader and parseSseEvent, as the router does, and ends the answer at the first violation; the stream is resumed after the last sound event or ends with an error event. The end marker in an event with an id or other data is a violation, because callers would take it as the end. A violation is logged as answer_malformed and counted; it is no loss of the engine, so it does not make the content a crash suspect. The usage event in the test of a sound stream now has an id, as those of the stand-in engines have; one without an id is in the table of spoilt streams. The whole test binary was NOT built or run: not run are the new tests in RetryFlowTests.cpp and LoopbackTests.cpp, and the property test.

--- a/src/daemon/ProxiedRequest.cpp
+++ b/src/daemon/ProxiedRequest.cpp
@@ -17,7 +17,14 @@
 
     bool isEventStream(const HttpResponseHead& head) noexcept
     {
-        return findHeader(head.headers, "Content-Type").starts_with("text/event-stream");
+        return isEventStreamType(findHeader(head.headers, "Content-Type"));
+    }
+
+    // The end of such a response may as well be the end of its endpoint.
+    bool endsWithConnection(const HttpResponseHead& head) noexcept
+    {
+        return findHeader(head.headers, "Content-Length").empty()
+            && findHeader(head.headers, "Transfer-Encoding").empty();
     }
 
     // Whether the endpoint states that it has not started to run the request.
@@ -187,6 +194,7 @@
         handleFailedAttempt(ErrorKind::AnswerMismatch, { .requestMayHaveBeenSent = true, .httpStatus = head.status });
         return;
     }
+    m_endsWithConnection = endsWithConnection(head);
     if (m_isResuming) {
         if (!isSuccess(head.status) || !isEventStream(head)) {
             // The engine no longer has the stream.
@@ -236,11 +244,9 @@
         beginResponse();
         sendToCaller(completeEvents);
     }
-    if (m_sseScanner.hasGap() || m_sseScanner.isEventTooLong()) {
+    if (m_sseScanner.violation() != EventViolation::None && m_stage == Stage::Running) {
         cancelExchange();
-        m_isResumable = m_sseScanner.hasGap();
-        handleFailedAttempt(
-            ErrorKind::AnswerTruncated, { .requestMayHaveBeenSent = true, .httpStatus = m_responseHead.status });
+        handleSpoiltEvent();
         return;
     }
     if (m_sseScanner.tokenCount() >= m_chargedTokens + tokensPerCharge) {
@@ -250,6 +256,26 @@
     }
 }
 
+void ProxiedRequest::handleSpoiltEvent()
+{
+    EventViolation violation = m_sseScanner.violation();
+    logMalformedAnswer(toString(violation), m_sseScanner.violatingBytes());
+    // The engine would send such an event again.
+    if (violation == EventViolation::TooLong)
+        m_isResumable = false;
+    handleFailedAttempt(
+        ErrorKind::AnswerMalformed, { .requestMayHaveBeenSent = true, .httpStatus = m_responseHead.status });
+}
+
+void ProxiedRequest::logMalformedAnswer(std::string_view malformedPart, std::size_t eventBytes) const
+{
+    m_owner.context().metrics.add(Counter::MalformedAnswers, { m_resolved.pool.value, malformedPart });
+    logEvent(LogLevel::Warning, "answer_malformed",
+        { { "request", m_id.value }, { "endpoint", m_endpoint.value }, { "part", malformedPart },
+            { "status", m_responseHead.status }, { "events", m_sseScanner.tokenCount() },
+            { "last_event", static_cast<std::int64_t>(m_sseScanner.nextIndex()) - 1 }, { "event_bytes", eventBytes } });
+}
+
 void ProxiedRequest::relayPassThrough(std::string_view chunk)
 {
     beginResponse();
@@ -324,11 +350,8 @@
 void ProxiedRequest::onEnd(const EndpointExchangeResult& exchangeResult)
 {
     m_exchange = 0;
-    if (exchangeResult.error == ErrorKind::AnswerMalformed) {
-        logEvent(LogLevel::Warning, "answer_malformed",
-            { { "request", m_id.value }, { "endpoint", m_endpoint.value }, { "part", exchangeResult.malformedPart },
-                { "status", m_responseHead.status } });
-    }
+    if (exchangeResult.error == ErrorKind::AnswerMalformed)
+        logMalformedAnswer(exchangeResult.malformedPart);
     AttemptResult attempt { .isComplete = exchangeResult.isComplete,
         .requestMayHaveBeenSent = exchangeResult.requestMayHaveBeenSent || m_isResuming,
         .httpStatus = m_responseHead.status };
@@ -338,6 +361,12 @@
             completeStream();
             return;
         }
+        m_sseScanner.endAnswer();
+        bool endsInsideEvent = m_sseScanner.violation() != EventViolation::None;
+        if (exchangeResult.isComplete && endsInsideEvent && !m_endsWithConnection) {
+            handleSpoiltEvent();
+            return;
+        }
         attempt.isComplete = false;
         handleFailedAttempt(exchangeResult.isComplete ? ErrorKind::AnswerTruncated : exchangeResult.error, attempt);
         return;
--- a/src/daemon/ProxiedRequest.h
+++ b/src/daemon/ProxiedRequest.h
@@ -99,6 +99,8 @@
     void startExchange(bool isResumption);
     [[nodiscard]] EndpointRequest buildRequest(bool isResumption) const;
     void relayEvents(std::string_view chunk);
+    void handleSpoiltEvent();
+    void logMalformedAnswer(std::string_view malformedPart, std::size_t eventBytes = 0) const;
     void relayPassThrough(std::string_view chunk);
     void beginResponse();
     void sendToCaller(std::string_view bytes);
@@ -149,6 +151,7 @@
     bool m_isResuming { false }; ///< The current exchange resumes a stream.
     /// False once the engine no longer has the stream or an event exceeded the size limit.
     bool m_isResumable { true };
+    bool m_endsWithConnection { false }; ///< The length of the current response is not stated.
     bool m_hasResponseBegun { false };
     bool m_isStreamOpen { false };
     bool m_isPaused { false }; ///< The endpoint is not read, because the caller's send buffer is too full.
--- a/src/daemon/SseScanner.cpp
+++ b/src/daemon/SseScanner.cpp
@@ -1,131 +1,128 @@
 #include "daemon/SseScanner.h"
 
-#include <charconv>
-#include <cstring>
+#include <utility>
 
 namespace jasminestack {
 
 namespace {
 
-    // Returns the value of a field line ("name: value" or "name:value") if the field has this name; \p name includes
-    // the colon.
-    std::optional<std::string_view> fieldValue(std::string_view line, std::string_view name) noexcept
-    {
-        if (!line.starts_with(name))
-            return std::nullopt;
-        line.remove_prefix(name.size());
-        if (line.starts_with(' '))
-            line.remove_prefix(1);
-        return line;
-    }
+    constexpr EventRules engineRules { .endMarker = "[DONE]" };
 
 }
 
 std::string_view SseScanner::feed(std::string_view chunk)
 {
-    m_pendingBytes.erase(0, m_consumedSize);
-    m_consumedSize = 0;
-    if (m_pendingBytes.empty()) {
-        // The usual chunk starts at an event boundary; its complete events are returned without a copy.
-        std::size_t consumed = 0;
-        std::string_view completeEvents = scan(chunk, consumed);
-        m_pendingBytes.assign(chunk.substr(consumed));
-        return completeEvents;
+    if (m_isDone || m_violation != EventViolation::None)
+        return {};
+    m_reader.append(chunk);
+    m_joinedEvents.clear();
+    std::string_view forwarded;
+    std::string_view lastBlock;
+    Action lastAction = Action::Omit;
+    while (auto block = m_reader.next()) {
+        if (std::exchange(m_isLineFeedHandled, false) && *block == "\n")
+            continue;
+        if (m_isDone)
+            return forwarded;
+        std::string_view event = *block;
+        bool isFirst = std::exchange(m_isAnswerStart, false);
+        // Parsers of callers skip a byte order mark only at the start of what they are sent.
+        if (isFirst && event.starts_with(byteOrderMark) && m_hasForwarded)
+            event.remove_prefix(byteOrderMark.size());
+        lastAction = check(isFirst && event.starts_with(byteOrderMark) ? event.substr(byteOrderMark.size()) : event);
+        if (lastAction == Action::Stop)
+            return forwarded;
+        lastBlock = *block;
+        if (lastAction == Action::Forward) {
+            m_hasForwarded = true;
+            appendTo(forwarded, event);
+        }
     }
-    m_pendingBytes.append(chunk);
-    return scan(m_pendingBytes, m_consumedSize);
+    if (m_reader.incompleteBytes() == 0)
+        completeLineEnd(forwarded, lastBlock, lastAction);
+    else if (!m_isDone && m_reader.incompleteBytes() > maxEventBytes)
+        stop(EventViolation::TooLong, m_reader.incompleteBytes());
+    return forwarded;
 }
 
-void SseScanner::prepareToResume()
+SseScanner::Action SseScanner::check(std::string_view text)
 {
-    m_pendingBytes.clear();
-    m_consumedSize = 0;
-    m_hasGap = false;
-    // If no index was received, the resumed stream must start at 0; any higher index is a gap.
-    m_nextIndex = m_nextIndex.value_or(0);
+    SseEvent event;
+    EventViolation violation = parseSseEvent(text, engineRules, event);
+    if (violation == EventViolation::None && !isInOrder(event))
+        violation = EventViolation::OutOfOrder;
+    if (violation != EventViolation::None) {
+        stop(violation, text.size());
+        return Action::Stop;
+    }
+    m_isDone = event.isEndMarker;
+    if (!event.id)
+        return Action::Forward;
+    m_lastIndexOfAnswer = event.id;
+    if (*event.id < m_nextIndex)
+        return Action::Omit;
+    ++m_nextIndex;
+    constexpr std::string_view usageMember = "\"usage\"";
+    if (event.data.find(usageMember) != std::string_view::npos)
+        m_lastUsageData.assign(event.data);
+    return Action::Forward;
 }
 
-std::string_view SseScanner::scan(std::string_view text, std::size_t& consumed)
+// An answer may begin with events that the caller has, but has no gap and never goes back; it does not end before the
+// last event that the caller has.
+bool SseScanner::isInOrder(const SseEvent& event) const noexcept
 {
-    std::size_t eventStart = 0;
-    std::size_t lineStart = 0;
-    std::size_t relayedEnd = 0;
-    bool isFiltering = false;
-    consumed = 0;
-    if (m_isDone || m_hasGap) {
-        consumed = text.size();
-        return {};
-    }
-    while (lineStart < text.size()) {
-        const void* newline = std::memchr(text.data() + lineStart, '\n', text.size() - lineStart);
-        if (!newline)
-            break;
-        auto lineEnd = static_cast<std::size_t>(static_cast<const char*>(newline) - text.data());
-        bool isBlankLine = lineEnd == lineStart || (lineEnd == lineStart + 1 && text[lineStart] == '\r');
-        lineStart = lineEnd + 1;
-        if (!isBlankLine)
-            continue;
-        std::string_view event = text.substr(eventStart, lineStart - eventStart);
-        EventAction action = processEvent(event);
-        consumed = lineStart;
-        if (action == EventAction::Stop) {
-            consumed = text.size();
-            break;
-        }
-        if (action == EventAction::Skip && !isFiltering) {
-            isFiltering = true;
-            m_filteredEvents.assign(text.substr(0, relayedEnd));
-        } else if (action == EventAction::Pass && isFiltering) {
-            m_filteredEvents.append(event);
-        }
-        if (action == EventAction::Pass)
-            relayedEnd = lineStart;
-        eventStart = lineStart;
-        if (m_isDone) {
-            consumed = text.size();
-            break;
-        }
-    }
-    return isFiltering ? std::string_view(m_filteredEvents) : text.substr(0, relayedEnd);
+    if (event.isEndMarker)
+        return !m_lastIndexOfAnswer || *m_lastIndexOfAnswer + 1 == m_nextIndex;
+    if (!event.id)
+        return true;
+    return m_lastIndexOfAnswer ? *event.id == *m_lastIndexOfAnswer + 1 : *event.id <= m_nextIndex;
 }
 
-SseScanner::EventAction SseScanner::processEvent(std::string_view event)
+void SseScanner::appendTo(std::string_view& forwarded, std::string_view bytes)
 {
-    std::optional<std::uint64_t> index;
-    std::string_view data;
-    std::size_t position = 0;
-    while (position < event.size()) {
-        std::size_t end = event.find('\n', position);
-        std::string_view line = event.substr(position, end - position);
-        position = end + 1;
-        if (line.ends_with('\r'))
-            line.remove_suffix(1);
-        if (auto id = fieldValue(line, "id:")) {
-            std::uint64_t value = 0;
-            auto parsed = std::from_chars(id->data(), id->data() + id->size(), value);
-            if (parsed.ec == std::errc {} && parsed.ptr == id->data() + id->size())
-                index = value;
-        } else if (auto value = fieldValue(line, "data:")) {
-            data = *value;
-        }
-    }
-    if (data == "[DONE]") {
-        m_isDone = true;
-        return EventAction::Pass;
+    if (forwarded.empty()) {
+        forwarded = bytes;
+    } else if (m_joinedEvents.empty() && forwarded.data() + forwarded.size() == bytes.data()) {
+        forwarded = { forwarded.data(), forwarded.size() + bytes.size() };
+    } else {
+        if (m_joinedEvents.empty())
+            m_joinedEvents = forwarded;
+        forwarded = m_joinedEvents.append(bytes);
     }
-    if (index) {
-        if (m_nextIndex && *index < *m_nextIndex)
-            return EventAction::Skip;
-        if (m_nextIndex && *index > *m_nextIndex) {
-            m_hasGap = true;
-            return EventAction::Stop;
-        }
-        m_nextIndex = *index + 1;
-        ++m_tokenCount;
-    }
-    if (data.find("\"usage\"") != std::string_view::npos)
-        m_lastUsageData.assign(data);
-    return EventAction::Pass;
+}
+
+// The LF of a blank line's CRLF may be received later, or never if the connection breaks: the caller is sent it with
+// its event.
+void SseScanner::completeLineEnd(std::string_view& forwarded, std::string_view lastBlock, Action lastAction)
+{
+    if (!lastBlock.ends_with("\r\n\r"))
+        return;
+    m_isLineFeedHandled = true;
+    if (lastAction == Action::Forward)
+        appendTo(forwarded, "\n");
+}
+
+void SseScanner::endAnswer() noexcept
+{
+    if (!m_isDone && m_violation == EventViolation::None && m_reader.incompleteBytes() != 0)
+        stop(EventViolation::Incomplete, m_reader.incompleteBytes());
+}
+
+void SseScanner::prepareToResume() noexcept
+{
+    m_reader.clear();
+    m_lastIndexOfAnswer.reset();
+    m_violation = EventViolation::None;
+    m_violatingBytes = 0;
+    m_isAnswerStart = true;
+    m_isLineFeedHandled = false;
+}
+
+void SseScanner::stop(EventViolation violation, std::size_t bytes) noexcept
+{
+    m_violation = violation;
+    m_violatingBytes = bytes;
 }
 
 }
--- a/src/net/SseEvent.cpp
+++ b/src/net/SseEvent.cpp
@@ -102,6 +102,8 @@
         return "event_missing_id";
     case EventViolation::MissingData:
         return "event_missing_data";
+    case EventViolation::MisplacedEndMarker:
+        return "event_misplaced_end_marker";
     case EventViolation::OutOfOrder:
         return "events_out_of_order";
     case EventViolation::TooLong:
@@ -138,6 +140,7 @@
     if (!isUtf8(text))
         return EventViolation::Encoding;
     std::size_t dataFields = 0;
+    bool hasEndMarker = false;
     while (!text.empty()) {
         std::string_view line = takeLine(text);
         if (line.empty() || line.front() == ':')
@@ -149,6 +152,7 @@
         if (name == "data") {
             event.data = value;
             ++dataFields;
+            hasEndMarker |= !rules.endMarker.empty() && value == rules.endMarker;
         } else if (name == "id") {
             if (event.id)
                 return EventViolation::RepeatedId;
@@ -165,7 +169,9 @@
             return EventViolation::UnknownField;
         }
     }
-    event.isEndMarker = !rules.endMarker.empty() && !event.id && dataFields == 1 && event.data == rules.endMarker;
+    event.isEndMarker = hasEndMarker && !event.id && dataFields == 1;
+    if (hasEndMarker && !event.isEndMarker)
+        return EventViolation::MisplacedEndMarker;
     if (dataFields != 0 && !event.id && !event.isEndMarker)
         return EventViolation::MissingId;
     if (event.id && dataFields == 0)
--- a/src/net/SseEvent.h
+++ b/src/net/SseEvent.h
@@ -29,6 +29,7 @@
     ExtensionNotANumber, ///< See EventRules::extensionField.
     MissingId,
     MissingData, ///< An id without data: callers' parsers drop such an event.
+    MisplacedEndMarker, ///< The end marker in an event with an id or with other data.
     OutOfOrder, ///< The id is not the one that follows.
     TooLong, ///< More than maxEventBytes.
     Incomplete, ///< The stream ended within the event.
--- a/tests/LoopbackTests.cpp
+++ b/tests/LoopbackTests.cpp
@@ -4,6 +4,7 @@
 
 using namespace jasminestack;
 using namespace jasminestack::test;
+using namespace std::string_literals;
 
 namespace {
 
@@ -175,6 +176,46 @@
     CHECK(caller.readUntil(lastChunk).find(token1 + endMarker) != std::string::npos);
 }
 
+// Guards against pieces that no run made in what a caller of the daemon receives, whole or in parts, and against a
+// spoilt stream that looks complete.
+TEST_CASE("a spoilt event of an engine never reaches a caller of the daemon", "[loopback][events]")
+{
+    LoopbackDaemon daemon;
+    bool isResumed = GENERATE(true, false);
+    bool isSplit = GENERATE(false, true);
+    std::string spoilt = GENERATE("garbage\n\n" + token1, "data: {\"t\":9}\n\n" + token1,
+        "id: one\ndata: {\"t\":1}\n\n"s, "garbage" + token1, "id: 1\rx\ndata: {\"t\":1}\n\n"s, "\xff\n\n" + token1);
+    CAPTURE(spoilt, isResumed, isSplit);
+    BlockingSocket caller = daemon.connectCaller();
+    caller.write(LoopbackDaemon::chatRequest());
+    BlockingSocket engine = daemon.engine.accept();
+    std::string head = engine.readUntil("\r\n\r\n");
+    static_cast<void>(engine.readUntil("true}"));
+    std::size_t firstBytes = isSplit ? spoilt.size() / 2 : spoilt.size();
+    engine.write(
+        LoopbackDaemon::eventStreamHead(head) + LoopbackDaemon::encodeChunk(token0 + spoilt.substr(0, firstBytes)));
+    std::string received;
+    if (isSplit) {
+        received = caller.readUntil(token0);
+        engine.writeSome(LoopbackDaemon::encodeChunk(spoilt.substr(firstBytes) + endMarker) + lastChunk, 500);
+    }
+    REQUIRE(daemon.engine.hasPendingConnection(2'000));
+    BlockingSocket resumeConnection = daemon.engine.accept();
+    std::string resumeHead = resumeConnection.readUntil("\r\n\r\n");
+    CHECK(resumeHead.starts_with("GET /v1/streams/" + headerValue(head, "X-Request-Id") + "?from=1 "));
+    if (isResumed)
+        resumeConnection.write(LoopbackDaemon::eventStreamHead(resumeHead)
+            + LoopbackDaemon::encodeChunk(token0 + token1 + endMarker) + lastChunk);
+    else
+        resumeConnection.write(LoopbackDaemon::response(resumeHead, "{}", 404));
+    received += caller.readUntil(lastChunk);
+    CHECK(received.find(spoilt.substr(0, spoilt.find('\n'))) == std::string::npos);
+    CHECK(received.find(token0) != std::string::npos);
+    CHECK((received.find(token1 + endMarker) != std::string::npos) == isResumed);
+    CHECK((received.find("event: error\n") != std::string::npos) != isResumed);
+    CHECK((received.find("[DONE]") != std::string::npos) == isResumed);
+}
+
 // Guards against a graceful shutdown that interrupts requests in progress (G7) or never ends.
 TEST_CASE("after SIGTERM the daemon closes its listener, completes requests in progress and exits with 0", "[loopback]")
 {
--- a/tests/RequestProxyTests.cpp
+++ b/tests/RequestProxyTests.cpp
@@ -21,7 +21,7 @@
     CHECK(caller.isAwaitingResponse());
     exchange.sendBody(tokenEvent(0) + tokenEvent(1).substr(0, 9));
     CHECK(caller.body == tokenEvent(0));
-    std::string usage = "data: {\"usage\":{\"prompt_tokens\":40,\"completion_tokens\":2}}\n\n";
+    std::string usage = "id: 2\ndata: {\"usage\":{\"prompt_tokens\":40,\"completion_tokens\":2}}\n\n";
     exchange.sendBody(tokenEvent(1).substr(9) + usage + endMarkerEvent);
     exchange.endExchange();
 
--- a/tests/RetryFlowTests.cpp
+++ b/tests/RetryFlowTests.cpp
@@ -175,6 +175,91 @@
     CHECK(harness.inFlightCount() == 0);
 }
 
+// Guards against pieces that no run made in a stream, against a stream that is lost although its engine can go on with
+// it, and against a spoilt event that counts as the loss of its engine.
+TEST_CASE("a stream is resumed after the last sound event before a spoilt one", "[resume][events]")
+{
+    RequestProxyHarness harness;
+    FakeCaller& caller = harness.sendChat();
+    auto [spoilt, part] = GENERATE(table<std::string, std::string>({
+        { "garbage\n\n", "event_unknown_field" },
+        { "data: {\"t\":9}\n\n", "event_missing_id" },
+        { "id: two\ndata: {\"t\":9}\n\n", "event_id_not_a_number" },
+        { "garbage" + tokenEvent(2), "event_unknown_field" },
+        { tokenEvent(3), "events_out_of_order" },
+        { "id: 2\ndata: [DONE]\n\n", "event_misplaced_end_marker" },
+    }));
+    CAPTURE(spoilt);
+    harness.exchange(0).startEventStream();
+    harness.exchange(0).sendBody(tokenEvent(0) + tokenEvent(1) + spoilt + tokenEvent(2) + endMarkerEvent);
+    CHECK(caller.body == tokenEvent(0) + tokenEvent(1));
+    CHECK(harness.exchange(0).isCancelled);
+    REQUIRE(harness.transport.exchanges.size() == 2);
+    CHECK(harness.exchange(1).request.target == "/v1/streams/" + harness.exchange(0).attemptId() + "?from=2");
+    harness.exchange(1).startEventStream();
+    harness.exchange(1).sendBody(tokenEvent(1) + tokenEvent(2) + endMarkerEvent + "garbage\n\n");
+    harness.exchange(1).endExchange();
+    CHECK(caller.body == tokenEvent(0) + tokenEvent(1) + tokenEvent(2) + endMarkerEvent);
+    CHECK(caller.hasEnded);
+    CHECK(harness.crashMarks.empty());
+    std::string counter = "jasminestack_malformed_answers_total{part=\"" + part + "\",pool=\"assistants\"} 1";
+    CHECK(harness.metrics.text().find(counter) != std::string::npos);
+}
+
+// Guards against a stream of spoilt answers only that looks complete, and against resuming it without end.
+TEST_CASE("a stream whose answers are all spoilt ends with an error event", "[resume][events]")
+{
+    RequestProxyHarness harness;
+    FakeCaller& caller = harness.sendChat();
+    harness.exchange(0).startEventStream();
+    harness.exchange(0).sendBody(tokenEvent(0) + "garbage\n\n" + endMarkerEvent);
+    for (std::size_t i = 1; i <= 2; ++i) {
+        REQUIRE(harness.transport.exchanges.size() == i + 1);
+        harness.exchange(i).startEventStream();
+        harness.exchange(i).sendBody("data: {\"t\":1}\n\n" + endMarkerEvent);
+    }
+    CHECK(caller.body.find("event: error\n") == tokenEvent(0).size());
+    CHECK(caller.body.find("[DONE]") == std::string::npos);
+    CHECK(caller.hasEnded);
+    CHECK(caller.errorKind() == "answer_malformed");
+    CHECK(caller.runStatus() == "unknown");
+    CHECK(harness.crashMarks.empty());
+    CHECK(harness.inFlightCount() == 0);
+}
+
+// Guards against a spoilt first event that reaches the caller or ends a request that another engine can run.
+TEST_CASE("a stream whose first event is spoilt is retried at another endpoint", "[retry][events]")
+{
+    RequestProxyHarness harness;
+    FakeCaller& caller = harness.sendChat();
+    std::string spoilt = GENERATE(as<std::string> {}, "garbage\n\n" + tokenEvent(0), tokenEvent(1), tokenEvent(7));
+    harness.exchange(0).startEventStream();
+    harness.exchange(0).sendBody(spoilt + endMarkerEvent);
+    CHECK(caller.isAwaitingResponse());
+    CHECK(harness.exchange(0).isCancelled);
+    REQUIRE(harness.transport.exchanges.size() == 3); // The second one cancels the stream at the engine.
+    CHECK(harness.exchange(2).request.address != harness.exchange(0).request.address);
+    harness.exchange(2).startEventStream();
+    harness.exchange(2).sendBody(tokenEvent(0) + endMarkerEvent);
+    harness.exchange(2).endExchange();
+    CHECK(caller.body == tokenEvent(0) + endMarkerEvent);
+    CHECK(caller.hasEnded);
+}
+
+// Guards against an engine that cuts an event off and is taken for a lost one, which would make the content a suspect.
+TEST_CASE("an event that is incomplete at the end of a framed answer is a spoilt one", "[resume][events]")
+{
+    RequestProxyHarness harness;
+    FakeCaller& caller = harness.sendChat();
+    harness.exchange(0).sendHead(200, { { "Content-Type", "text/event-stream" }, { "Transfer-Encoding", "chunked" } });
+    harness.exchange(0).sendBody(tokenEvent(0) + "id: 1\ndata: {\"t\"");
+    harness.exchange(0).endExchange();
+    CHECK(caller.body == tokenEvent(0));
+    CHECK(harness.metrics.text().find("part=\"event_incomplete\"") != std::string::npos);
+    REQUIRE(harness.transport.exchanges.size() == 2);
+    CHECK(harness.exchange(1).request.target.ends_with("?from=1"));
+}
+
 // Guards against a request that crashes every endpoint and that its caller sends again after each failure.
 TEST_CASE("content that was running when endpoints were lost three times is quarantined", "[crash]")
 {
