Pass on no success of a streaming model request that is no event stream

What callers saw: a success of a request with "stream": true whose Content-Type was missing or another one was buffered and passed on as it was; nothing in it was checked, and above the buffer's limit it was relayed without an end marker. Cause: the answer's own header decided whether the answer is checked. Change: such an answer is refused at its head as answer_mismatch, and the request is retried at another endpoint. The test of freed slots answered a streaming request with JSON; its answer is now a stream. NOT built or run: only the syntax of both changed files was checked; that the new test fails without the change was not seen.

--- a/src/daemon/ProxiedRequest.cpp
+++ b/src/daemon/ProxiedRequest.cpp
@@ -205,6 +205,12 @@
         }
         return;
     }
+    if (m_resolved.isStreaming && isSuccess(head.status) && !isEventStream(head)) {
+        // Nothing could check that the body is what the engine generated.
+        cancelExchange();
+        handleFailedAttempt(ErrorKind::AnswerMismatch, { .requestMayHaveBeenSent = true, .httpStatus = head.status });
+        return;
+    }
     m_responseHead = head;
     if (!isEventStream(head) || !isSuccess(head.status))
         m_relayMode = RelayMode::Buffered;
--- a/tests/RequestProxyTests.cpp
+++ b/tests/RequestProxyTests.cpp
@@ -121,7 +121,7 @@
     CHECK(harness.exchange(2).request.method == "DELETE");
     CHECK(harness.exchange(2).request.target == "/v1/streams/" + harness.exchange(0).attemptId());
     CHECK(harness.exchange(3).request.address == harness.exchange(0).request.address);
-    harness.exchange(3).respond(200, "{}");
+    harness.exchange(3).respond(200, endMarkerEvent, { { "Content-Type", "text/event-stream" } });
     CHECK(fourth.hasEnded);
     CHECK(second.isAwaitingResponse());
     CHECK(harness.proxy.activeRequestCount() == 1);
--- a/tests/RetryFlowTests.cpp
+++ b/tests/RetryFlowTests.cpp
@@ -260,6 +260,31 @@
     CHECK(harness.exchange(1).request.target.ends_with("?from=1"));
 }
 
+// Guards against bytes that nothing checks, because a success of a streaming request does not call itself an event
+// stream.
+TEST_CASE("a success of a streaming request that is no event stream is not passed on", "[retry][events]")
+{
+    RequestProxyHarness harness({ .maxBufferedResponseBytes = 64 });
+    FakeCaller& caller = harness.sendChat();
+    std::string type
+        = GENERATE(as<std::string> {}, "", "application/json", "text/event-streams", "text/event-stream/x");
+    std::string body = GENERATE(tokenEvent(0) + endMarkerEvent, std::string(65, 'x'));
+    CAPTURE(type, body.size());
+    std::vector<std::pair<std::string, std::string>> headers;
+    if (!type.empty())
+        headers.emplace_back("Content-Type", type);
+    harness.exchange(0).sendHead(200, headers);
+    CHECK(harness.exchange(0).isCancelled);
+    if (!harness.exchange(0).isCancelled)
+        harness.exchange(0).sendBody(body);
+    CHECK(caller.isAwaitingResponse());
+    REQUIRE(harness.transport.exchanges.size() == 3); // The second one cancels the stream at the engine.
+    harness.exchange(2).sendHead(200, { { "Content-Type", "Text/Event-Stream ; charset=utf-8" } });
+    harness.exchange(2).sendBody(tokenEvent(0) + endMarkerEvent);
+    harness.exchange(2).endExchange();
+    CHECK(caller.body == tokenEvent(0) + endMarkerEvent);
+}
+
 // Guards against a request that crashes every endpoint and that its caller sends again after each failure.
 TEST_CASE("content that was running when endpoints were lost three times is quarantined", "[crash]")
 {
