--- a/tests/RequestProxyTests.cpp
+++ b/tests/RequestProxyTests.cpp
@@ -21,7 +21,7 @@
     CHECK(caller.isAwaitingResponse());
     exchange.sendBody(tokenEvent(0) + tokenEvent(1).substr(0, 9));
     CHECK(caller.body == tokenEvent(0));
-    std::string usage = "data: {\"usage\":{\"prompt_tokens\":40,\"completion_tokens\":2}}\n\n";
+    std::string usage = "id: 2\ndata: {\"usage\":{\"prompt_tokens\":40,\"completion_tokens\":2}}\n\n";
     exchange.sendBody(tokenEvent(1).substr(9) + usage + endMarkerEvent);
     exchange.endExchange();
 
@@ -121,7 +121,7 @@
     CHECK(harness.exchange(2).request.method == "DELETE");
     CHECK(harness.exchange(2).request.target == "/v1/streams/" + harness.exchange(0).attemptId());
     CHECK(harness.exchange(3).request.address == harness.exchange(0).request.address);
-    harness.exchange(3).respond(200, "{}");
+    harness.exchange(3).respond(200, endMarkerEvent, { { "Content-Type", "text/event-stream" } });
     CHECK(fourth.hasEnded);
     CHECK(second.isAwaitingResponse());
     CHECK(harness.proxy.activeRequestCount() == 1);
