Accept only an answer that goes on with the next event

The next engine's ids were shifted by one, so its first event had the id of the last one that the caller had.

Cause: an answer was allowed to begin with events that the caller has, and these were omitted by their number alone. A shifted answer therefore joined two runs without a gap in the numbers.

The omission, and the copy of events that it needed, are gone.

Tests that demanded the omission (PlatformTests, SseSplitterTests, SseEventTests, the second reader) demand the violation now, which is stricter: nothing is sent where known events were left out before. The table of the end marker takes the daemon path's stricter rule.

--- a/src/net/SseEvent.h
+++ b/src/net/SseEvent.h
@@ -33,7 +33,7 @@
     OutOfOrder, ///< The id is not the one that follows.
     TooLong, ///< More than maxEventBytes.
     BlankLine, ///< A blank line between two lines: several events.
-    Incomplete, ///< The stream ended within an event, or before the events that the caller has.
+    Incomplete, ///< The stream ended within the event.
 };
 
 /// \returns A name for log lines, for example "unknown_field".
--- a/src/router/RoutedRequest.cpp
+++ b/src/router/RoutedRequest.cpp
@@ -47,7 +47,7 @@
           &owner.context().base, [](int, short, void* self) { static_cast<RoutedRequest*>(self)->onTimer(); }, this))
     , m_deadline(m_request.arrivedAt + m_route.timeout)
     , m_splitter(owner.context().protocol.eventRules(),
-          m_route.kind == RequestKind::Stream ? m_metadata.lastEventId.value_or(0) : 0, m_route.isResumable)
+          m_route.kind == RequestKind::Stream ? m_metadata.lastEventId.value_or(0) : 0)
 {
     if (m_metadata.timeLeft && *m_metadata.timeLeft < m_route.timeout) {
         m_deadline = m_request.arrivedAt + *m_metadata.timeLeft;
--- a/src/router/SseSplitter.cpp
+++ b/src/router/SseSplitter.cpp
@@ -9,7 +9,6 @@
     if (m_violation != EventViolation::None)
         return {};
     m_reader.append(chunk);
-    m_joinedEvents.clear();
     std::string_view forwarded;
     while (auto block = m_reader.next()) {
         std::string_view event = *block;
@@ -20,24 +19,11 @@
             if (m_hasForwarded)
                 event = text;
         }
-        bool isRestOfOmittedEvent = std::exchange(m_hasOmittedCarriageReturn, false) && event == "\n";
-        Action action = isRestOfOmittedEvent ? Action::Omit : check(text);
-        if (action == Action::Stop)
+        if (!accept(text))
             return forwarded;
-        if (action == Action::Omit) {
-            m_hasOmittedCarriageReturn = event.ends_with('\r');
-            continue;
-        }
         m_hasForwarded = true;
-        if (forwarded.empty()) {
-            forwarded = event;
-        } else if (m_joinedEvents.empty() && forwarded.data() + forwarded.size() == event.data()) {
-            forwarded = { forwarded.data(), forwarded.size() + event.size() };
-        } else {
-            if (m_joinedEvents.empty())
-                m_joinedEvents = forwarded;
-            forwarded = m_joinedEvents.append(event);
-        }
+        // Nothing lies between forwarded events.
+        forwarded = forwarded.empty() ? event : std::string_view(forwarded.data(), forwarded.size() + event.size());
     }
     std::size_t markBytes = m_isAnswerStart ? byteOrderMark.size() : 0;
     if (std::size_t size = m_reader.incompleteBlock().size(); size > maxEventBytes + markBytes)
@@ -45,33 +31,22 @@
     return forwarded;
 }
 
-SseSplitter::Action SseSplitter::check(std::string_view text)
+bool SseSplitter::accept(std::string_view text)
 {
     SseEvent event;
     EventViolation violation = parseSseEvent(text, m_rules, event);
-    if (violation == EventViolation::None && event.id && !isInOrder(*event.id))
+    bool isNext = !event.id || (*event.id != 0 && *event.id - 1 == m_lastId);
+    if (violation == EventViolation::None && !isNext)
         violation = EventViolation::OutOfOrder;
     if (violation != EventViolation::None) {
         stop(violation, text.size());
-        return Action::Stop;
-    }
-    if (!event.id)
-        return Action::Forward;
-    m_lastIdOfAnswer = event.id;
-    if (*event.id <= m_lastId)
-        return Action::Omit;
-    m_lastId = *event.id;
-    ++m_eventCount;
-    return Action::Forward;
-}
-
-bool SseSplitter::isInOrder(std::uint64_t id) const noexcept
-{
-    if (id == 0)
         return false;
-    if (m_lastIdOfAnswer)
-        return id - 1 == *m_lastIdOfAnswer;
-    return m_mayRepeat ? id - 1 <= m_lastId : id - 1 == m_lastId;
+    }
+    if (event.id) {
+        m_lastId = *event.id;
+        ++m_eventCount;
+    }
+    return true;
 }
 
 void SseSplitter::endAnswer() noexcept
@@ -80,8 +55,6 @@
         return;
     if (std::string_view rest = m_reader.incompleteBlock(); !rest.empty())
         stop(parseIncompleteEvent(rest, m_rules), rest.size());
-    else if (m_lastIdOfAnswer && *m_lastIdOfAnswer < m_lastId)
-        stop(EventViolation::Incomplete, 0);
 }
 
 void SseSplitter::stop(EventViolation violation, std::size_t bytes) noexcept
@@ -93,12 +66,9 @@
 void SseSplitter::resume() noexcept
 {
     m_reader.clear();
-    m_mayRepeat = true;
-    m_lastIdOfAnswer.reset();
     m_violation = EventViolation::None;
     m_violatingBytes = 0;
     m_isAnswerStart = true;
-    m_hasOmittedCarriageReturn = false;
 }
 
 }
--- a/src/router/SseSplitter.h
+++ b/src/router/SseSplitter.h
@@ -4,8 +4,6 @@
 
 #include <cstddef>
 #include <cstdint>
-#include <optional>
-#include <string>
 #include <string_view>
 
 namespace jasminestack {
@@ -16,12 +14,10 @@
 public:
     /// \param rules What the deployment's streams contain beside the fields of the specification.
     /// \param lastId Id of the last event that the caller has; 0 at the start of a stream, whose first event is
-    /// number 1. \param mayRepeat Whether an answer may begin with events that the caller has, without a gap. They are
-    /// omitted. The answers after resume() always may.
-    explicit SseSplitter(const EventRules& rules, std::uint64_t lastId = 0, bool mayRepeat = true) noexcept
+    /// number 1.
+    explicit SseSplitter(const EventRules& rules, std::uint64_t lastId = 0) noexcept
         : m_rules(rules)
         , m_lastId(lastId)
-        , m_mayRepeat(mayRepeat)
     {
     }
 
@@ -53,22 +49,18 @@
 
 private:
     enum class Action : std::uint8_t { Forward, Omit, Stop };
-    [[nodiscard]] Action check(std::string_view event);
-    [[nodiscard]] bool isInOrder(std::uint64_t id) const noexcept;
+    /// \returns Whether the event is forwarded.
+    [[nodiscard]] bool accept(std::string_view text);
     void stop(EventViolation, std::size_t bytes) noexcept;
 
     EventRules m_rules;
     SseBlockReader m_reader;
-    std::string m_joinedEvents; ///< Copy of the events that feed() returns if other bytes lie between them.
     std::uint64_t m_lastId;
-    std::optional<std::uint64_t> m_lastIdOfAnswer; ///< Of the last event in this answer, forwarded or omitted.
     std::uint64_t m_eventCount { 0 };
     EventViolation m_violation { EventViolation::None };
     std::size_t m_violatingBytes { 0 };
-    bool m_mayRepeat;
     bool m_isAnswerStart { true }; ///< No block of this answer has been read.
     bool m_hasForwarded { false };
-    bool m_hasOmittedCarriageReturn { false }; ///< The last block was omitted and ended with CR; its LF may follow.
 };
 
 }
--- a/tests/PlatformTests.cpp
+++ b/tests/PlatformTests.cpp
@@ -127,8 +127,7 @@
     CHECK(splitter.feed("ta: b\n\n") == "id: 2\ndata: b\n\n");
     CHECK(splitter.feed("id: 3\nhalf").empty());
     splitter.resume();
-    // The other engine sends an event again that the caller has received.
-    CHECK(splitter.feed("id: 2\ndata: b\n\nid: 3\ndata: c\n\n") == "id: 3\ndata: c\n\n");
+    CHECK(splitter.feed("id: 3\ndata: c\n\n") == "id: 3\ndata: c\n\n");
     CHECK(splitter.lastId() == 3);
     CHECK(splitter.eventCount() == 3);
     splitter.endAnswer();
--- a/tests/ReferenceEventReader.h
+++ b/tests/ReferenceEventReader.h
@@ -188,7 +188,7 @@
 
 /// \brief What a caller should receive of one endpoint's answer.
 struct ReadAnswer {
-    std::string bytes; ///< The sound blocks up to the first other one, without events that the caller has.
+    std::string bytes; ///< The sound blocks up to the first other one.
     std::vector<DispatchedEvent> events; ///< In these blocks.
     std::uint64_t lastId { 0 }; ///< Of the last event that the caller has then.
     bool isSound { false }; ///< All of the answer consists of sound blocks.
@@ -205,7 +205,6 @@
     std::string_view text = answer.substr(hasMark ? reference::mark.size() : 0);
     ReadAnswer result { .lastId = lastId };
     std::size_t start = 0;
-    std::optional<std::uint64_t> previous;
     for (const reference::Line& line : reference::linesOf(text)) {
         // The router takes a line that is only the mark for no blank line; nothing is dispatched there in either case.
         bool isMarkLine = hasMark && line.text.data() == text.data();
@@ -215,26 +214,17 @@
         reference::Block block = reference::readBlock(bytes, extensionField, maxBytes);
         if (!block.isSound)
             return result;
-        if (block.id) {
-            bool isNext = previous ? *block.id > *previous && *block.id - *previous == 1
-                                   : *block.id > 0 && (*block.id <= lastId || *block.id - lastId == 1);
-            if (!isNext)
-                return result;
-            previous = block.id;
-        }
-        if (!block.id || *block.id > lastId) {
-            if (start == 0 && hasMark && !isContinuation)
-                result.bytes += reference::mark;
-            result.bytes += bytes;
-            for (DispatchedEvent& event : readEventStream(bytes))
-                result.events.push_back(std::move(event));
-            result.lastId = block.id.value_or(result.lastId);
-        }
+        if (block.id && (result.lastId == UINT64_MAX || *block.id != result.lastId + 1))
+            return result;
+        if (start == 0 && hasMark && !isContinuation)
+            result.bytes += reference::mark;
+        result.bytes += bytes;
+        for (DispatchedEvent& event : readEventStream(bytes))
+            result.events.push_back(std::move(event));
+        result.lastId = block.id.value_or(result.lastId);
         start = line.end;
     }
-    // An answer that ends before the caller's position lacks events.
-    bool endsEarly = previous && *previous < lastId;
-    result.isSound = start == text.size() && (start != 0 || !hasMark) && !endsEarly;
+    result.isSound = start == text.size() && (start != 0 || !hasMark);
     return result;
 }
 
--- a/tests/SseEventTests.cpp
+++ b/tests/SseEventTests.cpp
@@ -129,7 +129,7 @@
         { "data: x\n\n", Violation::MissingId },
         { "data\n\n", Violation::MissingId },
         { "event: token\ndata: x\n\n", Violation::MissingId },
-        { "data: [DONE]\ndata: [DONE]\n\n", Violation::MissingId },
+        { "data: [DONE]\ndata: [DONE]\n\n", Violation::MisplacedEndMarker },
         { "data: [DONE] \n\n", Violation::MissingId },
         { "id: 1\n\n", Violation::MissingData },
         { "id: 1\nevent: token\n\n", Violation::MissingData },
@@ -161,8 +161,7 @@
     REQUIRE(parseSseEvent("data: [DONE]\n\n", testRules, event) == EventViolation::None);
     CHECK(event.isEndMarker);
     CHECK(event.isDelivered());
-    REQUIRE(parseSseEvent("id: 1\ndata: [DONE]\n\n", testRules, event) == EventViolation::None);
-    CHECK_FALSE(event.isEndMarker);
+    CHECK(violationOf("id: 1\ndata: [DONE]\n\n") == EventViolation::MisplacedEndMarker);
     REQUIRE(parseSseEvent(": ping\n\n", testRules, event) == EventViolation::None);
     CHECK_FALSE(event.isDelivered());
 }
@@ -310,21 +309,6 @@
     CHECK(later.violation() == EventViolation::UnknownField);
 }
 
-// Guards against a line end of an omitted event that reaches the caller if it is received later than the event.
-TEST_CASE("an event that the caller has is omitted with all of its line end", "[sse][events]")
-{
-    const std::string omitted = "id: 1\r\ndata: a\r\n\r\n";
-    const std::string next = "id: 2\r\ndata: b\r\n\r\n";
-    for (std::size_t firstBytes = 0; firstBytes <= omitted.size(); ++firstBytes) {
-        CAPTURE(firstBytes);
-        SseSplitter splitter({}, 1);
-        std::string forwarded(splitter.feed(omitted.substr(0, firstBytes)));
-        forwarded += splitter.feed(omitted.substr(firstBytes) + next);
-        CHECK(forwarded == next);
-        CHECK(splitter.violation() == EventViolation::None);
-    }
-}
-
 // Guards against a number that starts again behind the largest one.
 TEST_CASE("no event follows the one with the largest id", "[sse][events]")
 {
@@ -335,7 +319,7 @@
     CHECK(splitter.violation() == EventViolation::OutOfOrder);
     SseSplitter ended({}, UINT64_MAX);
     CHECK(ended.feed(largest).empty());
-    CHECK(ended.violation() == EventViolation::None);
+    CHECK(ended.violation() == EventViolation::OutOfOrder);
     CHECK(ended.lastId() == UINT64_MAX);
 }
 
--- a/tests/SseSplitterTests.cpp
+++ b/tests/SseSplitterTests.cpp
@@ -57,35 +57,22 @@
     CHECK(other.violation() == EventViolation::UnknownField);
 }
 
-// Guards against a stream that looks complete, because an answer that should continue it ended before its position.
-TEST_CASE("an answer that ends before the caller's position is incomplete", "[router][events]")
+// Guards against an answer whose numbers are shifted: if its first events were omitted as known ones, the next one
+// would have the number that is due and the data of another event. It also may end before the caller's position.
+TEST_CASE("an answer that resumes a stream begins with the next event", "[router][events]")
 {
-    SseSplitter splitter { {} };
-    static_cast<void>(splitter.feed("id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\ndata: c\n\n"));
-    splitter.resume();
-    CHECK(splitter.feed("id: 1\ndata: a\n\nid: 2\ndata: b\n\n").empty());
-    splitter.endAnswer();
-    CHECK(splitter.violation() == EventViolation::Incomplete);
-    splitter.resume();
-    CHECK(splitter.feed("id: 3\ndata: c\n\n").empty());
-    splitter.endAnswer();
-    CHECK(splitter.violation() == EventViolation::None);
-}
-
-// Guards against engines that are blamed for a caller's position that is the largest number.
-TEST_CASE("the position of a stream may be the largest number", "[router][events]")
-{
-    SseSplitter splitter({}, 18'446'744'073'709'551'615U);
-    CHECK(splitter.feed("id: 18446744073709551615\ndata: a\n\n").empty());
-    CHECK(splitter.violation() == EventViolation::None);
-}
-
-// Guards against the joint of two runs on a route whose streams may not be resumed.
-TEST_CASE("only streams that may be resumed may begin with events that the caller has", "[router][events]")
-{
-    SseSplitter splitter({}, 5, false);
-    CHECK(splitter.feed("id: 5\ndata: a\n\nid: 6\ndata: b\n\n").empty());
-    CHECK(splitter.violation() == EventViolation::OutOfOrder);
+    for (const char* answer : { "id: 2\ndata: c\n\nid: 3\ndata: d\n\n", "id: 1\ndata: a\n\n", "id: 4\ndata: d\n\n" }) {
+        CAPTURE(answer);
+        SseSplitter splitter { {} };
+        static_cast<void>(splitter.feed("id: 1\ndata: a\n\nid: 2\ndata: b\n\n"));
+        splitter.resume();
+        CHECK(splitter.feed(answer).empty());
+        CHECK(splitter.violation() == EventViolation::OutOfOrder);
+        CHECK(splitter.lastId() == 2);
+    }
+    SseSplitter resumedByCaller({}, 5);
+    CHECK(resumedByCaller.feed("id: 5\ndata: a\n\nid: 6\ndata: b\n\n").empty());
+    CHECK(resumedByCaller.violation() == EventViolation::OutOfOrder);
 }
 
 // Guards against garbage at the end of a stream without a length that is taken for the loss of its engine.
