Check what engines were asked, and report failures of the soak itself

Cause: a client task that died, or an engine that got another body, would have gone unnoticed. Change: UNASKED compares method, target and body; exceptions of tasks are violations; the second SIGTERM comes at any time of the grace; more routers get more injectors.

--- a/bench/soak/history.py
+++ b/bench/soak/history.py
@@ -19,6 +19,7 @@
     body: bytes = b""
     events: dict = field(default_factory=dict)
     wanted: int = 0
+    asked: tuple = ()  # Method, target and body, as the engine received them.
 
 
 @dataclass
@@ -35,6 +36,7 @@
     is_malformed: bool = False
     last_event_id: int = 0
     wanted: int = 0
+    asked: tuple = ()  # Method, target and body, as the client sent them.
 
     def may_run_again(self):
         return self.kind in ("idempotent", "resumable")
@@ -73,6 +75,8 @@
                 add("TWICE", f"{request.kind} ran {len(runs)} times: {[run.engine for run in runs]}")
             if not request.may_run_again() and request.status in REFUSALS and runs:
                 add("REFUSED", f"answered {request.status} though it ran at {runs[0].engine}")
+            if any(run.asked != request.asked for run in runs):
+                add("UNASKED", "an engine ran the request with another method, target or body")
             if request.is_malformed:
                 add("MIXED", "bytes that are no answer")
             if 200 <= request.status < 300:
--- a/bench/soak/soak.py
+++ b/bench/soak/soak.py
@@ -17,6 +17,7 @@
 import sys
 import tempfile
 import time
+import traceback
 
 from events import read_events
 from history import History, Request, Violation, check_end, check_recovery
@@ -129,7 +130,7 @@
         self.counts = collections.Counter()
         self.violations = []
         self.faults_on = False
-        self.spoilt_part = 0.35
+        self.spoilt_part = options.spoilt
         self.version = 1
         self.has_extra_route = False
         self.keys = list(KEYS)
@@ -151,9 +152,15 @@
 
     def spawn(self, coroutine):
         task = asyncio.create_task(coroutine)
+        task.add_done_callback(self.check_task)
         self.tasks.add(task)
         return task
 
+    def check_task(self, task):
+        if not task.cancelled() and task.exception() is not None:
+            problem = "".join(traceback.format_exception(task.exception()))
+            self.violations.append(Violation("SOAK", self.now(), "", "", problem))
+
     def put_configuration(self):
         self.version += self.chooser.randrange(1, 5)
         self.store.put_json("keyed.op", "config", configuration(self.version, self.has_extra_route, self.keys))
@@ -193,7 +200,7 @@
         await asyncio.sleep(0.5)
         until = self.now() + self.options.seconds
         self.faults_on = True
-        injectors = [self.spawn(self.inject(until)) for _ in range(2)]
+        injectors = [self.spawn(self.inject(until)) for _ in range(2 + len(self.routers) // 10)]
         injectors.append(self.spawn(self.inject_engine_faults(until)))
         await asyncio.gather(*injectors)
         self.faults_on = False
@@ -272,7 +279,7 @@
         child = router.child
         router.send(signal.SIGTERM)
         if chooser.random() < 0.3:
-            await asyncio.sleep(chooser.uniform(0, 1))
+            await asyncio.sleep(chooser.uniform(0, BOUNDS["graceS"]))
             if router.child is child:
                 router.send(signal.SIGTERM)
         end = self.now() + BOUNDS["graceS"] + 2
@@ -454,6 +461,7 @@
             wish["size"] = chooser.choice([0, 10, 3000, 100000])
         body = json.dumps(wish).encode()
         fields["Content-Length"] = str(len(body))
+        request.asked = ("POST", prefix + "x", body)
         self.history.add_request(request)
         self.count(f"requests {kind}")
         head = "\r\n".join([f"POST {prefix}x HTTP/1.1"] + [f"{name}: {value}" for name, value in fields.items()])
@@ -522,6 +530,7 @@
     parser.add_argument("--seconds", type=float, default=10.0, help="how long faults are injected")
     parser.add_argument("--routers", type=int, default=5)
     parser.add_argument("--clients", type=int, default=40)
+    parser.add_argument("--spoilt", type=float, default=0.35, metavar="PART", help="the part of spoilt answers")
     parser.add_argument("--keep-logs", metavar="DIR", help="keeps the logs of runs with violations here")
     parser.add_argument("--binary", default=str(ROOT / "build/release/jasminestack"))
     parser.add_argument("--counts", action="store_true", help="prints what was injected and answered")
--- a/bench/soak/test_soak.py
+++ b/bench/soak/test_soak.py
@@ -136,6 +136,9 @@
         history = plain_history()
         history.add_run(Run("b", "i-1", 9, 1.0, "sig.9"))
         self.assertEqual(rules(history), ["UNASKED"])
+        history = plain_history()
+        history.runs["a"][0].asked = ("POST", "/du/x", b"other")
+        self.assertEqual(rules(history), ["UNASKED"])
 
     # A router that serves nothing any more, or a fleet that has stopped, passes as recovered.
     def test_recovery(self):
--- a/bench/soak/world.py
+++ b/bench/soak/world.py
@@ -328,10 +328,11 @@
         if faults and self.chooser.random() < 0.02:
             abort(writer)  # Nobody can tell whether the request ran. It did not.
             return False
-        wish = json.loads(body)
-        run = Run(attempt, self.name, next(self.numbers), self.world.now(), wanted=wish.get("events", 0))
+        run = Run(attempt, self.name, next(self.numbers), self.world.now(), asked=(method, target, body))
         run.signature = f"sig.{run.number:x}"
         self.world.history.add_run(run)
+        wish = json.loads(body)
+        run.wanted = wish.get("events", 0)
         self.active += 1
         try:
             if "events" in wish:
