--- a/src/daemon/SseScanner.cpp
+++ b/src/daemon/SseScanner.cpp
@@ -38,7 +38,7 @@
             appendTo(forwarded, event);
         }
     }
-    if (m_reader.incompleteBlock().size() == 0)
+    if (m_reader.incompleteBlock().empty())
         completeLineEnd(forwarded, lastBlock, lastAction);
     else if (!m_isDone && m_reader.incompleteBlock().size() > maxEventBytes)
         stop(EventViolation::TooLong, m_reader.incompleteBlock().size());
@@ -105,7 +105,7 @@
 
 void SseScanner::endAnswer() noexcept
 {
-    if (!m_isDone && m_violation == EventViolation::None && m_reader.incompleteBlock().size() != 0)
+    if (!m_isDone && m_violation == EventViolation::None && !m_reader.incompleteBlock().empty())
         stop(EventViolation::Incomplete, m_reader.incompleteBlock().size());
 }
 
