--- a/src/daemon/SseScanner.cpp
+++ b/src/daemon/SseScanner.cpp
@@ -25,11 +25,14 @@
         if (m_isDone)
             return forwarded;
         std::string_view event = *block;
-        bool isFirst = std::exchange(m_isAnswerStart, false);
-        // Parsers of callers skip a byte order mark only at the start of what they are sent.
-        if (isFirst && event.starts_with(byteOrderMark) && m_hasForwarded)
-            event.remove_prefix(byteOrderMark.size());
-        lastAction = check(isFirst && event.starts_with(byteOrderMark) ? event.substr(byteOrderMark.size()) : event);
+        std::string_view text = event;
+        if (std::exchange(m_isAnswerStart, false) && text.starts_with(byteOrderMark)) {
+            text.remove_prefix(byteOrderMark.size());
+            // Callers' parsers skip a byte order mark only at the start of what they are sent.
+            if (m_hasForwarded)
+                event = text;
+        }
+        lastAction = check(text);
         if (lastAction == Action::Stop)
             return forwarded;
         lastBlock = *block;
--- a/tests/SseScannerTests.cpp
+++ b/tests/SseScannerTests.cpp
@@ -236,3 +236,17 @@
         static_cast<void>(scanner.feed(chunk));
     CHECK(scanner.violation() == EventViolation::TooLong);
 }
+
+// Guards against a byte order mark in the middle of what the caller is sent, where it hides the first field of an
+// event.
+TEST_CASE("the scanner forwards a byte order mark only at the start of the caller's stream", "[sse][events]")
+{
+    const std::string mark(byteOrderMark);
+    SseScanner scanner;
+    CHECK(scanner.feed(mark + "id: 0\ndata: a\n\n") == mark + "id: 0\ndata: a\n\n");
+    scanner.prepareToResume();
+    CHECK(scanner.feed(mark + "id: 1\ndata: b\n\n") == "id: 1\ndata: b\n\n");
+    scanner.prepareToResume();
+    CHECK(scanner.feed(mark + mark + "id: 2\ndata: c\n\n").empty());
+    CHECK(scanner.violation() == EventViolation::UnknownField);
+}
