--- a/src/net/SseEvent.h
+++ b/src/net/SseEvent.h
@@ -90,10 +90,10 @@
     /// if the rest is incomplete.
     [[nodiscard]] std::optional<std::string_view> next();
 
-    /// \returns The received bytes that belong to no complete block yet, after next() has returned nothing.
-    [[nodiscard]] std::string_view incompleteBlock() const noexcept
+    /// \returns The received bytes behind the last block that next() has returned.
+    [[nodiscard]] std::string_view incompleteBlock() const
     {
-        return std::string_view(m_buffer).substr(m_consumedBytes);
+        return m_chunk.value_or(m_buffer).substr(m_consumedBytes);
     }
 
     /// \brief Discards the bytes of an incomplete block, because another connection continues the stream.
--- a/src/router/SseSplitter.h
+++ b/src/router/SseSplitter.h
@@ -48,7 +48,6 @@
     [[nodiscard]] std::size_t violatingBytes() const noexcept { return m_violatingBytes; }
 
 private:
-    enum class Action : std::uint8_t { Forward, Omit, Stop };
     /// \returns Whether the event is forwarded.
     [[nodiscard]] bool accept(std::string_view text);
     void stop(EventViolation, std::size_t bytes) noexcept;
