Count losses of a part that was sent between them

Callers saw: requests with one prompt part, 8 in 100, ended endpoint after endpoint before any answer, and went on to be sent long after the fifth crash; half of the endpoints were away at a time.

Cause: losses within 500 ms of the last counted one were no further evidence for a part, however its requests had been sent. An endpoint that is lost before it answers needs five such losses, and with several crashes a second most of them were left out. A request that was sent after one loss and is at the next one cannot have been in flight at both.

Change: for parts such a loss counts towards the five losses of waitingThreshold. The three losses with begun answers are counted as before, since a rack that is lost in a row reaches three by chance. Answers clear sound parts as before.

--- a/src/routing/CrashAttribution.cpp
+++ b/src/routing/CrashAttribution.cpp
@@ -91,9 +91,27 @@
             == countAround(record.losses.begin(), record.losses.end(), [](const TraitLoss& loss) { return loss.at; });
     }
 
-    // Counts losses that cannot have one other cause in common. Those far apart cannot, and neither can those of one
-    // content if it was sent to the endpoint after the loss before, or if no other endpoints were lost at the time.
-    // Copies of one content are rarely at the same endpoints by chance; parts that many requests have often are.
+    // Whether a request with the trait was sent after an earlier loss and before this one, so that it cannot have been
+    // in flight at both.
+    bool wasSentBetween(const TraitLoss& loss, Millis earlierLossAt) noexcept
+    {
+        return loss.lastSentAt > earlierLossAt && loss.lastSentAt <= loss.at;
+    }
+
+    // Whether a loss within the window of an earlier one has another cause, as far as a content shows. Copies of one
+    // content are rarely at the same endpoints by chance; parts that many requests have often are.
+    bool isOtherCauseByContent(const TraitRecord& record, const TraitLoss& loss, Millis earlierLossAt,
+        std::span<const Millis> allLossTimes, const CrashAttributionOptions& options)
+    {
+        return loss.at - loss.lastSentAt >= options.minTimeInFlight
+            && (wasSentBetween(loss, earlierLossAt)
+                || isAtAllLossesAround(record, allLossTimes, loss.at, options.commonCauseWindow));
+    }
+
+    // Counts losses that cannot have one other cause in common. Those far apart cannot, and neither can those of a
+    // trait that was sent to the endpoint after the loss before. For parts only the count of all losses relies on the
+    // latter, since the smaller number of losses that begun answers need is reached by chance where a rack is lost in a
+    // row.
     unsigned countIndependentLosses(const TraitRecord& record, bool isContent, bool onlyBegun,
         std::span<const Millis> allLossTimes, const CrashAttributionOptions& options)
     {
@@ -102,12 +120,11 @@
         for (const TraitLoss& loss : record.losses) {
             if (onlyBegun && !loss.hasBegun)
                 continue;
-            bool isApart = count == 0 || loss.at - lastCounted >= options.commonCauseWindow;
-            bool wasTakenUp = loss.at - loss.lastSentAt >= options.minTimeInFlight;
-            bool isIndependent = isApart
-                || (isContent && wasTakenUp
-                    && (loss.lastSentAt > lastCounted
-                        || isAtAllLossesAround(record, allLossTimes, loss.at, options.commonCauseWindow)));
+            bool isIndependent = count == 0 || loss.at - lastCounted >= options.commonCauseWindow;
+            if (!isIndependent && isContent)
+                isIndependent = isOtherCauseByContent(record, loss, lastCounted, allLossTimes, options);
+            else if (!isIndependent && !onlyBegun)
+                isIndependent = wasSentBetween(loss, lastCounted);
             if (!isIndependent)
                 continue;
             lastCounted = loss.at;
