Send nothing to the endpoints of evacuated availability zones

The operator writes a key for each availability zone to which nothing more is to be sent; nothing read it, so callers' requests went on to endpoints that the operator was about to take away. Endpoints of such zones are not chosen, requests that are placed and not sent move to others, requests in flight go on.

--- a/src/observe/Metrics.cpp
+++ b/src/observe/Metrics.cpp
@@ -56,6 +56,7 @@
         MetricRow { "jasminestack_configuration_age_seconds",
             "Time since the configuration in force was last confirmed as the newest.", {} },
         MetricRow { "jasminestack_accept_queue", "Connections of callers that wait to be accepted.", {} },
+        MetricRow { "jasminestack_evacuated_zones", "Availability zones to whose endpoints nothing more is sent.", {} },
     };
 
     constexpr std::array histogramTable {
@@ -67,7 +68,7 @@
     };
 
     static_assert(counterTable.size() == static_cast<std::size_t>(Counter::CallerConnections) + 1);
-    static_assert(gaugeTable.size() == static_cast<std::size_t>(Gauge::AcceptQueue) + 1);
+    static_assert(gaugeTable.size() == static_cast<std::size_t>(Gauge::EvacuatedZones) + 1);
     static_assert(histogramTable.size() == static_cast<std::size_t>(Histogram::TotalSeconds) + 1);
 
     // In seconds. The boundaries include the latency objectives: 2 ms added by the router, 53 ms between tokens, 1.2 s
--- a/src/observe/Metrics.h
+++ b/src/observe/Metrics.h
@@ -40,6 +40,7 @@
     OpenStreams,
     ConfigurationAge, ///< Time since the configuration in force was last confirmed as the newest, in seconds.
     AcceptQueue, ///< Callers' connections that wait in the system's queue to be accepted.
+    EvacuatedZones, ///< Availability zones to whose endpoints nothing more is sent.
 };
 
 /// \brief Histograms of durations in seconds.
--- a/src/router/DeploymentSource.h
+++ b/src/router/DeploymentSource.h
@@ -5,17 +5,20 @@
 
 #include <cstdint>
 #include <memory>
+#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
 
 namespace jasminestack {
 
-/// \brief Versions of the deployment's documents (configuration and registrations) that a daemon has. Daemons compare
-/// them, and those with older documents import the documents of a peer.
+/// \brief Versions of the deployment's documents (configuration, registrations and evacuations) that a daemon has.
+/// Daemons compare them, and those with older documents import the documents of a peer.
 struct DeploymentVersions {
     std::uint64_t configurationVersion { 0 }; ///< Version in force; 0: no configuration received.
     std::int64_t registrationsPosition { -1 }; ///< In the store's history of registrations; -1: none received.
+    /// In the store's history of what the operator writes: the configuration and evacuations; -1: none received.
+    std::int64_t operatorPosition { -1 };
 
     [[nodiscard]] friend bool operator==(const DeploymentVersions&, const DeploymentVersions&) = default;
 };
@@ -38,6 +41,9 @@
     virtual void onRoutingTable(std::shared_ptr<const RoutingTable>) = 0;
     virtual void onRegistrations(const std::vector<Registration>&) = 0;
 
+    /// \param zones Availability zones to whose endpoints nothing more may be sent; replaces the previous ones.
+    virtual void onEvacuatedZones(const std::set<std::string>& zones) = 0;
+
     /// \param addresses "IP:PORT" of the daemons that are announced in the store, except for this one.
     virtual void onPeerAddresses(const std::vector<std::string>&) = 0;
 };
--- a/src/router/FleetSync.cpp
+++ b/src/router/FleetSync.cpp
@@ -288,6 +288,7 @@
     std::string bytes = encodeStoreConfirmation({ .reader = m_options.instanceId,
         .configurationVersion = versions.configurationVersion,
         .registrationsPosition = versions.registrationsPosition,
+        .operatorPosition = versions.operatorPosition,
         .age = now - m_context.source.storeConfirmedAt(),
         .interval = interval });
     for (const std::string& address : m_followers)
@@ -312,7 +313,8 @@
         m_context.source.onConfigurationConfirmedByPeer(now - confirmation.age);
     updateVersions(peer,
         { .configurationVersion = confirmation.configurationVersion,
-            .registrationsPosition = confirmation.registrationsPosition });
+            .registrationsPosition = confirmation.registrationsPosition,
+            .operatorPosition = confirmation.operatorPosition });
     if (m_storeRole == StoreRole::Follower && peer.newerDocumentsSince != Millis {})
         fetchDocumentsFromPeer();
 }
@@ -424,6 +426,7 @@
         .sequence = ++m_sequence,
         .configurationVersion = versions.configurationVersion,
         .registrationsPosition = versions.registrationsPosition,
+        .operatorPosition = versions.operatorPosition,
         .isLeaving = m_isLeaving,
         .mayCoordinate = m_mayCoordinate,
         .cpuCores = m_options.cpuCores,
@@ -729,7 +732,9 @@
     for (const std::string& address : update.livePeerAddresses)
         addPeer(address);
     updateVersions(peer,
-        { .configurationVersion = update.configurationVersion, .registrationsPosition = update.registrationsPosition });
+        { .configurationVersion = update.configurationVersion,
+            .registrationsPosition = update.registrationsPosition,
+            .operatorPosition = update.operatorPosition });
     // A daemon that has just started may have only the addresses of its seeds.
     if (update.knownDaemonCount < livePeerCount() + 1 && now - peer.peerListSentAt >= peerListInterval) {
         peer.peerListSentAt = now;
@@ -752,7 +757,9 @@
         return true;
     bool isOwnReadOutdated = m_storeRole == StoreRole::Follower
         || m_context.clock.now() - m_context.source.registrationsReadAt() > registrationReadTolerance;
-    return isOwnReadOutdated && peer.versions.registrationsPosition > ownVersions.registrationsPosition;
+    return isOwnReadOutdated
+        && (peer.versions.registrationsPosition > ownVersions.registrationsPosition
+            || peer.versions.operatorPosition > ownVersions.operatorPosition);
 }
 
 bool FleetSync::isDocumentSource(const Peer& peer) const
--- a/src/router/FleetUpdateCodec.cpp
+++ b/src/router/FleetUpdateCodec.cpp
@@ -8,11 +8,11 @@
 
 namespace {
 
-    constexpr std::uint64_t formatVersion = 4;
+    constexpr std::uint64_t formatVersion = 5;
 
     // Length of the outer array. It tells fleet updates from placement messages, whose arrays are shorter; see
     // PlacementCodec.cpp.
-    constexpr std::uint32_t fieldCount = 21;
+    constexpr std::uint32_t fieldCount = 22;
 
     // Upper bound of a maximum update interval: a longer one in a message is reduced to this.
     constexpr std::uint64_t maxUpdateIntervalMs = 60'000;
@@ -202,6 +202,7 @@
     packer.pack(update.sequence);
     packer.pack(update.configurationVersion);
     packer.pack(update.registrationsPosition);
+    packer.pack(update.operatorPosition);
     packer.pack(update.isLeaving);
     packer.pack(update.mayCoordinate);
     packer.pack(update.cpuCores);
@@ -262,6 +263,7 @@
         update.sequence = reader.readUnsigned();
         update.configurationVersion = reader.readUnsigned();
         update.registrationsPosition = reader.readSigned();
+        update.operatorPosition = reader.readSigned();
         update.isLeaving = reader.readBoolean();
         update.mayCoordinate = reader.readBoolean();
         update.cpuCores = static_cast<float>(reader.readDouble());
--- a/src/router/RouterDaemon.cpp
+++ b/src/router/RouterDaemon.cpp
@@ -18,6 +18,7 @@
 #include "router/PlacementQueue.h"
 #include "router/RequestRouter.h"
 
+#include <algorithm>
 #include <array>
 #include <csignal>
 #include <event2/event.h>
@@ -268,6 +269,17 @@
         queue.onCapacityChanged();
     }
 
+    void onEvacuatedZones(const std::set<std::string>& zones) override
+    {
+        setEvacuatedZones(board.fleetView, zones);
+        auto endpoints = std::count_if(board.fleetView.endpoints.begin(), board.fleetView.endpoints.end(),
+            [](const auto& entry) { return entry.second.isEvacuated; });
+        metrics.set(Gauge::EvacuatedZones, {}, static_cast<double>(zones.size()));
+        logEvent(LogLevel::Info, "endpoints_evacuated", { { "zones", zones.size() }, { "endpoints", endpoints } });
+        router.onEndpointsChanged();
+        queue.onCapacityChanged();
+    }
+
     void onPeerAddresses(const std::vector<std::string>& addresses) override { fleetSync.setAnnouncedPeers(addresses); }
 
     void updateReadiness()
--- a/src/router/StoreConfirmationCodec.cpp
+++ b/src/router/StoreConfirmationCodec.cpp
@@ -8,10 +8,10 @@
 
 namespace {
 
-    // First byte of the message: a MessagePack array of six elements. Other messages never have this length.
-    constexpr unsigned char firstByte = 0x96;
-    constexpr std::uint32_t fieldCount = 6;
-    constexpr std::uint64_t formatVersion = 1;
+    // First byte of the message: a MessagePack array of seven elements. Other messages never have this length.
+    constexpr unsigned char firstByte = 0x97;
+    constexpr std::uint32_t fieldCount = 7;
+    constexpr std::uint64_t formatVersion = 2;
 
     // Limit of durations in milliseconds; a longer one in a message is reduced to this.
     constexpr std::uint64_t maxDurationMs = 1'000'000'000;
@@ -42,6 +42,7 @@
     packer.pack(confirmation.reader);
     packer.pack(confirmation.configurationVersion);
     packer.pack(confirmation.registrationsPosition);
+    packer.pack(confirmation.operatorPosition);
     packer.pack(durationMs(confirmation.age));
     packer.pack(durationMs(confirmation.interval));
     return std::move(buffer.bytes);
@@ -57,6 +58,7 @@
         StoreConfirmation confirmation { .reader = reader.readUnsigned() };
         confirmation.configurationVersion = reader.readUnsigned();
         confirmation.registrationsPosition = reader.readSigned();
+        confirmation.operatorPosition = reader.readSigned();
         confirmation.age = readDuration(reader);
         confirmation.interval = readDuration(reader);
         reader.requireEnd();
--- a/src/routing/FleetUpdate.h
+++ b/src/routing/FleetUpdate.h
@@ -38,6 +38,7 @@
     std::uint64_t configurationVersion { 0 };
     /// Sender's position in the store's history of registrations; -1: none received.
     std::int64_t registrationsPosition { -1 };
+    std::int64_t operatorPosition { -1 }; ///< See DeploymentVersions::operatorPosition.
     bool isLeaving { false }; ///< The sender is shutting down.
     bool mayCoordinate { false }; ///< The sender can place other daemons' requests: it is ready and not shutting down.
     float cpuCores { 1.0F }; ///< Processor cores that the sender may use.
--- a/src/routing/FleetView.cpp
+++ b/src/routing/FleetView.cpp
@@ -211,6 +211,12 @@
         }
     }
 
+    void markEvacuatedEndpoints(FleetView& fleetView)
+    {
+        for (auto& [id, view] : fleetView.endpoints)
+            view.isEvacuated = fleetView.evacuatedZones.contains(view.registration.availabilityZone);
+    }
+
     void addLoad(EndpointLoad& sum, const EndpointLoad& load) noexcept
     {
         sum.inFlight += load.inFlight;
@@ -331,6 +337,13 @@
     }
     fleetView.endpoints = std::move(updatedEndpoints);
     indexEndpoints(fleetView);
+    markEvacuatedEndpoints(fleetView);
+}
+
+void setEvacuatedZones(FleetView& fleetView, const std::set<std::string>& zones)
+{
+    fleetView.evacuatedZones = zones;
+    markEvacuatedEndpoints(fleetView);
 }
 
 void setMemoryCapacities(FleetView& fleetView, const RoutingTable& table)
--- a/src/routing/FleetView.h
+++ b/src/routing/FleetView.h
@@ -9,6 +9,7 @@
 
 #include <cstdint>
 #include <map>
+#include <set>
 #include <span>
 #include <string>
 #include <unordered_map>
@@ -69,15 +70,17 @@
     /// The endpoint said in an answer that it leaves. Holds until the process is replaced; of a faulty one that stays,
     /// only the capacity is lost.
     bool isLeaving { false };
+    bool isEvacuated { false }; ///< Its availability zone is in FleetView::evacuatedZones.
     Millis lastResponseAt {}; ///< Time of the last first-byte sample, from this daemon or a peer's report.
     bool isProbeInFlight { false }; ///< A request was sent to test whether the endpoint works again.
     Millis probeStartedAt {};
     bool ownLoadChanged { false }; ///< \c ownLoad has changed since the last fleet update.
 
-    /// \returns Whether the endpoint accepts new requests of this daemon, by its registration and its own answers.
+    /// \returns Whether new requests of this daemon may be sent to the endpoint, by its registration, its own answers
+    /// and the operator's evacuations.
     [[nodiscard]] bool acceptsRequests(Millis now) const noexcept
     {
-        return !registration.isDraining && !isLeaving && now >= pausedUntil;
+        return !registration.isDraining && !isLeaving && !isEvacuated && now >= pausedUntil;
     }
 
     /// \returns The load of all daemons: \c ownLoad plus \c peerLoadSum.
@@ -107,12 +110,17 @@
     std::unordered_map<ShardId, std::vector<EndpointView*>> endpointsByShard;
     std::unordered_map<EndpointInstanceId, EndpointView*> endpointsByInstance;
     std::unordered_map<PoolId, PoolView> pools;
+    std::set<std::string> evacuatedZones; ///< Nothing more may be sent to the endpoints of these availability zones.
 };
 
 /// \brief Replaces the set of endpoints. An endpoint that keeps its id, start time and address keeps its state;
 /// endpoints without a registration are removed at once.
 void setRegistrations(FleetView&, std::span<const Registration>);
 
+/// \brief Replaces the availability zones to whose endpoints nothing more may be sent. Registrations that are set later
+/// are subject to them, too.
+void setEvacuatedZones(FleetView&, const std::set<std::string>&);
+
 /// \brief Copies the memory capacity of each pool to its endpoints. Call it after each change of registrations or
 /// configuration.
 void setMemoryCapacities(FleetView&, const RoutingTable&);
--- a/src/routing/StoreReaders.h
+++ b/src/routing/StoreReaders.h
@@ -21,6 +21,7 @@
     DaemonInstanceId reader { 0 };
     std::uint64_t configurationVersion { 0 };
     std::int64_t registrationsPosition { -1 };
+    std::int64_t operatorPosition { -1 }; ///< See DeploymentVersions::operatorPosition.
     Millis age {}; ///< Time since the store's confirmation.
     Millis interval {}; ///< Time to the reader's next message.
 };
--- a/tests/FleetSyncTests.cpp
+++ b/tests/FleetSyncTests.cpp
@@ -412,6 +412,7 @@
     StoreConfirmation confirmation { .reader = 7,
         .configurationVersion = 12,
         .registrationsPosition = 345,
+        .operatorPosition = 78,
         .age = Millis { 900 },
         .interval = Millis { 400 } };
     std::string bytes = encodeStoreConfirmation(confirmation);
@@ -419,6 +420,7 @@
     REQUIRE(decoded);
     CHECK(decoded.value().reader == 7);
     CHECK(decoded.value().registrationsPosition == 345);
+    CHECK(decoded.value().operatorPosition == 78);
     CHECK(decoded.value().age == Millis { 900 });
     CHECK(isStoreConfirmation(bytes));
     for (std::size_t length = 0; length < bytes.size(); ++length)
--- a/tests/PlatformTests.cpp
+++ b/tests/PlatformTests.cpp
@@ -151,6 +151,7 @@
         .sequence = 3,
         .configurationVersion = 12,
         .registrationsPosition = 40,
+        .operatorPosition = 50,
         .isSnapshot = true,
         .endpointLoads
         = { { .endpoint = 9, .load = { .inFlight = 2, .pendingPrefillTokens = 500, .reservedTokens = 900 } } },
@@ -171,6 +172,7 @@
     auto decoded = decodeFleetUpdate(bytes, Millis { 105'000 });
     REQUIRE(decoded);
     CHECK(decoded.value().isSnapshot);
+    CHECK(decoded.value().operatorPosition == 50);
     CHECK(decoded.value().endpointLoads[0].load == update.endpointLoads[0].load);
     CHECK(decoded.value().sentPrompts[0].prompt == update.sentPrompts[0].prompt);
     CHECK(decoded.value().refusals[0].ageMs == 20);
