Let the generated histories say when requests were sent

The histories of tests/CrashAttributionTests.cpp recorded losses without the time at which their requests were sent, so that the rule for requests sent between two losses was never applied in them.

--- a/tests/CrashAttributionTests.cpp
+++ b/tests/CrashAttributionTests.cpp
@@ -92,6 +92,7 @@
         bool isGuilty { false };
         bool isAnswered { false }; ///< It will be answered unless its endpoint is lost.
         bool isProven { false }; ///< Its answer has gone on for so long that it cannot be the cause of a loss.
+        Millis sentAt {};
         Millis beginsAt {};
         Millis endsAt {};
     };
@@ -147,6 +148,7 @@
             m_result.refusedSound += request.isGuilty ? 0 : 1;
             return;
         }
+        request.sentAt = m_now;
         request.beginsAt = m_now + uniformTime({ 100 }, { 1'200 });
         request.endsAt = request.beginsAt + (request.isGuilty ? Millis { 100 } : uniformTime({ 400 }, { 2'500 }));
         request.isAnswered = !request.isGuilty && chance(m_options.answerShare);
@@ -190,7 +192,10 @@
             CrashAttributionState& state = m_daemons[request.daemon];
             if (!request.isProven)
                 recordLoss(state, m_attribution, m_processes[endpoint],
-                    { .workspace = request.workspace, .hasBegun = request.beginsAt <= m_now, .traits = request.traits },
+                    { .workspace = request.workspace,
+                        .hasBegun = request.beginsAt <= m_now,
+                        .sentAt = request.sentAt,
+                        .traits = request.traits },
                     m_now);
             return true;
         });
