--- a/bench/soak/crashing_part.py
+++ b/bench/soak/crashing_part.py
@@ -200,6 +200,9 @@
             await asyncio.sleep(self.chooser.expovariate(self.options.rate))
         await asyncio.gather(*requests)
         heartbeats.cancel()
+        for router in self.routers:
+            if not router.alive():
+                raise RuntimeError(f"{router.name} has ended: {router.tail('')}")
 
     async def heartbeats(self):
         while True:
@@ -266,7 +269,7 @@
         holds = True
         for part in range(self.options.parts):
             late = self.late_sends(part)
-            holds = holds and late <= MAX_LATE_SENDS
+            holds = holds and late <= MAX_LATE_SENDS and bool(self.crashes[part])  # Without a crash nothing is shown.
             print(f"part {part}: {len(self.runs[part])} runs, {len(self.crashes[part])} crashes, "
                   f"{late} later than {CONTACT_S:g} s after crash {TOLERABLE_CRASHES} (at most {MAX_LATE_SENDS})")
         refused = self.wrong_refusals()
