Follow a store that returns from an older copy

In a drill the store may come back from a copy that is some seconds old. Its offsets go back and are given out again, and the header Store-Era rises. A daemon read on at its old offset: it got 410, then a list that it refused as older than its records, again and again, so that no further change of configuration, endpoints or evacuations was in force until the offsets had passed the old ones; records at offsets that were given out again were missed.

Positions in topics now consist of era and offset in one number, so that documents and fleet updates keep their format. A list of a later era is accepted, responses and documents of an earlier one are ignored. The configuration in force is kept, an endpoint that began to leave or has left is not brought back by the copy (its writes have sequence numbers), endpoints and evacuations that the copy lacks are kept while they are written again, and daemons announce themselves again. docs/design/store-era.md.

--- a/src/net/HttpClient.cpp
+++ b/src/net/HttpClient.cpp
@@ -36,6 +36,14 @@
         return body;
     }
 
+    std::string findResponseHeader(evhttp_request* request, const std::string& name)
+    {
+        if (name.empty())
+            return {};
+        const char* value = evhttp_find_header(evhttp_request_get_input_headers(request), name.c_str());
+        return value ? value : "";
+    }
+
 }
 
 struct HttpClient::State {
@@ -43,6 +51,7 @@
         State* owner { nullptr };
         std::list<Exchange>::iterator self;
         HttpCallback callback;
+        std::string responseHeader; ///< HttpRequest::responseHeader.
         evhttp_connection* connection { nullptr };
         event* timer { nullptr };
         Result<HttpResponse> result { Error { .kind = ErrorKind::EndpointTimeout, .message = "no response in time" } };
@@ -86,8 +95,9 @@
     {
         auto& exchange = *static_cast<Exchange*>(argument);
         if (request && evhttp_request_get_response_code(request) != 0) {
-            exchange.result
-                = HttpResponse { .status = evhttp_request_get_response_code(request), .body = takeBody(request) };
+            exchange.result = HttpResponse { .status = evhttp_request_get_response_code(request),
+                .body = takeBody(request),
+                .header = findResponseHeader(request, exchange.responseHeader) };
         } else if (request) {
             // evhttp passes the request without a status when the connection was never established.
             exchange.result = Error { .kind = ErrorKind::EndpointUnavailable, .message = "cannot connect" };
@@ -114,6 +124,7 @@
     exchange.owner = &state;
     exchange.self = position;
     exchange.callback = std::move(callback);
+    exchange.responseHeader = std::move(request.responseHeader);
     exchange.timer = evtimer_new(&state.base, State::onFinish, &exchange);
 
     auto address = splitAddress(request.address);
--- a/src/net/HttpClient.h
+++ b/src/net/HttpClient.h
@@ -24,11 +24,13 @@
     std::string body;
     Millis timeout { 5'000 }; ///< For the whole exchange.
     std::size_t maxResponseBytes { 8U << 20U }; ///< A response with a longer body fails.
+    std::string responseHeader; ///< Name of a response header that the caller needs; empty: none.
 };
 
 struct HttpResponse {
     int status { 0 };
     std::string body;
+    std::string header; ///< Value of HttpRequest::responseHeader; empty if it is missing.
 };
 
 using HttpCallback = std::function<void(Result<HttpResponse>)>;
--- a/standins/KeyedStore.cpp
+++ b/standins/KeyedStore.cpp
@@ -53,6 +53,19 @@
     target.records.clear();
 }
 
+void KeyedStore::returnFromCopy()
+{
+    m_topics = m_copy;
+    ++m_era;
+}
+
+void KeyedStore::respond(
+    const ExchangePointer& exchange, int status, std::string_view body, const char* contentType) const
+{
+    exchange->addHeader("Store-Era", std::to_string(m_era));
+    exchange->respond(status, body, contentType);
+}
+
 void KeyedStore::setFault(Fault fault)
 {
     m_fault = fault;
@@ -75,7 +88,7 @@
     if (exchange->isClosed())
         return;
     if (m_fault == Fault::Unavailable)
-        exchange->respond(503, "{}");
+        respond(exchange, 503, "{}");
     else
         exchange->dropConnection();
 }
@@ -94,7 +107,7 @@
     else if (exchange->path() == "/v1/log-newest")
         listNewest(exchange);
     else
-        exchange->respond(404, "{}");
+        respond(exchange, 404, "{}");
 }
 
 void KeyedStore::append(const ExchangePointer& exchange)
@@ -103,7 +116,7 @@
     constexpr std::size_t lengthBytes = 4;
     std::string_view body = exchange->body();
     if (body.size() <= lengthBytes) {
-        exchange->respond(400, "{}");
+        respond(exchange, 400, "{}");
         return;
     }
     body.remove_prefix(lengthBytes);
@@ -116,7 +129,7 @@
     if (m_fault == Fault::LostAnswers)
         exchange->dropConnection();
     else
-        exchange->respond(200, json { { "offset", offset }, { "endOffset", offset + 1 } }.dump());
+        respond(exchange, 200, json { { "offset", offset }, { "endOffset", offset + 1 } }.dump());
 }
 
 void KeyedStore::read(const ExchangePointer& exchange)
@@ -128,9 +141,9 @@
         .deadlineMs = monotonicMs() + static_cast<double>(parseNumber(exchange->queryParameter("waitMs"), 0)) };
     auto topic = m_topics.find(waitingRead.topic);
     if (topic == m_topics.end())
-        exchange->respond(404, "{}");
-    else if (waitingRead.from < topic->second.firstOffset)
-        exchange->respond(410, json { { "startOffset", topic->second.firstOffset } }.dump());
+        respond(exchange, 404, "{}");
+    else if (waitingRead.from < topic->second.firstOffset || waitingRead.from > topic->second.endOffset())
+        respond(exchange, 410, json { { "startOffset", topic->second.firstOffset } }.dump());
     else if (waitingRead.from < topic->second.endOffset() && m_readDelayMs == 0)
         respondToRead(waitingRead);
     else
@@ -150,7 +163,7 @@
         body += static_cast<char>(record.key.size());
         body.append(record.key).append(value);
     }
-    waitingRead.exchange->respond(200, body, "application/octet-stream");
+    respond(waitingRead.exchange, 200, body, "application/octet-stream");
 }
 
 void KeyedStore::respondToWaitingReads()
@@ -163,8 +176,8 @@
         if (waitingRead.exchange->isClosed())
             return true;
         const Topic& topic = m_topics[waitingRead.topic];
-        if (waitingRead.from < topic.firstOffset) {
-            waitingRead.exchange->respond(410, json { { "startOffset", topic.firstOffset } }.dump());
+        if (waitingRead.from < topic.firstOffset || waitingRead.from > topic.endOffset()) {
+            respond(waitingRead.exchange, 410, json { { "startOffset", topic.firstOffset } }.dump());
             return true;
         }
         bool hasRecords = waitingRead.from < topic.endOffset();
@@ -179,15 +192,15 @@
 {
     auto topic = m_topics.find(exchange->queryParameter("topic"));
     if (topic == m_topics.end()) {
-        exchange->respond(404, "{}");
+        respond(exchange, 404, "{}");
         return;
     }
     json entries = json::array();
     for (const auto& [key, newest] : topic->second.newest)
         entries.push_back(
             { { "key", key }, { "value", absl::Base64Escape(newest.second) }, { "offset", newest.first } });
-    exchange->respond(
-        200, json { { "entries", entries }, { "hasMore", false }, { "endOffset", topic->second.endOffset() } }.dump());
+    respond(exchange, 200,
+        json { { "entries", entries }, { "hasMore", false }, { "endOffset", topic->second.endOffset() } }.dump());
 }
 
 }
--- a/standins/KeyedStore.h
+++ b/standins/KeyedStore.h
@@ -34,6 +34,13 @@
     /// \brief Expires all records; the newest value of each key can still be listed.
     void compact(const std::string& topic);
 
+    /// \brief Keeps a copy of all topics for returnFromCopy().
+    void takeCopy() { m_copy = m_topics; }
+
+    /// \brief Forgets everything written since takeCopy(), and raises the era. Reads that wait are answered with 410 if
+    /// the copy does not have their offset.
+    void returnFromCopy();
+
     /// \brief Applies \p fault to all later requests; Unavailable and Reset also end the waiting reads.
     void setFault(Fault fault);
 
@@ -72,6 +79,8 @@
     };
 
     void handle(const ExchangePointer&);
+    void respond(
+        const ExchangePointer&, int status, std::string_view body, const char* contentType = "application/json") const;
     void append(const ExchangePointer&);
     void read(const ExchangePointer&);
     void listNewest(const ExchangePointer&);
@@ -82,6 +91,8 @@
     StandinServer m_server;
     Timer m_timer; ///< Checks the waiting reads.
     std::map<std::string, Topic> m_topics;
+    std::map<std::string, Topic> m_copy;
+    std::int64_t m_era { 1 }; ///< Sent in all responses.
     std::list<LongPollRead> m_waitingReads;
     std::vector<ExchangePointer> m_unansweredRequests; ///< Received while the store was silent.
     double m_readDelayMs { 0 };
--- a/tests/StoreDeploymentSourceTests.cpp
+++ b/tests/StoreDeploymentSourceTests.cpp
@@ -1,8 +1,4 @@
-#include "KeyedStore.h"
-#include "LoopbackHarness.h"
-#include "net/EventPriority.h"
-#include "net/HttpClient.h"
-#include "platform/StoreDeploymentSource.h"
+#include "StoreSourceHarness.h"
 #include "router/DocumentsRequest.h"
 
 #include <algorithm>
@@ -17,108 +13,8 @@
 using namespace jasminestack;
 using namespace jasminestack::platform;
 using jasminestack::standins::KeyedStore;
-
-namespace {
-
-constexpr Millis testTimeout { 20'000 };
-
-// A daemon that the store has responded to again for this long has to know all changes.
-constexpr Millis contactTime { 3'000 };
-
-// Requests may be sent to an engine for this long after the store has accepted that it leaves.
-constexpr Millis drainTime { 2'000 };
-
-std::string configurationJson(int version)
-{
-    return R"({"version":)" + std::to_string(version) + R"(,"routes":[],"services":[],"limits":{},"tenants":[]})";
-}
-
-std::string registrationJson(const std::string& phase = "ready")
-{
-    return R"({"backend":"llm","address":"10.128.0.9:8080","zone":"a","version":"v1","maxBatchSize":8,"phase":")"
-        + phase + R"(","coldRemainingMs":0,"sequence":4,"born":1700000000000})";
-}
-
-/// \brief A StoreDeploymentSource and a stand-in store in one event loop; records what the source reports.
-struct Fixture final : DeploymentListener {
-    EventBasePointer base = makePrioritizedEventBase();
-    SystemClock clock;
-    HttpClient http { *base };
-    KeyedStore store { *base, test::freeAddress() };
-    StoreDeploymentSource source { *base, http, clock,
-        { .storeAddress = store.address(), .daemonId = "router-1", .peerAddress = "10.0.0.1:7400" } };
-    std::vector<std::uint64_t> versions;
-    std::vector<Registration> registrations;
-    std::vector<std::string> peers;
-    std::set<std::string> evacuatedZones;
-    Millis registrationsChangedAt {};
-
-    Fixture()
-    {
-        store.put("keyed.op", "config", configurationJson(3));
-        store.put("keyed.servers", "i-1", registrationJson());
-        store.put("keyed.servers", "i-2", registrationJson());
-        source.start(*this);
-        runUntil([&] { return !versions.empty() && registrations.size() == 2; });
-    }
-
-    void onRoutingTable(std::shared_ptr<const RoutingTable> table) override { versions.push_back(table->version); }
-    void onRegistrations(const std::vector<Registration>& reported) override
-    {
-        registrations = reported;
-        registrationsChangedAt = clock.now();
-    }
-    void onEvacuatedZones(const std::set<std::string>& zones) override { evacuatedZones = zones; }
-    void onPeerAddresses(const std::vector<std::string>& addresses) override { peers = addresses; }
-
-    /// \returns True if the condition became true before the test timeout, otherwise false.
-    bool runUntil(const std::function<bool()>& condition) const
-    {
-        for (Millis deadline = clock.now() + testTimeout; !condition();) {
-            if (clock.now() >= deadline)
-                return false;
-            event_base_loop(base.get(), EVLOOP_NONBLOCK);
-            std::this_thread::sleep_for(std::chrono::milliseconds(1));
-        }
-        return true;
-    }
-
-    void runFor(Millis duration) const
-    {
-        for (Millis end = clock.now() + duration; clock.now() < end;) {
-            event_base_loop(base.get(), EVLOOP_NONBLOCK);
-            std::this_thread::sleep_for(std::chrono::milliseconds(1));
-        }
-    }
-
-    /// \brief Appends a record to both topics and waits until the source has read it.
-    void endPendingReads()
-    {
-        store.put("keyed.op", "endPendingReads", "");
-        store.put("keyed.servers", "endPendingReads", std::nullopt);
-        std::int64_t before = source.versions().registrationsPosition;
-        REQUIRE(runUntil([&] { return source.versions().registrationsPosition != before; }));
-    }
-
-    [[nodiscard]] bool hasReadyEndpoint(const std::string& id) const
-    {
-        return std::any_of(registrations.begin(), registrations.end(),
-            [&](const Registration& item) { return item.id.value == id && !item.isDraining; });
-    }
-
-    /// \brief Injects a fault and waits until the source has sent more reads, by default two of each topic.
-    void injectFault(KeyedStore::Fault fault, unsigned reads = 4)
-    {
-        unsigned callsBefore = store.calls().at("/v1/log-read");
-        store.setFault(fault);
-        REQUIRE(runUntil([&] { return store.calls().at("/v1/log-read") >= callsBefore + reads; }));
-    }
-
-    /// \brief Silences the store until the source has sent a read of each topic that is never answered.
-    void loseReadsInSilence() { injectFault(KeyedStore::Fault::Silent, 2); }
-};
-
-}
+using namespace jasminestack::test;
+using Fixture = test::StoreFixture;
 
 TEST_CASE("changes in the store are reported to the listener", "[platform][store]")
 {
