Pace endpoints that have just started or recovered

Cause: the registration's remaining warm-up only lengthened predictions.

Change: routing/EndpointPace limits what an endpoint gets while it is cold: its owner (the coordinator of its shard, in small fleets the live daemon that rendezvous hashing selects) sends or grants at most half of the pool's bound in any sliding second, so that two daemons which both believe to be the owner keep the bound; the others send nothing. Cold is what the registration says, and for the pool's cold duration an endpoint that answers again after attempts in a row without an answer, or whose zone is taken back (presumeZoneCold()). Then the allowance ramps up. An endpoint without allowance is not usable in chooseEndpoint(), so requests wait or go elsewhere, on all paths: own placement, grants, self placement without coordinators, retries and resumed streams, the whole pool as a fallback. A grant that a paused daemon reads late is asked for again, and a request that waits for its connection leaves an endpoint that became cold. Pools without a cold rate are served as before.

--- a/bench/soak/soak.py
+++ b/bench/soak/soak.py
@@ -75,6 +75,8 @@
                   **{"bounds." + name: str(value) for name, value in BOUNDS.items()}}
         text = (ROOT / "deploy/router.json.template").read_text().replace("{{ip}}:9464", f"{self.ip}:20004")
         text = re.sub(r"{{#seeds}}.*?{{/seeds}}", ",".join(f'"{seed}"' for seed in seeds), text)
+        text = re.sub(r"{{([#^])(\S+?)}}(.*?){{/\2}}",
+                      lambda section: section[3] if (section[2] in values) == (section[1] == "#") else "", text)
         for name, value in values.items():
             text = text.replace("{{" + name + "}}", value)
         if "{{" in text:
--- a/src/config/RouterSettings.cpp
+++ b/src/config/RouterSettings.cpp
@@ -61,6 +61,9 @@
             placement.choice("policy", settings.placement.policy, { "predicted", "least-outstanding" });
             placement.number("usesPerCopy", settings.placement.usesPerCopy, 0.0, 100.0);
             placement.millis("crossZoneCostMs", settings.placement.crossZoneCost, 0, oneMinute);
+            placement.choice("pace", settings.placement.pace, { "cold-rate-pools", "all-pools", "none" });
+            placement.number("coldOvershoot", settings.placement.coldOvershoot, 0.0, 1e6);
+            placement.number("coldSlack", settings.placement.coldSlack, 0.0, 1e6);
         }
         {
             JsonObjectReader coordination = root.object("coordination");
--- a/src/config/RouterSettings.h
+++ b/src/config/RouterSettings.h
@@ -57,6 +57,10 @@
             32.0
         }; ///< Recent uses of a prompt part per caching endpoint at which another copy pays off.
         Millis crossZoneCost { 15 }; ///< Extra cost of an endpoint in another availability zone.
+        /// Pools whose endpoints are paced after a start or recovery: "cold-rate-pools", "all-pools" or "none".
+        std::string pace { "cold-rate-pools" };
+        double coldOvershoot { 1.0 }; ///< Factor on the request rate that a pool's cold endpoints tolerate.
+        double coldSlack { 0.0 }; ///< Requests beyond that in each second.
     } placement;
 
     struct Coordination {
--- a/src/observe/Metrics.cpp
+++ b/src/observe/Metrics.cpp
@@ -39,6 +39,8 @@
         MetricRow { "jasminestack_malformed_answers_total",
             "Answers of endpoints that violate HTTP or the grammar of events.", { "pool", "part" } },
         MetricRow { "jasminestack_caller_connections_total", "Connections of callers by outcome.", { "outcome" } },
+        MetricRow { "jasminestack_pace_deferrals_total",
+            "Placement decisions that left out an endpoint because of its pace after a start or recovery.", {} },
     };
 
     constexpr std::array gaugeTable {
@@ -55,6 +57,8 @@
         MetricRow { "jasminestack_open_streams", "Responses being relayed to callers.", {} },
         MetricRow { "jasminestack_configuration_age_seconds",
             "Time since the configuration in force was last confirmed as the newest.", {} },
+        MetricRow { "jasminestack_paced_endpoints", "Endpoints that get fewer requests after a start or recovery.",
+            { "phase" } },
         MetricRow { "jasminestack_accept_queue", "Connections of callers that wait to be accepted.", {} },
     };
 
@@ -66,7 +70,7 @@
             "jasminestack_total_seconds", "Time from acceptance of a request to the end of the response.", { "pool" } },
     };
 
-    static_assert(counterTable.size() == static_cast<std::size_t>(Counter::CallerConnections) + 1);
+    static_assert(counterTable.size() == static_cast<std::size_t>(Counter::PaceDeferrals) + 1);
     static_assert(gaugeTable.size() == static_cast<std::size_t>(Gauge::AcceptQueue) + 1);
     static_assert(histogramTable.size() == static_cast<std::size_t>(Histogram::TotalSeconds) + 1);
 
--- a/src/observe/Metrics.h
+++ b/src/observe/Metrics.h
@@ -25,6 +25,7 @@
     Expired, ///< Queued requests whose deadline passed. Label: workspace.
     MalformedAnswers, ///< Answers of endpoints that violate HTTP or the grammar of events. Labels: pool, part.
     CallerConnections, ///< Label: outcome ("accepted", "abandoned", "expired", "dropped").
+    PaceDeferrals, ///< Placement decisions that left out an endpoint because of its pace. No labels.
 };
 
 /// \brief Metrics whose values can increase and decrease.
@@ -39,6 +40,7 @@
     MembersAlive,
     OpenStreams,
     ConfigurationAge, ///< Time since the configuration in force was last confirmed as the newest, in seconds.
+    PacedEndpoints, ///< Endpoints that get fewer requests after a start or recovery. Label: phase ("cold", "ramp").
     AcceptQueue, ///< Callers' connections that wait in the system's queue to be accepted.
 };
 
--- a/src/router/FleetSync.cpp
+++ b/src/router/FleetSync.cpp
@@ -327,6 +327,28 @@
 }
 
 void FleetSync::refreshCoordinators()
+{
+    assignShards();
+    refreshPaceOwners();
+}
+
+bool FleetSync::ownsPace(const EndpointView& view) const
+{
+    auto coordinator = m_coordinatorByShard.find(view.shard);
+    if (coordinator != m_coordinatorByShard.end())
+        return coordinator->second == m_options.address;
+    return isSelectedFor(view.registration.id.value);
+}
+
+void FleetSync::refreshPaceOwners()
+{
+    for (auto& [id, view] : m_context.board.fleetView.endpoints) {
+        if (view.pace.limits.coldRequestsPerSecond != 0)
+            view.pace.isOwner = ownsPace(view);
+    }
+}
+
+void FleetSync::assignShards()
 {
     std::map<ShardId, std::string> assignment;
     if (usesCoordinators()) {
@@ -573,7 +595,11 @@
 
 bool FleetSync::mayTry(TraitHash trait, Millis overdue) const
 {
-    std::string key = std::to_string(trait) + "/" + std::to_string(overdue.count / trialTurn.count);
+    return isSelectedFor(std::to_string(trait) + "/" + std::to_string(overdue.count / trialTurn.count));
+}
+
+bool FleetSync::isSelectedFor(std::string_view key) const
+{
     std::uint64_t ownScore = rendezvousScore(key, m_options.address);
     return std::none_of(m_peers.begin(), m_peers.end(),
         [&](const auto& entry) { return isLive(entry.second) && rendezvousScore(key, entry.first) > ownScore; });
--- a/src/router/FleetSync.h
+++ b/src/router/FleetSync.h
@@ -98,7 +98,8 @@
     /// \param overdue Time since the trial became due.
     [[nodiscard]] bool mayTry(TraitHash, Millis overdue) const;
 
-    /// \brief Assigns the shards to coordinators again; call it after each change of the endpoints' shards.
+    /// \brief Assigns the shards to coordinators again, and determines which endpoints' pace this daemon decides; call
+    /// it after each change of the endpoints' shards.
     void refreshCoordinators();
 
     /// \returns The number of known daemons, live or not, including this one.
@@ -135,6 +136,12 @@
     void sendToAllPeers(bool asSnapshot);
     void sendToCoordinators(bool asSnapshot);
     void sendHeartbeats(CrashEvidence);
+    void assignShards();
+    /// \brief Updates EndpointPace::isOwner of all endpoints.
+    void refreshPaceOwners();
+    [[nodiscard]] bool ownsPace(const EndpointView&) const;
+    /// \returns Whether this daemon has the highest rendezvous score for the key among the live daemons.
+    [[nodiscard]] bool isSelectedFor(std::string_view key) const;
     void handOverShard(ShardId, const std::string& successor);
     void sendPeerList(const std::string& address);
     [[nodiscard]] std::vector<std::string> liveAddresses() const;
--- a/src/router/PlacementClient.cpp
+++ b/src/router/PlacementClient.cpp
@@ -139,7 +139,10 @@
     }
     PendingRequest pending = std::move(found->second);
     m_pending.erase(found);
-    pending.listener->onPlacementReply(reply, pending.coordinator);
+    PlacementReply finalReply = reply;
+    // The timer would have sent the request again, so the process has not run since then.
+    finalReply.receivedLate = std::max(m_context.clock.now() - pending.resendAt, Millis {});
+    pending.listener->onPlacementReply(finalReply, pending.coordinator);
 }
 
 std::uint64_t PlacementClient::lastGrantNumber(DaemonInstanceId coordinator) const
--- a/src/router/RoutedRequest.cpp
+++ b/src/router/RoutedRequest.cpp
@@ -29,6 +29,10 @@
     // A refusal counts as complete after this time without its end.
     constexpr Millis refusalBodyTimeout { 300 };
 
+    // A grant to a cold endpoint that is read later than this is asked for again: other requests may have been granted
+    // in the second in which it would arrive.
+    constexpr Millis maxColdGrantDelay { 400 };
+
     // Retry-After value of requests that giveUp() ends.
     constexpr Millis retryAfterFault { 300 };
 
@@ -115,18 +119,26 @@
         endQuarantined();
         return;
     }
-    if (m_shard != 0 && context.placementClient)
-        m_placementRequest = context.placementClient->requestPlacement(m_shard, m_query, *this);
-    if (m_placementRequest) {
-        m_stage = Stage::AwaitingReply;
-        armTimer();
+    if (requestFromCoordinator())
         return;
-    }
     if (m_metadata.promptTokens != 0)
         recordDemand(context.board.shares, m_query.workspace, chargedTokens(m_query), now());
     tryPlacement();
 }
 
+bool RoutedRequest::requestFromCoordinator()
+{
+    RequestRouterContext& context = m_owner.context();
+    if (m_shard == 0 || !context.placementClient)
+        return false;
+    m_placementRequest = context.placementClient->requestPlacement(m_shard, m_query, *this);
+    if (!m_placementRequest)
+        return false;
+    m_stage = Stage::AwaitingReply;
+    armTimer();
+    return true;
+}
+
 PlacementInputs RoutedRequest::placementInputs(ShardId shard) const
 {
     RequestRouterContext& context = m_owner.context();
@@ -206,6 +218,9 @@
         onCoordinatorsUnresponsive();
         return;
     }
+    // The coordinator counted the request where it granted it, so it must not be sent in a later second.
+    if (isCold(entry->second->pace, now()) && reply.receivedLate >= maxColdGrantDelay && requestFromCoordinator())
+        return;
     m_isGranted = true;
     sendToEndpoint({ .endpoint = entry->second,
         // The reply contains only the sum of the prediction's times; sendToEndpoint() reads only their sum.
@@ -435,7 +450,10 @@
         return;
     const auto& endpoints = m_owner.context().board.fleetView.endpointsByInstance;
     auto endpoint = endpoints.find(m_placement.instanceId);
-    if (endpoint != endpoints.end() && endpoint->second->acceptsRequests(now()))
+    bool isUsable = endpoint != endpoints.end() && endpoint->second->acceptsRequests(now());
+    bool shouldStay
+        = isUsable && (!hasBecomeCold(*endpoint->second, m_placement, now()) || !chooseRetryEndpoint().endpoint);
+    if (shouldStay)
         return;
     cancelExchange();
     recordAttemptEnd(AttemptOutcome::Cancelled);
--- a/src/router/RoutedRequest.h
+++ b/src/router/RoutedRequest.h
@@ -114,6 +114,9 @@
     [[nodiscard]] PlacementInputs placementInputs(ShardId shard) const;
     /// \returns The best endpoint of the request's shard or, if the shard has no suitable one, of the whole pool.
     [[nodiscard]] EndpointChoice chooseRetryEndpoint() const;
+    /// \brief Requests the placement from the coordinator of the request's shard.
+    /// \returns false if this daemon places the request itself.
+    [[nodiscard]] bool requestFromCoordinator();
     void cancelPlacement();
     /// \brief Takes one retry from the fleet's retry budget if the request may be sent to another endpoint.
     /// \returns Whether a retry was taken.
--- a/src/router/RouterDaemon.cpp
+++ b/src/router/RouterDaemon.cpp
@@ -25,6 +25,7 @@
 #include <sstream>
 #include <sys/stat.h>
 #include <unistd.h>
+#include <utility>
 
 namespace jasminestack {
 
@@ -74,6 +75,17 @@
         return options;
     }
 
+    PaceOptions paceOptions(const RouterSettings& settings)
+    {
+        PaceOptions options { .coldOvershoot = settings.placement.coldOvershoot,
+            .coldSlack = settings.placement.coldSlack };
+        if (settings.placement.pace == "all-pools")
+            options.scope = PaceScope::AllPools;
+        else if (settings.placement.pace == "none")
+            options.scope = PaceScope::None;
+        return options;
+    }
+
     static_assert(longestQueueTime(acceptPolicy, tickInterval) + longestQueueTime(acceptPolicy, tickInterval)
         <= acceptPolicy.patience); // Half of the time is left to read the request.
 
@@ -237,6 +249,7 @@
         board.table = std::move(table);
         updateConfigurationCurrent(clock.now());
         setMemoryCapacities(board.fleetView, *board.table);
+        refreshPaces();
         const CallerLimits& limits = board.table->limits;
         callerServer.setLimits({ .maxHeaderBytes = limits.maxHeaderBytes,
             .maxBodyBytes = limits.maxBodyBytes,
@@ -255,6 +268,7 @@
         std::size_t previousCount = board.fleetView.endpoints.size();
         setRegistrations(board.fleetView, registrations);
         setMemoryCapacities(board.fleetView, *board.table);
+        updatePaces(board.fleetView, *board.table, paceOptions(settings), clock.now());
         hasRegistrations = true;
         std::size_t draining = 0;
         for (const Registration& registration : registrations)
@@ -282,6 +296,38 @@
             { { "ready", isReadyNow ? 1 : 0 }, { "configuration", board.table->version } });
     }
 
+    void refreshPaces()
+    {
+        updatePaces(board.fleetView, *board.table, paceOptions(settings), clock.now());
+        fleetSync.refreshCoordinators();
+    }
+
+    // Logs the endpoints whose pace this daemon decides when their phase changes.
+    void reportPaces(Millis now)
+    {
+        std::size_t coldCount = 0;
+        std::size_t rampCount = 0;
+        std::uint64_t deferrals = 0;
+        for (auto& [id, view] : board.fleetView.endpoints) {
+            advancePace(view.pace, now);
+            coldCount += view.pace.phase == PacePhase::Cold ? 1U : 0U;
+            rampCount += view.pace.phase == PacePhase::Ramp ? 1U : 0U;
+            deferrals += std::exchange(view.pace.unreportedDeferrals, 0);
+            auto change = takePaceChange(view.pace, view.reportedPacePhase);
+            if (!change || !view.pace.isOwner)
+                continue;
+            logEvent(LogLevel::Info, "endpoint_pace_changed",
+                { { "endpoint", id.value }, { "phase", pacePhaseName(change->current) },
+                    { "previous", pacePhaseName(change->previous) }, { "cause", paceCauseName(view.pace.cause) },
+                    { "per_second", view.pace.allowance }, { "paced_ms", (now - view.pace.pacedSince).count },
+                    { "requests", view.pace.pacedRequests }, { "deferrals", view.pace.deferrals } });
+        }
+        if (deferrals != 0)
+            metrics.add(Counter::PaceDeferrals, {}, static_cast<double>(deferrals));
+        metrics.set(Gauge::PacedEndpoints, { "cold" }, static_cast<double>(coldCount));
+        metrics.set(Gauge::PacedEndpoints, { "ramp" }, static_cast<double>(rampCount));
+    }
+
     void updateConfigurationCurrent(Millis now)
     {
         board.isConfigurationCurrent
@@ -335,6 +381,7 @@
         router.updateQuarantines();
         fleetSync.tick();
         coordinator.tick();
+        reportPaces(now);
         if (now - lastLogFlush >= logFlushInterval) {
             lastLogFlush = now;
             flushLog();
@@ -413,6 +460,7 @@
         settings.shutdown = parsed.value().shutdown;
         settings.logging = parsed.value().logging;
         router.setOptions(requestRouterOptions(settings));
+        refreshPaces();
         setLogLevel(parseLogLevel(settings.logging.level).value());
         logEvent(LogLevel::Info, "settings_reloaded", { { "signalled", signalled ? 1 : 0 } });
     }
--- a/src/routing/FleetView.cpp
+++ b/src/routing/FleetView.cpp
@@ -6,6 +6,7 @@
 #include <algorithm>
 #include <cmath>
 #include <limits>
+#include <utility>
 
 namespace jasminestack {
 
@@ -26,6 +27,10 @@
     // then any request may.
     constexpr Millis nonRepeatableProbeDelay { 1'500 };
 
+    // A failed endpoint whose pace is limited after its recovery is probed by its owner. Other daemons may probe it
+    // only this long after their exclusion ends, since they learn of its recovery by their own requests.
+    constexpr Millis foreignProbeDelay { 3'000 };
+
     // A probe whose end was not reported counts as ended after this time.
     constexpr Millis probeTimeout { 5'000 };
 
@@ -179,6 +184,9 @@
         // may probe it.
         bool mayProbe = rules.isRepeatable || now - view.excludedUntil >= nonRepeatableProbeDelay;
         bool isBeingProbed = view.isProbeInFlight && now - view.probeStartedAt < probeTimeout;
+        bool isPacedByPeer = view.pace.limits.coldRequestsPerSecond != 0 && !view.pace.isOwner;
+        if (isPacedByPeer && now - view.excludedUntil < foreignProbeDelay)
+            mayProbe = false;
         if (view.consecutiveConnectionFailures != 0 && (isBeingProbed || !mayProbe))
             return false;
         return std::find(rules.triedEndpoints.begin(), rules.triedEndpoints.end(), view.instanceId)
@@ -260,6 +268,10 @@
     {
         view.lastResponseAt = now;
         double expectedMs = std::max(pool.latencyModel.predictMs(backlogTokens), 1.0);
+        recordFirstByteTime(view.pace, elapsedMs, expectedMs * std::max(view.latencyRatio, 1.0), now);
+        // A recovered endpoint gets as many requests as a cold one tolerates before the probe ends.
+        if (recordResponse(view.pace, now))
+            view.consecutiveConnectionFailures = 0;
         updateAverage(view.latencyRatio, std::clamp(elapsedMs / expectedMs, minimumLatencyRatio, maximumLatencyRatio),
             endpointAverageWeight);
         addSample(pool.latencyModel, backlogTokens, elapsedMs / std::max(view.latencyRatio, 1.0));
@@ -271,6 +283,7 @@
         switch (outcome) {
         case AttemptOutcome::Answered:
             view.consecutiveConnectionFailures = 0;
+            recordResponse(view.pace, now);
             pool.slotOccupancyMs = pool.slotOccupancyMs == 0
                 ? elapsedMs
                 : pool.slotOccupancyMs + poolAverageWeight * (elapsedMs - pool.slotOccupancyMs);
@@ -278,18 +291,23 @@
         case AttemptOutcome::Refused:
             view.consecutiveConnectionFailures = 0;
             excludeFor(view, refusalExclusion, now);
+            recordResponse(view.pace, now);
+            recordStrain(view.pace, now);
             break;
         case AttemptOutcome::Failed:
+            recordStrain(view.pace, now);
             break;
         case AttemptOutcome::ConnectionFailed: {
             Millis exclusion { std::min(
                 initialExclusion.count << std::min(view.consecutiveConnectionFailures, 5U), maximumExclusion.count) };
             ++view.consecutiveConnectionFailures;
             excludeFor(view, exclusion, now);
+            recordUnanswered(view.pace, now);
             break;
         }
         case AttemptOutcome::Stalled:
             excludeFor(view, initialExclusion, now);
+            recordUnanswered(view.pace, now);
             break;
         case AttemptOutcome::Cancelled:
             return;
@@ -325,6 +343,9 @@
         if (existing != fleetView.endpoints.end() && existing->second.instanceId == instanceId
             && existing->second.registration.address == registration.address)
             view = std::move(existing->second);
+        bool isKnown = view.instanceId != 0;
+        view.isRegistrationUnread = view.isRegistrationUnread || !isKnown || view.registration != registration;
+        view.hasJoinedRunningFleet = !isKnown && fleetView.endpointsByPool.contains(registration.pool);
         view.registration = registration;
         view.instanceId = instanceId;
         updatedEndpoints.insert_or_assign(registration.id, std::move(view));
@@ -339,6 +360,33 @@
         view.memoryTokens = table.poolSpec(view.registration.pool).memoryTokens;
 }
 
+void updatePaces(FleetView& fleetView, const RoutingTable& table, const PaceOptions& options, Millis now)
+{
+    for (auto& [id, view] : fleetView.endpoints) {
+        PaceLimits limits = paceLimits(table.poolSpec(view.registration.pool), options);
+        // The configuration may arrive after the registrations; their warm-up then counts from here.
+        bool wasUnpaced = view.pace.limits.coldRequestsPerSecond == 0;
+        view.pace.limits = limits;
+        if (std::exchange(view.isRegistrationUnread, false) || wasUnpaced)
+            setRegisteredWarmup(view.pace, view.registration.remainingWarmup, now);
+        if (std::exchange(view.hasJoinedRunningFleet, false))
+            rampNewEndpoint(view.pace, now);
+    }
+}
+
+void presumeZoneCold(FleetView& fleetView, std::string_view availabilityZone, PaceCause cause, Millis now)
+{
+    for (auto& [id, view] : fleetView.endpoints) {
+        if (view.registration.availabilityZone == availabilityZone)
+            presumeCold(view.pace, cause, now);
+    }
+}
+
+bool hasBecomeCold(const EndpointView& view, const Placement& placement, Millis now) noexcept
+{
+    return isCold(view.pace, now) && view.pace.coldSince > placement.sentAt;
+}
+
 EndpointChoice chooseEndpoint(FleetView& fleetView, const RoutingTable& table, const PoolId& pool,
     const RequestWorkload& workload, const EndpointChoiceRules& rules, Millis now)
 {
@@ -354,7 +402,7 @@
     std::uint64_t mostCachedTokens = 0;
     std::size_t cachingEndpointCount = 0;
     for (EndpointView* view : *poolEndpoints) {
-        if (!isUsable(*view, rules, now))
+        if (!isUsable(*view, rules, now) || !takesRequest(view->pace, now))
             continue;
         std::uint64_t cachedTokens = std::min(workload.promptTokens, view->promptCache.cachedTokens(workload.prompt));
         if (cachedTokens > mostCachedTokens) {
@@ -438,6 +486,7 @@
     view.ownLoad.reservedTokens += placement.reservedTokens;
     view.ownLoadChanged = true;
     startProbe(view, now);
+    recordPacedRequest(view.pace, now);
     insertIntoPromptCache(view, workload.prompt);
     recordPromptPartUses(fleetView, workload.prompt, now);
     return placement;
@@ -456,6 +505,7 @@
     addLoad(view.peerLoadSum, grant.load);
     view.pendingGrants.push_back(grant);
     startProbe(view, now);
+    recordPacedRequest(view.pace, now);
     insertIntoPromptCache(view, workload.prompt);
     recordPromptPartUses(fleetView, workload.prompt, now);
 }
--- a/src/routing/FleetView.h
+++ b/src/routing/FleetView.h
@@ -2,6 +2,7 @@
 
 #include "base/Clock.h"
 #include "base/Identifier.h"
+#include "routing/EndpointPace.h"
 #include "routing/LatencyAdmission.h"
 #include "routing/LatencyModel.h"
 #include "routing/PromptCache.h"
@@ -11,6 +12,7 @@
 #include <map>
 #include <span>
 #include <string>
+#include <string_view>
 #include <unordered_map>
 #include <vector>
 
@@ -73,6 +75,10 @@
     bool isProbeInFlight { false }; ///< A request was sent to test whether the endpoint works again.
     Millis probeStartedAt {};
     bool ownLoadChanged { false }; ///< \c ownLoad has changed since the last fleet update.
+    EndpointPace pace;
+    PacePhase reportedPacePhase { PacePhase::Full }; ///< Latest one that takePaceChange() returned.
+    bool isRegistrationUnread { false }; ///< updatePaces() has not taken over the registration yet.
+    bool hasJoinedRunningFleet { false }; ///< The pool had endpoints before this one was registered.
 
     /// \returns Whether the endpoint accepts new requests of this daemon, by its registration and its own answers.
     [[nodiscard]] bool acceptsRequests(Millis now) const noexcept
@@ -117,6 +123,13 @@
 /// configuration.
 void setMemoryCapacities(FleetView&, const RoutingTable&);
 
+/// \brief Copies the pace limits of each pool to its endpoints, and takes over the warm-up of new and changed
+/// registrations. Call it after each change of registrations, configuration or options.
+void updatePaces(FleetView&, const RoutingTable&, const PaceOptions&, Millis now);
+
+/// \brief Treats all endpoints of the availability zone as cold, for example after its evacuation was taken back.
+void presumeZoneCold(FleetView&, std::string_view availabilityZone, PaceCause, Millis now);
+
 /// \brief What a request demands of an endpoint.
 struct RequestWorkload {
     std::span<const PromptPart> prompt; ///< Empty for requests without a prompt.
@@ -138,6 +151,10 @@
     bool firstByteReceived { false };
 };
 
+/// \returns Whether the endpoint has become cold since the request was sent, so that a request which still waits for a
+/// connection should go to another endpoint.
+[[nodiscard]] bool hasBecomeCold(const EndpointView&, const Placement&, Millis now) noexcept;
+
 /// \brief Weights of the placement score.
 struct PlacementOptions {
     /// Determines when a prompt part is cached on another endpoint. An endpoint that has not cached the part is charged
--- a/src/routing/PlacementMessages.h
+++ b/src/routing/PlacementMessages.h
@@ -42,6 +42,8 @@
                                   ///< one.
     Millis retryAfter {}; ///< Valid if refused.
     bool isLate { false }; ///< The request would miss its objective even on the best endpoint without other load.
+    Millis
+        receivedLate {}; ///< Not sent: for how long the requester's process was not running before it read the reply.
     bool wasRefusedBefore { false }; ///< A request with the same content was refused before.
 };
 
--- a/src/routing/RoutingTable.h
+++ b/src/routing/RoutingTable.h
@@ -57,6 +57,8 @@
     unsigned slots { 1 }; ///< Requests that an endpoint runs concurrently; a registration with slots overrides it.
     /// KV memory of an endpoint for requests in flight and prefix cache; 0 if unknown.
     std::uint64_t memoryTokens { 0 };
+    double coldRequestsPerSecond { 0 }; ///< Requests that an endpoint tolerates while it is cold; 0: no limit.
+    Millis coldDuration {}; ///< Time for which an endpoint is cold after its start.
 };
 
 /// \brief Bounds on what callers may send.
