Count stalls as failures only at endpoints that respond to no other request

Change: a stall counts only if the endpoint responded to no other request since the attempt was sent; otherwise it only slows the ramp. The new test fails without this: three stalls of a slow endpoint then count as a restart.

--- a/src/routing/EndpointPace.cpp
+++ b/src/routing/EndpointPace.cpp
@@ -183,6 +183,7 @@
 {
     bool hasRecovered = isPaced(pace) && pace.unansweredAttempts >= unansweredUntilRestartPresumed;
     pace.unansweredAttempts = 0;
+    pace.lastResponseAt = now;
     if (hasRecovered)
         presumeCold(pace, PaceCause::Recovery, now);
     return hasRecovered;
@@ -204,6 +205,14 @@
     pace.isStrained = true;
 }
 
+void recordStall(EndpointPace& pace, Millis elapsed, Millis now)
+{
+    if (now - pace.lastResponseAt >= elapsed)
+        recordUnanswered(pace, now);
+    else
+        recordStrain(pace, now);
+}
+
 void recordStrain(EndpointPace& pace, Millis now)
 {
     advancePace(pace, now);
--- a/src/routing/EndpointPace.h
+++ b/src/routing/EndpointPace.h
@@ -65,7 +65,8 @@
     Millis presumedColdUntil {};
     unsigned allowance { 0 }; ///< Requests in each second; valid unless \c phase is Full.
     std::deque<Millis> recentSends; ///< Requests sent or granted within the last second.
-    unsigned unansweredAttempts { 0 }; ///< Since its last answer.
+    unsigned unansweredAttempts { 0 }; ///< Since its last response.
+    Millis lastResponseAt {}; ///< Of any request, from this daemon or a peer's report.
     Millis rampStartedAt {};
     Millis intervalStartedAt {}; ///< Of the ramp.
     unsigned timelyAnswers { 0 }; ///< Within the interval: answers that began within twice the predicted time.
@@ -108,9 +109,13 @@
 /// \brief Records how long an answer took to begin.
 void recordFirstByteTime(EndpointPace&, double elapsedMs, double predictedMs, Millis now);
 
-/// \brief Records that an attempt got no answer: the connection failed or nothing arrived for long.
+/// \brief Records that an attempt got no response, since the connection failed.
 void recordUnanswered(EndpointPace&, Millis now);
 
+/// \brief Records that an attempt stalled \p elapsed after it was sent. It counts as unanswered only if the endpoint
+/// responded to no other request in that time; otherwise the endpoint is slow.
+void recordStall(EndpointPace&, Millis elapsed, Millis now);
+
 /// \brief Records a refusal or failure: the endpoint answers, but not as it should.
 void recordStrain(EndpointPace&, Millis now);
 
--- a/src/routing/FleetView.cpp
+++ b/src/routing/FleetView.cpp
@@ -307,7 +307,7 @@
         }
         case AttemptOutcome::Stalled:
             excludeFor(view, initialExclusion, now);
-            recordUnanswered(view.pace, now);
+            recordStall(view.pace, Millis { static_cast<std::int64_t>(elapsedMs) }, now);
             break;
         case AttemptOutcome::Cancelled:
             return;
--- a/tests/EndpointPaceTests.cpp
+++ b/tests/EndpointPaceTests.cpp
@@ -364,6 +364,21 @@
     CHECK(mostInOneSecond(sends) <= bound / 2);
 }
 
+// Requests stall at an endpoint that is overloaded, and at a host that is dark. Guards against presuming that a slow
+// endpoint was restarted, which would take away most of its capacity in an overload.
+TEST_CASE("stalls count as failures only if the endpoint responds to no other request", "[pace]")
+{
+    EndpointPace pace = pacedEndpoint();
+    recordResponse(pace, start);
+    for (int i = 1; i <= 3; ++i)
+        recordStall(pace, Millis { 1'500 }, start + Millis { 400 + i });
+    CHECK_FALSE(recordResponse(pace, start + Millis { 500 }));
+    for (int i = 0; i < 2; ++i)
+        recordStall(pace, Millis { 1'500 }, start + Millis { 2'500 });
+    CHECK(recordResponse(pace, start + Millis { 3'000 }));
+    CHECK(isCold(pace, start + Millis { 3'000 }));
+}
+
 // Guards against a ramp that never ends because the endpoint is slow for other reasons.
 TEST_CASE("a ramp ends even if all answers are late", "[pace]")
 {
