Let a daemon that takes requests own the pace of each endpoint

Without coordinators the owner was any live daemon, so an endpoint stayed without requests in its cold phase if rendezvous hashing selected a daemon that is starting or stopping. Now it is one of those that announce that they take requests.

Tests: one owner for each endpoint in a small and a large fleet, also after the owner is lost or stops; a reply that a paused daemon reads late says so.

--- a/src/router/FleetSync.cpp
+++ b/src/router/FleetSync.cpp
@@ -332,19 +332,27 @@
     refreshPaceOwners();
 }
 
-bool FleetSync::ownsPace(const EndpointView& view) const
+// Without coordinators, rendezvous hashing selects one of the daemons that take requests.
+bool FleetSync::ownsPace(const EndpointView& view, std::span<const CoordinatorCandidate> candidates) const
 {
     auto coordinator = m_coordinatorByShard.find(view.shard);
     if (coordinator != m_coordinatorByShard.end())
         return coordinator->second == m_options.address;
-    return isSelectedFor(view.registration.id.value);
+    const std::string& endpoint = view.registration.id.value;
+    std::uint64_t ownScore = rendezvousScore(endpoint, m_options.address);
+    return m_mayCoordinate && std::none_of(candidates.begin(), candidates.end(), [&](const auto& candidate) {
+        return rendezvousScore(endpoint, candidate.address) > ownScore;
+    });
 }
 
 void FleetSync::refreshPaceOwners()
 {
+    std::vector<CoordinatorCandidate> candidates;
+    if (!usesCoordinators())
+        candidates = coordinatorCandidates();
     for (auto& [id, view] : m_context.board.fleetView.endpoints) {
         if (view.pace.limits.coldRequestsPerSecond != 0)
-            view.pace.isOwner = ownsPace(view);
+            view.pace.isOwner = ownsPace(view, candidates);
     }
 }
 
@@ -595,11 +603,7 @@
 
 bool FleetSync::mayTry(TraitHash trait, Millis overdue) const
 {
-    return isSelectedFor(std::to_string(trait) + "/" + std::to_string(overdue.count / trialTurn.count));
-}
-
-bool FleetSync::isSelectedFor(std::string_view key) const
-{
+    std::string key = std::to_string(trait) + "/" + std::to_string(overdue.count / trialTurn.count);
     std::uint64_t ownScore = rendezvousScore(key, m_options.address);
     return std::none_of(m_peers.begin(), m_peers.end(),
         [&](const auto& entry) { return isLive(entry.second) && rendezvousScore(key, entry.first) > ownScore; });
--- a/src/router/FleetSync.h
+++ b/src/router/FleetSync.h
@@ -139,9 +139,7 @@
     void assignShards();
     /// \brief Updates EndpointPace::isOwner of all endpoints.
     void refreshPaceOwners();
-    [[nodiscard]] bool ownsPace(const EndpointView&) const;
-    /// \returns Whether this daemon has the highest rendezvous score for the key among the live daemons.
-    [[nodiscard]] bool isSelectedFor(std::string_view key) const;
+    [[nodiscard]] bool ownsPace(const EndpointView&, std::span<const CoordinatorCandidate>) const;
     void handOverShard(ShardId, const std::string& successor);
     void sendPeerList(const std::string& address);
     [[nodiscard]] std::vector<std::string> liveAddresses() const;
--- a/src/router/RoutedRequest.cpp
+++ b/src/router/RoutedRequest.cpp
@@ -458,7 +458,7 @@
     cancelExchange();
     recordAttemptEnd(AttemptOutcome::Cancelled);
     --m_sendCount;
-    retryAtOtherEndpoint("endpoint_left");
+    retryAtOtherEndpoint(isUsable ? "endpoint_cold" : "endpoint_left");
 }
 
 void RoutedRequest::onShutdown()
--- a/tests/FleetSyncTests.cpp
+++ b/tests/FleetSyncTests.cpp
@@ -267,6 +267,46 @@
 }
 
 // Guards against prefill of prompt parts that are already cached: when all daemons are restarted in turn, a shard's new
+// Guards against several daemons that each send a cold endpoint what all of them together may send, and against a fleet
+// in which nobody sends it anything for longer than a daemon's loss takes to be noticed.
+TEST_CASE("one daemon owns the pace of each endpoint", "[exchange][pace]")
+{
+    constexpr unsigned endpoints = 24;
+    unsigned daemons = GENERATE(3U, 30U);
+    Fleet fleet(daemons, endpoints);
+    for (const auto& member : fleet.members) {
+        for (auto& [id, view] : member->board.fleetView.endpoints)
+            view.pace.limits = { .coldRequestsPerSecond = 7, .coldDuration = Millis { 3'000 } };
+    }
+    auto ownersOf = [&](const EndpointId& endpoint) {
+        std::vector<std::string> owners;
+        for (const auto& member : fleet.members) {
+            bool isReachable = !fleet.network.unreachable.contains(member->address);
+            if (isReachable && member->board.fleetView.endpoints.at(endpoint).pace.isOwner)
+                owners.push_back(member->address);
+        }
+        return owners;
+    };
+    auto checkSingleOwners = [&] {
+        for (unsigned i = 0; i < endpoints; ++i)
+            CHECK(ownersOf(EndpointId { "e" + std::to_string(i) }).size() == 1);
+    };
+    fleet.runFor(Millis { 100 });
+    checkSingleOwners();
+    fleet.network.unreachable.insert(ownersOf(EndpointId { "e0" }).front());
+    fleet.runFor(Millis { 2'500 });
+    checkSingleOwners();
+    // A daemon that stops takes no further requests.
+    std::string stopping = ownersOf(EndpointId { "e0" }).front();
+    for (const auto& member : fleet.members) {
+        if (member->address == stopping)
+            member->sync->setMayCoordinate(false);
+    }
+    fleet.runFor(Millis { 1'000 });
+    checkSingleOwners();
+    CHECK(ownersOf(EndpointId { "e0" }).front() != stopping);
+}
+
 // coordinator has to receive which endpoint caches which parts.
 TEST_CASE("a stopping coordinator sends its successor the cached prompt parts of the endpoints",
     "[placement][exchange][restart]")
--- a/tests/PlacementExchangeTests.cpp
+++ b/tests/PlacementExchangeTests.cpp
@@ -175,6 +175,19 @@
     CHECK(fixture.listener.replies.back().prefillTokens == 0);
 }
 
+// A daemon is paused while a grant waits in its socket. Guards against sending the request in a second for which the
+// coordinator has granted others to the same cold endpoint.
+TEST_CASE("a reply that is read late says so", "[placement][pace]")
+{
+    Fixture fixture;
+    REQUIRE(fixture.client.requestPlacement(fixture.shard(), fixture.query(), fixture.listener));
+    constexpr Millis pause { 500 };
+    std::this_thread::sleep_for(std::chrono::milliseconds(pause.count));
+    fixture.testTransport.deliverAll();
+    REQUIRE(fixture.listener.replies.size() == 1);
+    CHECK(fixture.listener.replies.back().receivedLate >= pause - Millis { 100 });
+}
+
 TEST_CASE("a daemon that coordinates the shard itself sends no placement request", "[placement]")
 {
     Fixture fixture;
