Merge the pace of endpoints; presume the endpoints of a zone that is taken back to be cold

A zone's endpoints may have become cold while it was evacuated, and everything that waits would go to them at once. The end of an evacuation now begins the pool's cold duration there (presumeZoneCold). Test: "the endpoints of a zone that is taken back are paced".

--- a/src/router/FleetSync.cpp
+++ b/src/router/FleetSync.cpp
@@ -329,6 +329,36 @@
 }
 
 void FleetSync::refreshCoordinators()
+{
+    assignShards();
+    refreshPaceOwners();
+}
+
+// Without coordinators, rendezvous hashing selects one of the daemons that take requests.
+bool FleetSync::ownsPace(const EndpointView& view, std::span<const CoordinatorCandidate> candidates) const
+{
+    auto coordinator = m_coordinatorByShard.find(view.shard);
+    if (coordinator != m_coordinatorByShard.end())
+        return coordinator->second == m_options.address;
+    const std::string& endpoint = view.registration.id.value;
+    std::uint64_t ownScore = rendezvousScore(endpoint, m_options.address);
+    return m_mayCoordinate && std::none_of(candidates.begin(), candidates.end(), [&](const auto& candidate) {
+        return rendezvousScore(endpoint, candidate.address) > ownScore;
+    });
+}
+
+void FleetSync::refreshPaceOwners()
+{
+    std::vector<CoordinatorCandidate> candidates;
+    if (!usesCoordinators())
+        candidates = coordinatorCandidates();
+    for (auto& [id, view] : m_context.board.fleetView.endpoints) {
+        if (view.pace.limits.coldRequestsPerSecond != 0)
+            view.pace.isOwner = ownsPace(view, candidates);
+    }
+}
+
+void FleetSync::assignShards()
 {
     std::map<ShardId, std::string> assignment;
     if (usesCoordinators()) {
--- a/src/routing/FleetView.h
+++ b/src/routing/FleetView.h
@@ -2,6 +2,7 @@
 
 #include "base/Clock.h"
 #include "base/Identifier.h"
+#include "routing/EndpointPace.h"
 #include "routing/LatencyAdmission.h"
 #include "routing/LatencyModel.h"
 #include "routing/PromptCache.h"
@@ -12,6 +13,7 @@
 #include <set>
 #include <span>
 #include <string>
+#include <string_view>
 #include <unordered_map>
 #include <vector>
 
@@ -75,6 +77,10 @@
     bool isProbeInFlight { false }; ///< A request was sent to test whether the endpoint works again.
     Millis probeStartedAt {};
     bool ownLoadChanged { false }; ///< \c ownLoad has changed since the last fleet update.
+    EndpointPace pace;
+    PacePhase reportedPacePhase { PacePhase::Full }; ///< Latest one that takePaceChange() returned.
+    bool isRegistrationUnread { false }; ///< updatePaces() has not taken over the registration yet.
+    bool hasJoinedRunningFleet { false }; ///< The pool had endpoints before this one was registered.
 
     /// \returns Whether new requests of this daemon may be sent to the endpoint, by its registration, its own answers
     /// and the operator's evacuations.
@@ -118,13 +124,20 @@
 void setRegistrations(FleetView&, std::span<const Registration>);
 
 /// \brief Replaces the availability zones to whose endpoints nothing more may be sent. Registrations that are set later
-/// are subject to them, too.
-void setEvacuatedZones(FleetView&, const std::set<std::string>&);
+/// are subject to them, too. The endpoints of a zone that is taken back are presumed to be cold.
+void setEvacuatedZones(FleetView&, const std::set<std::string>&, Millis now);
 
 /// \brief Copies the memory capacity of each pool to its endpoints. Call it after each change of registrations or
 /// configuration.
 void setMemoryCapacities(FleetView&, const RoutingTable&);
 
+/// \brief Copies the pace limits of each pool to its endpoints, and takes over the warm-up of new and changed
+/// registrations. Call it after each change of registrations, configuration or options.
+void updatePaces(FleetView&, const RoutingTable&, const PaceOptions&, Millis now);
+
+/// \brief Treats all endpoints of the availability zone as cold, for example after its evacuation was taken back.
+void presumeZoneCold(FleetView&, std::string_view availabilityZone, PaceCause, Millis now);
+
 /// \brief What a request demands of an endpoint.
 struct RequestWorkload {
     std::span<const PromptPart> prompt; ///< Empty for requests without a prompt.
@@ -146,6 +159,10 @@
     bool firstByteReceived { false };
 };
 
+/// \returns Whether the endpoint has become cold since the request was sent, so that a request which still waits for a
+/// connection should go to another endpoint.
+[[nodiscard]] bool hasBecomeCold(const EndpointView&, const Placement&, Millis now) noexcept;
+
 /// \brief Weights of the placement score.
 struct PlacementOptions {
     /// Determines when a prompt part is cached on another endpoint. An endpoint that has not cached the part is charged
--- a/tests/ZoneEvacuationTests.cpp
+++ b/tests/ZoneEvacuationTests.cpp
@@ -48,18 +48,31 @@
 {
     ZonedFleet fleet;
     CHECK(fleet.chosenZone() == "a");
-    setEvacuatedZones(fleet.view, { "a" });
+    setEvacuatedZones(fleet.view, { "a" }, now);
     CHECK(fleet.chosenZone() != "a");
     CHECK_FALSE(fleet.view.endpoints.at(EndpointId { "a1" }).acceptsRequests(now));
-    setEvacuatedZones(fleet.view, {});
+    setEvacuatedZones(fleet.view, {}, now);
     CHECK(fleet.chosenZone() == "a");
 }
 
+// Guards against a zone that gets all that waits at once when it is taken back, since its endpoints may be cold.
+TEST_CASE("the endpoints of a zone that is taken back are paced", "[evacuation]")
+{
+    ZonedFleet fleet;
+    fleet.table.pools[llm].coldRequestsPerSecond = 4;
+    fleet.table.pools[llm].coldDuration = Millis { 3'000 };
+    updatePaces(fleet.view, fleet.table, {}, now);
+    setEvacuatedZones(fleet.view, { "a" }, now);
+    setEvacuatedZones(fleet.view, {}, now);
+    CHECK(isCold(fleet.view.endpoints.at(EndpointId { "a1" }).pace, now));
+    CHECK_FALSE(isCold(fleet.view.endpoints.at(EndpointId { "b1" }).pace, now));
+}
+
 // Guards against a retry that leaves the zone of the first attempt for an evacuated one.
 TEST_CASE("retries avoid evacuated zones", "[evacuation]")
 {
     ZonedFleet fleet;
-    setEvacuatedZones(fleet.view, { "b", "c" });
+    setEvacuatedZones(fleet.view, { "b", "c" }, now);
     std::vector<EndpointInstanceId> tried { fleet.view.endpoints.at(EndpointId { "a1" }).instanceId };
     CHECK(fleet.chosenZone(tried) == "a");
     tried.push_back(fleet.view.endpoints.at(EndpointId { "a2" }).instanceId);
@@ -70,7 +83,7 @@
 TEST_CASE("endpoints that register in an evacuated zone get no request", "[evacuation]")
 {
     ZonedFleet fleet;
-    setEvacuatedZones(fleet.view, { "a", "b", "c" });
+    setEvacuatedZones(fleet.view, { "a", "b", "c" }, now);
     CHECK(fleet.chosenZone().empty());
     fleet.registrations.push_back(makeRegistration("a3", "a"));
     fleet.registrations.front().startedAtUnixMs = 1'700'000'000'000;
