Choose endpoints where long streams end before their deadline

Long streams were sent to endpoints by their first byte only. Where prompts keep an engine busy it needs several times as long for an event, and the streams were cut off at their caller's deadline.

The interval between events is measured at each endpoint, the number of events is learned per output token that the request allows, and a stream that is predicted to end too late at an endpoint adds a cost to the endpoint's score. If it ends in time at few endpoints only, it may join a longer queue there.

--- a/src/router/FleetUpdateCodec.cpp
+++ b/src/router/FleetUpdateCodec.cpp
@@ -78,7 +78,11 @@
         if (outcome > static_cast<std::uint32_t>(AttemptOutcome::Cancelled))
             throw msgpack::type_error();
         report.outcome = static_cast<AttemptOutcome>(outcome);
-        report.backlogTokens = row.readUnsigned();
+        // Reports of a first byte and of an end use the same field.
+        if (report.hasEnded)
+            report.eventIntervalMs = row.readUnsigned32();
+        else
+            report.backlogTokens = row.readUnsigned();
         report.elapsedMs = row.readUnsigned32();
         row.requireEnd();
         return report;
@@ -221,7 +225,7 @@
         packer.pack(item.endpoint);
         packer.pack(item.hasEnded);
         packer.pack(static_cast<unsigned>(item.outcome));
-        packer.pack(item.backlogTokens);
+        packer.pack(item.hasEnded ? item.eventIntervalMs : item.backlogTokens);
         packer.pack(item.elapsedMs);
     });
     packList(packer, update.sentPrompts, [&](const SentPrompt& item) {
--- a/src/router/RoutedRequestResponse.cpp
+++ b/src/router/RoutedRequestResponse.cpp
@@ -154,8 +154,10 @@
     std::string_view completeEvents = m_splitter.feed(chunk);
     // Bytes without a complete event, or comments, do not keep a stalled stream alive.
     if (m_splitter.eventCount() != eventsBefore) {
-        m_lastProgress = now();
+        Millis sincePrevious = now() - std::exchange(m_lastProgress, now());
         reportFirstByte();
+        recordEvents(m_owner.context().board.fleetView, m_placement, m_splitter.eventCount() - eventsBefore,
+            sincePrevious, now());
         if (m_firstEventAt == Millis {})
             m_firstEventAt = now();
         else if (now() - m_firstEventAt >= soundAnswerTime)
@@ -372,8 +374,9 @@
                 std::isfinite(m_predictedFirstByteMs) ? static_cast<std::int64_t>(m_predictedFirstByteMs) : -1 },
             { "ahead", static_cast<std::int64_t>(m_placement.backlogTokens) }, { "unread", m_placement.prefillTokens },
             { "prompt", m_metadata.promptTokens }, { "first_ms", firstByteMs }, { "total_ms", totalTime.count },
-            { "events", m_splitter.eventCount() }, { "returning", m_wasRefusedBefore ? 1 : 0 },
-            { "placed_by", m_placedBy }, { "objective_ms", m_route.latencyObjective.count },
+            { "events", m_splitter.eventCount() }, { "max_tokens", m_metadata.maxOutputTokens },
+            { "returning", m_wasRefusedBefore ? 1 : 0 }, { "placed_by", m_placedBy },
+            { "objective_ms", m_route.latencyObjective.count },
             { "caller_ms", m_metadata.timeLeft.value_or(Millis {}).count }, { "configuration", m_table->version } });
     m_owner.removeRequest(*this);
 }
--- a/src/routing/FleetView.cpp
+++ b/src/routing/FleetView.cpp
@@ -64,6 +64,17 @@
     // Memory assumed for a pool without a configured capacity; bounds the modelled cache.
     constexpr std::uint64_t defaultMemoryTokens = 500'000;
 
+    // Weights of one interval between events in the moving averages of an endpoint and of a pool.
+    constexpr double endpointIntervalWeight = 0.02;
+    constexpr double poolIntervalWeight = 0.005;
+
+    // Weights of a peer's report of a whole stream.
+    constexpr double reportedIntervalWeight = 0.2;
+    constexpr double reportedPoolIntervalWeight = 0.05;
+
+    // Factor on the queue limit for a stream that ends in time at few endpoints only.
+    constexpr double urgentQueueLimitFactor = 2.0;
+
     unsigned slotCount(const EndpointView& view, const PoolSpec& spec) noexcept
     {
         return std::max(1U, view.registration.slots != 0 ? view.registration.slots : spec.slots);
@@ -185,6 +196,15 @@
             == rules.triedEndpoints.end();
     }
 
+    // The limits at an endpoint for a stream that ends in time there.
+    AdmissionLimits limitsForUrgentStream(const AdmissionLimits& limits) noexcept
+    {
+        AdmissionLimits urgent = limits;
+        urgent.maxQueueMs *= urgentQueueLimitFactor;
+        urgent.maxQueueWhenLateMs *= urgentQueueLimitFactor;
+        return urgent;
+    }
+
     // Estimated time until a slot is free.
     double slotWaitMs(const EndpointLoad& load, unsigned slots, const PoolView& pool) noexcept
     {
@@ -377,6 +397,10 @@
     double nonPreferredCostMs = preferredEndpoint ? nonPreferredCostFraction
             * static_cast<double>(sharedPromptTokens - mostCachedTokens) * poolView.latencyModel.msPerToken
                                                   : 0;
+    double events = expectedEvents(poolView.streamLength, workload.maxOutputTokens);
+    auto streamTimeLeftMs = static_cast<double>(rules.streamTimeLeft.count);
+    StreamEndPrediction averageEnd { .streamMs = events * poolView.eventInterval.averageMs,
+        .timeToDeadlineMs = streamTimeLeftMs };
     double bestScore = std::numeric_limits<double>::infinity();
     for (const auto& [view, cachedTokens] : usableEndpoints) {
         EndpointLoad load = view->load();
@@ -394,7 +418,13 @@
             && static_cast<double>(load.reservedTokens + prefillTokens + workload.maxOutputTokens)
                 > usableMemoryFraction * static_cast<double>(spec.memoryTokens))
             prediction.queueMs += poolView.slotOccupancyMs;
-        bool isWithinLimits = isPredictionWithinLimits(rules.limits, prediction);
+        StreamEndPrediction streamEnd {
+            .streamMs = events * expectedEventIntervalMs(view->eventInterval, poolView.eventInterval, now),
+            .timeToDeadlineMs = streamTimeLeftMs,
+        };
+        bool isUrgent = averageEnd.isLate(prediction.firstByteMs()) && !streamEnd.isLate(prediction.firstByteMs());
+        bool isWithinLimits
+            = isPredictionWithinLimits(isUrgent ? limitsForUrgentStream(rules.limits) : rules.limits, prediction);
         // The last term charges for the requests in flight per slot, since they lengthen the engine's decoding steps,
         // which the predicted times do not include.
         double score = prediction.firstByteMs() + prediction.recomputeCostMs
@@ -404,6 +434,7 @@
             score += static_cast<double>(options.crossZoneCost.count);
         if (view->registration.remainingWarmup > Millis {})
             score += static_cast<double>(view->registration.remainingWarmup.count) * warmupWeight;
+        score += lateEndCostMs(streamEnd, prediction.firstByteMs());
         if (view != preferredEndpoint)
             score += nonPreferredCostMs;
         if (!isWithinLimits)
@@ -432,7 +463,8 @@
         .backlogTokens = choice.backlogTokens,
         .predictedFirstByteMs = choice.prediction.firstByteMs(),
         .sentAt = now,
-        .hasSlot = view.load().inFlight < view.registration.slots };
+        .hasSlot = view.load().inFlight < view.registration.slots,
+        .maxOutputTokens = workload.maxOutputTokens };
     ++view.ownLoad.inFlight;
     view.ownLoad.pendingPrefillTokens += placement.prefillTokens;
     view.ownLoad.reservedTokens += placement.reservedTokens;
@@ -482,10 +514,13 @@
 
 AttemptReport endReport(const Placement& placement, AttemptOutcome outcome, Millis now)
 {
+    std::uint64_t intervals = placement.events > 1 ? placement.events - 1 : 0;
+    auto eventTimeMs = static_cast<std::uint64_t>(placement.eventTime.count);
     return { .endpoint = placement.instanceId,
         .hasEnded = true,
         .outcome = outcome,
-        .elapsedMs = static_cast<std::uint32_t>((now - placement.sentAt).count) };
+        .elapsedMs = static_cast<std::uint32_t>((now - placement.sentAt).count),
+        .eventIntervalMs = intervals != 0 ? static_cast<std::uint32_t>(eventTimeMs / intervals) : 0 };
 }
 
 void applyAttemptReport(FleetView& fleetView, const AttemptReport& report, Millis now)
@@ -495,10 +530,15 @@
         return;
     EndpointView& view = *found->second;
     PoolView& pool = fleetView.pools[view.registration.pool];
-    if (report.hasEnded)
-        recordOutcome(view, pool, report.outcome, report.elapsedMs, now);
-    else
+    if (!report.hasEnded) {
         recordFirstByteSample(view, pool, static_cast<double>(report.backlogTokens), report.elapsedMs, now);
+        return;
+    }
+    recordOutcome(view, pool, report.outcome, report.elapsedMs, now);
+    if (report.eventIntervalMs != 0) {
+        addEventInterval(view.eventInterval, report.eventIntervalMs, reportedIntervalWeight, now);
+        addEventInterval(pool.eventInterval, report.eventIntervalMs, reportedPoolIntervalWeight, now);
+    }
 }
 
 bool recordEndpointNotice(FleetView& fleetView, EndpointInstanceId endpoint, bool isLeaving, Millis pause, Millis now)
@@ -527,6 +567,21 @@
     applyAttemptReport(fleetView, firstByteReport(placement, now), now);
 }
 
+void recordEvents(FleetView& fleetView, Placement& placement, std::uint64_t count, Millis sincePrevious, Millis now)
+{
+    bool isFirst = placement.events == 0;
+    placement.events += count;
+    if (isFirst || count == 0)
+        return;
+    placement.eventTime = placement.eventTime + sincePrevious;
+    EndpointView* view = findInstance(fleetView, placement);
+    if (!view)
+        return;
+    double intervalMs = static_cast<double>(sincePrevious.count) / static_cast<double>(count);
+    addEventInterval(view->eventInterval, intervalMs, endpointIntervalWeight, now);
+    addEventInterval(fleetView.pools[view->registration.pool].eventInterval, intervalMs, poolIntervalWeight, now);
+}
+
 void recordEnd(FleetView& fleetView, const Placement& placement, AttemptOutcome outcome, Millis now)
 {
     EndpointView* view = findInstance(fleetView, placement);
@@ -537,7 +592,12 @@
         subtractSaturating(view->ownLoad.pendingPrefillTokens, placement.prefillTokens);
     subtractSaturating(view->ownLoad.reservedTokens, placement.reservedTokens);
     view->ownLoadChanged = true;
-    applyAttemptReport(fleetView, endReport(placement, outcome, now), now);
+    AttemptReport report = endReport(placement, outcome, now);
+    report.eventIntervalMs = 0; // recordEvents() has added the intervals.
+    applyAttemptReport(fleetView, report, now);
+    if (outcome == AttemptOutcome::Answered && placement.events != 0 && placement.maxOutputTokens != 0)
+        addCompleteStream(
+            fleetView.pools[view->registration.pool].streamLength, placement.events, placement.maxOutputTokens);
 }
 
 void setPeerLoad(FleetView& fleetView, DaemonInstanceId daemon, EndpointInstanceId endpoint, const EndpointLoad& load)
--- a/src/routing/FleetView.h
+++ b/src/routing/FleetView.h
@@ -6,6 +6,7 @@
 #include "routing/LatencyModel.h"
 #include "routing/PromptCache.h"
 #include "routing/RoutingTable.h"
+#include "routing/StreamDuration.h"
 
 #include <cstdint>
 #include <map>
@@ -61,6 +62,7 @@
     std::uint64_t memoryTokens { 0 }; ///< Capacity for prefix cache and requests in flight; 0 if unknown.
     /// Moving average of measured time to first byte divided by the prediction of PoolView::latencyModel.
     double latencyRatio { 1.0 };
+    EventInterval eventInterval; ///< Of its streams, from this daemon and peers' reports.
     double failureRate { 0.0 }; ///< Moving average: fraction of its attempts that did not succeed.
     /// AttemptOutcome::ConnectionFailed outcomes since its last complete response or refusal of a request.
     unsigned consecutiveConnectionFailures { 0 };
@@ -87,6 +89,8 @@
 /// \brief Statistics of a pool's endpoints.
 struct PoolView {
     LatencyModel latencyModel;
+    EventInterval eventInterval;
+    StreamLengthModel streamLength; ///< Of this daemon's streams.
     /// Moving average of the time for which a request occupies a slot; 0 before the first sample.
     double slotOccupancyMs { 0 };
     double failureRate { 0 }; ///< Moving average: fraction of attempts that did not succeed.
@@ -136,6 +140,9 @@
     Millis sentAt {};
     bool hasSlot { false }; ///< A slot of the endpoint was free when the request was sent.
     bool firstByteReceived { false };
+    std::uint64_t maxOutputTokens { 0 };
+    std::uint64_t events { 0 }; ///< Events received of a stream.
+    Millis eventTime {}; ///< Sum of the intervals between these events.
 };
 
 /// \brief Weights of the placement score.
@@ -164,13 +171,16 @@
     std::span<const EndpointInstanceId> triedEndpoints; ///< Endpoints that this request was sent to before.
     bool isRepeatable { false }; ///< The request may run twice, so it may probe an endpoint after a connection failure.
     ShardId shard { 0 }; ///< Restricts the choice to its endpoints; 0 or an unknown shard allows all of the pool.
+    Millis streamTimeLeft {}; ///< Time by which a stream must have ended; 0 if it has no deadline.
     PlacementOptions options;
 };
 
 /// \brief Chooses the endpoint with the lowest score: the predicted time to first byte plus costs for prompt parts
 /// that another endpoint has cached or is preferred for, for requests in flight per slot, for failures, for another
-/// availability zone, for warm-up and for a prediction that exceeds the admission limits. With
-/// PlacementOptions::leastOutstanding the score is the number of requests in flight.
+/// availability zone, for warm-up, for a stream that ends after its deadline and for a prediction that exceeds the
+/// admission limits. At an endpoint where a stream ends in time the queue limit is longer if it would not end in time
+/// at the pool's average interval between events. With PlacementOptions::leastOutstanding the score is the number of
+/// requests in flight.
 [[nodiscard]] EndpointChoice chooseEndpoint(
     FleetView&, const RoutingTable&, const PoolId&, const RequestWorkload&, const EndpointChoiceRules&, Millis now);
 
@@ -192,6 +202,10 @@
 /// \brief Updates load and latency statistics at the first byte or event of the response. Later calls have no effect.
 void recordFirstByte(FleetView&, Placement&, Millis now);
 
+/// \brief Adds events of a stream that were received at \p now to the averages of the endpoint and its pool.
+/// \param sincePrevious Time since the event before, without pauses in reading from the endpoint.
+void recordEvents(FleetView&, Placement&, std::uint64_t count, Millis sincePrevious, Millis now);
+
 /// \brief Records what an endpoint said of itself in an answer. Unknown endpoints are ignored.
 /// \param isLeaving It wants no further requests.
 /// \param pause It wants no requests of this daemon for so long; at most an hour is taken over.
@@ -218,6 +232,7 @@
     AttemptOutcome outcome { AttemptOutcome::Answered }; ///< Valid if \c hasEnded.
     std::uint64_t backlogTokens { 0 }; ///< Valid unless \c hasEnded; see Placement::backlogTokens.
     std::uint32_t elapsedMs { 0 }; ///< From sending the request to the first byte or to the end.
+    std::uint32_t eventIntervalMs { 0 }; ///< Valid if \c hasEnded: average of the stream's events; 0 if unknown.
 };
 
 /// \returns The report of a first byte received at \p now.
--- a/src/routing/PlacementDecision.cpp
+++ b/src/routing/PlacementDecision.cpp
@@ -29,6 +29,7 @@
                 .triedEndpoints = query.triedEndpoints,
                 .isRepeatable = query.isRepeatable,
                 .shard = inputs.shard,
+                .streamTimeLeft = query.isStream ? query.deadline - now : Millis {},
                 .options = inputs.options },
             now);
     }
--- /dev/null
+++ b/src/routing/StreamDuration.cpp
@@ -0,0 +1,72 @@
+#include "routing/StreamDuration.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace jasminestack {
+
+namespace {
+
+    // Time constant with which an endpoint's average is replaced by its pool's while there are no samples.
+    constexpr Millis intervalTimeConstant { 3'000 };
+
+    // A stream's weight falls to 1/e after this many further complete streams.
+    constexpr double decayStreams = 400.0;
+
+    // Sum of weights from which the length of streams is predicted.
+    constexpr double minimumStreams = 20.0;
+
+    // Margin on the time that a stream takes, since its number of events and the engine's later load are uncertain.
+    constexpr double streamTimeMargin = 1.25;
+
+    // Cost per millisecond of predicted lateness, and its maximum. A late stream is lost, but so are the prompt tokens
+    // that another endpoint must process again for it if that one is too slow as well.
+    constexpr double lateEndWeight = 0.25;
+    constexpr double maximumLateEndCostMs = 1'000.0;
+
+}
+
+void addEventInterval(EventInterval& interval, double milliseconds, double sampleWeight, Millis now) noexcept
+{
+    if (interval.averageMs == 0)
+        interval.averageMs = milliseconds;
+    interval.averageMs += sampleWeight * (milliseconds - interval.averageMs);
+    interval.updatedAt = now;
+}
+
+double expectedEventIntervalMs(const EventInterval& endpoint, const EventInterval& pool, Millis now) noexcept
+{
+    if (endpoint.averageMs == 0)
+        return pool.averageMs;
+    double endpointWeight = std::exp(-(now - endpoint.updatedAt).seconds() / intervalTimeConstant.seconds());
+    return pool.averageMs + endpointWeight * (endpoint.averageMs - pool.averageMs);
+}
+
+void addCompleteStream(StreamLengthModel& model, std::uint64_t events, std::uint64_t maxOutputTokens) noexcept
+{
+    constexpr double decay = 1.0 - 1.0 / decayStreams;
+    model.weight = model.weight * decay + 1.0;
+    model.sumEvents = model.sumEvents * decay + static_cast<double>(events);
+    model.sumMaxOutputTokens = model.sumMaxOutputTokens * decay + static_cast<double>(maxOutputTokens);
+}
+
+double expectedEvents(const StreamLengthModel& model, std::uint64_t maxOutputTokens) noexcept
+{
+    if (model.weight < minimumStreams || model.sumMaxOutputTokens == 0)
+        return 0;
+    return model.sumEvents / model.sumMaxOutputTokens * static_cast<double>(maxOutputTokens);
+}
+
+double StreamEndPrediction::excessMs(double firstByteMs) const noexcept
+{
+    if (streamMs == 0 || timeToDeadlineMs <= 0)
+        return 0;
+    return std::max(firstByteMs + streamMs * streamTimeMargin - timeToDeadlineMs, 0.0);
+}
+
+double lateEndCostMs(const StreamEndPrediction& prediction, double firstByteMs) noexcept
+{
+    return std::min(prediction.excessMs(firstByteMs) * lateEndWeight, maximumLateEndCostMs);
+}
+
+}
