Predict the length of streams from the caller's estimate

The header with the caller's estimate is read now, and the number of events is learned per expected token. Streams without an estimate are placed as before.

Placement requests carry the estimate as an optional last field: requests of earlier daemons are understood; an earlier coordinator rejects a request that has it.

--- a/src/router/PlacementCodec.cpp
+++ b/src/router/PlacementCodec.cpp
@@ -25,7 +25,7 @@
 
     void packQuery(msgpack::packer<MsgpackBuffer>& packer, const PlacementQuery& query, Millis now)
     {
-        packer.pack_array(14);
+        packer.pack_array(query.expectedOutputTokens != 0 ? 15 : 14);
         packer.pack(query.pool.value);
         packer.pack(query.workspace);
         packer.pack(query.contentHash);
@@ -44,6 +44,8 @@
         packer.pack((now - query.arrivedAt).count);
         packer.pack((now - query.firstArrival).count);
         packer.pack((query.deadline - now).count);
+        if (query.expectedOutputTokens != 0)
+            packer.pack(query.expectedOutputTokens);
     }
 
     // Limit of relative times in milliseconds, in both directions; prevents overflow by a malformed message.
@@ -87,6 +89,8 @@
         query.arrivedAt = now - readSpan(row);
         query.firstArrival = now - readSpan(row);
         query.deadline = now + readSpan(row);
+        if (!row.atEnd())
+            query.expectedOutputTokens = row.readUnsigned();
         row.requireEnd();
         return query;
     }
--- a/src/router/RequestProtocol.h
+++ b/src/router/RequestProtocol.h
@@ -33,6 +33,7 @@
     std::optional<std::uint64_t> lastEventId { 0 };
     std::uint64_t promptTokens { 0 };
     std::uint64_t maxOutputTokens { 0 };
+    std::uint64_t expectedOutputTokens { 0 }; ///< The caller's estimate; 0 if it states none.
 };
 
 /// \brief Data that the daemon adds to a request to an endpoint.
--- a/src/router/RoutedRequest.cpp
+++ b/src/router/RoutedRequest.cpp
@@ -98,6 +98,7 @@
         .prompt = m_metadata.prompt,
         .promptTokens = m_metadata.promptTokens,
         .maxOutputTokens = m_metadata.maxOutputTokens,
+        .expectedOutputTokens = m_metadata.expectedOutputTokens,
         .isStream = isStream,
         .isRepeatable = m_route.isRepeatable(),
         // A response that is not a stream remains useful until its deadline, so its objective is half of the timeout.
--- a/src/router/RoutedRequestResponse.cpp
+++ b/src/router/RoutedRequestResponse.cpp
@@ -374,7 +374,7 @@
                 std::isfinite(m_predictedFirstByteMs) ? static_cast<std::int64_t>(m_predictedFirstByteMs) : -1 },
             { "ahead", static_cast<std::int64_t>(m_placement.backlogTokens) }, { "unread", m_placement.prefillTokens },
             { "prompt", m_metadata.promptTokens }, { "first_ms", firstByteMs }, { "total_ms", totalTime.count },
-            { "events", m_splitter.eventCount() }, { "max_tokens", m_metadata.maxOutputTokens },
+            { "events", m_splitter.eventCount() }, { "expected_tokens", m_metadata.expectedOutputTokens },
             { "returning", m_wasRefusedBefore ? 1 : 0 }, { "placed_by", m_placedBy },
             { "objective_ms", m_route.latencyObjective.count },
             { "caller_ms", m_metadata.timeLeft.value_or(Millis {}).count }, { "configuration", m_table->version } });
--- a/src/routing/FleetView.cpp
+++ b/src/routing/FleetView.cpp
@@ -397,7 +397,7 @@
     double nonPreferredCostMs = preferredEndpoint ? nonPreferredCostFraction
             * static_cast<double>(sharedPromptTokens - mostCachedTokens) * poolView.latencyModel.msPerToken
                                                   : 0;
-    double events = expectedEvents(poolView.streamLength, workload.maxOutputTokens);
+    double events = expectedEvents(poolView.streamLength, workload.expectedOutputTokens);
     auto streamTimeLeftMs = static_cast<double>(rules.streamTimeLeft.count);
     StreamEndPrediction averageEnd { .streamMs = events * poolView.eventInterval.averageMs,
         .timeToDeadlineMs = streamTimeLeftMs };
@@ -464,7 +464,7 @@
         .predictedFirstByteMs = choice.prediction.firstByteMs(),
         .sentAt = now,
         .hasSlot = view.load().inFlight < view.registration.slots,
-        .maxOutputTokens = workload.maxOutputTokens };
+        .expectedOutputTokens = workload.expectedOutputTokens };
     ++view.ownLoad.inFlight;
     view.ownLoad.pendingPrefillTokens += placement.prefillTokens;
     view.ownLoad.reservedTokens += placement.reservedTokens;
@@ -595,9 +595,9 @@
     AttemptReport report = endReport(placement, outcome, now);
     report.eventIntervalMs = 0; // recordEvents() has added the intervals.
     applyAttemptReport(fleetView, report, now);
-    if (outcome == AttemptOutcome::Answered && placement.events != 0 && placement.maxOutputTokens != 0)
+    if (outcome == AttemptOutcome::Answered && placement.events != 0 && placement.expectedOutputTokens != 0)
         addCompleteStream(
-            fleetView.pools[view->registration.pool].streamLength, placement.events, placement.maxOutputTokens);
+            fleetView.pools[view->registration.pool].streamLength, placement.events, placement.expectedOutputTokens);
 }
 
 void setPeerLoad(FleetView& fleetView, DaemonInstanceId daemon, EndpointInstanceId endpoint, const EndpointLoad& load)
--- a/src/routing/FleetView.h
+++ b/src/routing/FleetView.h
@@ -126,6 +126,7 @@
     std::span<const PromptPart> prompt; ///< Empty for requests without a prompt.
     std::uint64_t promptTokens { 0 };
     std::uint64_t maxOutputTokens { 0 }; ///< Upper bound.
+    std::uint64_t expectedOutputTokens { 0 }; ///< The caller's estimate; 0 if unknown.
 };
 
 /// \brief What a request adds to its endpoint's load; kept with the request until it ends.
@@ -140,7 +141,7 @@
     Millis sentAt {};
     bool hasSlot { false }; ///< A slot of the endpoint was free when the request was sent.
     bool firstByteReceived { false };
-    std::uint64_t maxOutputTokens { 0 };
+    std::uint64_t expectedOutputTokens { 0 };
     std::uint64_t events { 0 }; ///< Events received of a stream.
     Millis eventTime {}; ///< Sum of the intervals between these events.
 };
--- a/src/routing/PlacementDecision.h
+++ b/src/routing/PlacementDecision.h
@@ -25,6 +25,7 @@
     std::vector<PromptPart> prompt;
     std::uint64_t promptTokens { 0 };
     std::uint64_t maxOutputTokens { 0 }; ///< Upper bound.
+    std::uint64_t expectedOutputTokens { 0 }; ///< The caller's estimate; 0 if unknown.
     std::vector<EndpointInstanceId> triedEndpoints; ///< Endpoints that the request was sent to before.
     bool isStream { false };
     bool isRepeatable { false };
@@ -38,7 +39,10 @@
 
     [[nodiscard]] RequestWorkload workload() const noexcept
     {
-        return { .prompt = prompt, .promptTokens = promptTokens, .maxOutputTokens = maxOutputTokens };
+        return { .prompt = prompt,
+            .promptTokens = promptTokens,
+            .maxOutputTokens = maxOutputTokens,
+            .expectedOutputTokens = expectedOutputTokens };
     }
 };
 
--- a/src/routing/StreamDuration.cpp
+++ b/src/routing/StreamDuration.cpp
@@ -42,19 +42,19 @@
     return pool.averageMs + endpointWeight * (endpoint.averageMs - pool.averageMs);
 }
 
-void addCompleteStream(StreamLengthModel& model, std::uint64_t events, std::uint64_t maxOutputTokens) noexcept
+void addCompleteStream(StreamLengthModel& model, std::uint64_t events, std::uint64_t expectedOutputTokens) noexcept
 {
     constexpr double decay = 1.0 - 1.0 / decayStreams;
     model.weight = model.weight * decay + 1.0;
     model.sumEvents = model.sumEvents * decay + static_cast<double>(events);
-    model.sumMaxOutputTokens = model.sumMaxOutputTokens * decay + static_cast<double>(maxOutputTokens);
+    model.sumExpectedTokens = model.sumExpectedTokens * decay + static_cast<double>(expectedOutputTokens);
 }
 
-double expectedEvents(const StreamLengthModel& model, std::uint64_t maxOutputTokens) noexcept
+double expectedEvents(const StreamLengthModel& model, std::uint64_t expectedOutputTokens) noexcept
 {
-    if (model.weight < minimumStreams || model.sumMaxOutputTokens == 0)
+    if (model.weight < minimumStreams || model.sumExpectedTokens == 0)
         return 0;
-    return model.sumEvents / model.sumMaxOutputTokens * static_cast<double>(maxOutputTokens);
+    return model.sumEvents / model.sumExpectedTokens * static_cast<double>(expectedOutputTokens);
 }
 
 double StreamEndPrediction::excessMs(double firstByteMs) const noexcept
--- a/src/routing/StreamDuration.h
+++ b/src/routing/StreamDuration.h
@@ -19,12 +19,12 @@
     Millis updatedAt {};
 };
 
-/// \brief Number of events of a pool's complete streams per output token that their requests allow.
+/// \brief Number of events of a pool's complete streams per output token that their callers expected.
 struct StreamLengthModel {
     // Sums over complete streams, with exponentially decaying weights.
     double weight { 0 };
     double sumEvents { 0 };
-    double sumMaxOutputTokens { 0 };
+    double sumExpectedTokens { 0 };
 };
 
 /// \brief Adds the interval before an event.
@@ -37,11 +37,11 @@
     const EventInterval& endpoint, const EventInterval& pool, Millis now) noexcept;
 
 /// \brief Adds a complete stream.
-/// \param maxOutputTokens The request's upper bound.
-void addCompleteStream(StreamLengthModel&, std::uint64_t events, std::uint64_t maxOutputTokens) noexcept;
+/// \param expectedOutputTokens The caller's estimate. The upper bound is the same for all requests of a kind.
+void addCompleteStream(StreamLengthModel&, std::uint64_t events, std::uint64_t expectedOutputTokens) noexcept;
 
-/// \returns The expected number of events of a stream; 0 before there are enough samples.
-[[nodiscard]] double expectedEvents(const StreamLengthModel&, std::uint64_t maxOutputTokens) noexcept;
+/// \returns The expected number of events of a stream; 0 without an estimate or before there are enough samples.
+[[nodiscard]] double expectedEvents(const StreamLengthModel&, std::uint64_t expectedOutputTokens) noexcept;
 
 /// \brief Predicted end of a stream compared with its deadline.
 struct StreamEndPrediction {
--- a/tests/PlatformTests.cpp
+++ b/tests/PlatformTests.cpp
@@ -97,11 +97,12 @@
             { "X-Jasminestack-Pin-Ms", "1" }, { "X-JASMINESTACK-CACHE-RETENTION", "h" }, { "Kv-From", "x" },
             { "X-Jasminestack-Kv-Backup", "y" }, { "X-Jasminestack-Tenant", "forged" }, { "Authorization", "Token k1" },
             { "X-Jasminestack-Prefix-Hash", "5c:800,91:410" }, { "X-Jasminestack-Token-Usage", "1210,80" },
-            { "Connection", "X-Extra, X-Jasminestack-Model-Id" }, { "X-Extra", "1" },
-            { "X-Jasminestack-Model-Id", "m" }, { "X-Other", "kept" } } };
+            { "X-Jasminestack-Length-Hint", "60" }, { "Connection", "X-Extra, X-Jasminestack-Model-Id" },
+            { "X-Extra", "1" }, { "X-Jasminestack-Model-Id", "m" }, { "X-Other", "kept" } } };
     auto metadata = protocol.decode(request);
     REQUIRE(metadata);
     CHECK(metadata.value().promptTokens == 1'210);
+    CHECK(metadata.value().expectedOutputTokens == 60);
     CHECK(metadata.value().prompt.size() == 2);
     CHECK(metadata.value().apiKey == "k1");
     Registration endpoint { .id = EndpointId { "i-1" }, .address = "127.0.0.1:1" };
--- a/tests/StreamDurationTests.cpp
+++ b/tests/StreamDurationTests.cpp
@@ -1,4 +1,5 @@
 #include "router/FleetUpdateCodec.h"
+#include "router/PlacementCodec.h"
 #include "routing/FleetView.h"
 #include "routing/StreamDuration.h"
 
@@ -41,24 +42,22 @@
     return fleetView.endpoints.at(EndpointId { id }).instanceId;
 }
 
-EndpointChoice choose(
-    FleetView& fleetView, std::uint64_t maxOutputTokens, Millis now, std::span<const PromptPart> prompt = {})
+EndpointChoice choose(FleetView& fleetView, std::uint64_t expectedOutputTokens, Millis now)
 {
     RoutingTable table = tableWithModelPool();
     AdmissionLimits limits
         = admissionLimits({ .objective = { 400 }, .tightestPoolObjective = { 400 }, .timeToDeadline = timeLeft });
-    return chooseEndpoint(fleetView, table, llm,
-        { .prompt = prompt, .promptTokens = 800, .maxOutputTokens = maxOutputTokens },
+    return chooseEndpoint(fleetView, table, llm, { .promptTokens = 800, .expectedOutputTokens = expectedOutputTokens },
         { .limits = limits, .availabilityZone = "a", .isRepeatable = true, .streamTimeLeft = timeLeft }, now);
 }
 
-// Runs a stream of 20 events at the endpoint, one event for every six tokens of the bound.
+// Runs a stream of 20 events at the endpoint, one event for every six tokens that its caller expected.
 // Returns the time of its end.
 Millis runStream(FleetView& fleetView, const std::string& id, Millis eventInterval, Millis now)
 {
     EndpointView& view = fleetView.endpoints.at(EndpointId { id });
     Placement placement = recordSend(fleetView, { .endpoint = &view, .prefillTokens = 800, .backlogTokens = 800 },
-        { .promptTokens = 800, .maxOutputTokens = 120 }, now);
+        { .promptTokens = 800, .expectedOutputTokens = 120 }, now);
     now = now + Millis { 130 };
     recordFirstByte(fleetView, placement, now);
     for (unsigned event = 0; event < 20; ++event) {
@@ -129,11 +128,11 @@
     CHECK(withDeadline.endpoint == shortStream.endpoint);
 }
 
-TEST_CASE("the expected number of events follows the bound of output tokens", "[policy][stream]")
+TEST_CASE("the expected number of events follows the estimate of output tokens", "[policy][stream]")
 {
     StreamLengthModel model;
     for (unsigned i = 0; i < 100; ++i)
-        addCompleteStream(model, 10, 120); // Half of the bound, with six tokens to an event.
+        addCompleteStream(model, 10, 120); // Half of the estimate, with six tokens to an event.
     CHECK(expectedEvents(model, 480) == Approx(40));
 }
 
@@ -166,3 +165,15 @@
     CHECK(decoded.value().attemptReports[0].eventIntervalMs == 45);
     CHECK(decoded.value().attemptReports[1].backlogTokens == 7'000);
 }
+
+// Guards against coordinators that place streams without the caller's estimate.
+TEST_CASE("a placement request passes the expected output tokens on", "[policy][stream]")
+{
+    for (std::uint64_t tokens : { 0, 300 }) {
+        PlacementRequest request { .requester = 1, .id = 2, .shard = 3 };
+        request.query = { .pool = llm, .expectedOutputTokens = tokens, .deadline = start + timeLeft };
+        auto decoded = decodePlacementRequest(encodePlacementRequest(request, start), start);
+        REQUIRE(decoded);
+        CHECK(decoded.value().query.expectedOutputTokens == tokens);
+    }
+}
