Let the cost of a late end differ between slow endpoints

Streams that are too late at every endpoint reached the maximum of the cost everywhere, so that a third of them still went to the slowest endpoints. The cost has no maximum now, and the longer queue limit holds wherever such a stream ends earlier than on average.

--- a/src/routing/FleetView.cpp
+++ b/src/routing/FleetView.cpp
@@ -72,7 +72,7 @@
     constexpr double reportedIntervalWeight = 0.2;
     constexpr double reportedPoolIntervalWeight = 0.05;
 
-    // Factor on the queue limit for a stream that ends in time at few endpoints only.
+    // Factor on the queue limits at fast endpoints for a stream that would end too late elsewhere.
     constexpr double urgentQueueLimitFactor = 2.0;
 
     unsigned slotCount(const EndpointView& view, const PoolSpec& spec) noexcept
@@ -196,7 +196,7 @@
             == rules.triedEndpoints.end();
     }
 
-    // The limits at an endpoint for a stream that ends in time there.
+    // The limits for a stream that ends too late at the pool's average, at an endpoint where it ends earlier.
     AdmissionLimits limitsForUrgentStream(const AdmissionLimits& limits) noexcept
     {
         AdmissionLimits urgent = limits;
@@ -422,7 +422,7 @@
             .streamMs = events * expectedEventIntervalMs(view->eventInterval, poolView.eventInterval, now),
             .timeToDeadlineMs = streamTimeLeftMs,
         };
-        bool isUrgent = averageEnd.isLate(prediction.firstByteMs()) && !streamEnd.isLate(prediction.firstByteMs());
+        bool isUrgent = averageEnd.isLate(prediction.firstByteMs()) && streamEnd.streamMs < averageEnd.streamMs;
         bool isWithinLimits
             = isPredictionWithinLimits(isUrgent ? limitsForUrgentStream(rules.limits) : rules.limits, prediction);
         // The last term charges for the requests in flight per slot, since they lengthen the engine's decoding steps,
--- a/src/routing/FleetView.h
+++ b/src/routing/FleetView.h
@@ -179,9 +179,9 @@
 /// \brief Chooses the endpoint with the lowest score: the predicted time to first byte plus costs for prompt parts
 /// that another endpoint has cached or is preferred for, for requests in flight per slot, for failures, for another
 /// availability zone, for warm-up, for a stream that ends after its deadline and for a prediction that exceeds the
-/// admission limits. At an endpoint where a stream ends in time the queue limit is longer if it would not end in time
-/// at the pool's average interval between events. With PlacementOptions::leastOutstanding the score is the number of
-/// requests in flight.
+/// admission limits. For a stream that would end too late at the pool's average interval between events, the queue
+/// limit is longer at endpoints with shorter intervals. With PlacementOptions::leastOutstanding the score is the number
+/// of requests in flight.
 [[nodiscard]] EndpointChoice chooseEndpoint(
     FleetView&, const RoutingTable&, const PoolId&, const RequestWorkload&, const EndpointChoiceRules&, Millis now);
 
--- a/src/routing/StreamDuration.cpp
+++ b/src/routing/StreamDuration.cpp
@@ -19,10 +19,10 @@
     // Margin on the time that a stream takes, since its number of events and the engine's later load are uncertain.
     constexpr double streamTimeMargin = 1.25;
 
-    // Cost per millisecond of predicted lateness, and its maximum. A late stream is lost, but so are the prompt tokens
-    // that another endpoint must process again for it if that one is too slow as well.
+    // Cost per millisecond of predicted lateness. A late stream is lost, but so are the prompt tokens that another
+    // endpoint must process again for it if that one is too slow as well. The cost has no maximum, since it must differ
+    // between endpoints that are all too slow: a stream may be shorter than expected.
     constexpr double lateEndWeight = 0.25;
-    constexpr double maximumLateEndCostMs = 1'000.0;
 
 }
 
@@ -66,7 +66,7 @@
 
 double lateEndCostMs(const StreamEndPrediction& prediction, double firstByteMs) noexcept
 {
-    return std::min(prediction.excessMs(firstByteMs) * lateEndWeight, maximumLateEndCostMs);
+    return prediction.excessMs(firstByteMs) * lateEndWeight;
 }
 
 }
