Bound what clients of the status listeners can make a router hold

Clients that sent a head without an end to the readiness, metrics or documents address took a router with a memory of 64 MB to 1,983 MB; heads of 12,000 empty fields took it to 142 MB.

Cause: these listeners were evhttp without a limit for heads, and evhttp reads all bytes that have arrived before it looks at its limits. Connections were not limited either.

SimpleHttpServer now uses CallerServer, which checks its limits while it reads, with a head of 8 KiB, a body of 1 KiB, 5 s for a request, and at each address 0.05 of router.maxDescriptors as connections. At that number the oldest connection is closed, so that a crowd that stays open does not keep out the load balancer. A request without a Host header is accepted as before. The listener's events keep their priority.

--- a/src/daemon/Daemon.cpp
+++ b/src/daemon/Daemon.cpp
@@ -13,6 +13,7 @@
 #include "daemon/RequestProxy.h"
 #include "net/CallerServer.h"
 #include "net/EndpointClient.h"
+#include "net/EventPriority.h"
 #include "net/HttpClient.h"
 #include "net/HttpLogClient.h"
 #include "observe/Logging.h"
@@ -42,10 +43,6 @@
     // keys.
     constexpr Millis claimFlushTimeout { 5'000 };
 
-    struct EventBaseDeleter {
-        void operator()(event_base* base) const noexcept { event_base_free(base); }
-    };
-
     struct EventDeleter {
         void operator()(event* pointer) const noexcept { event_free(pointer); }
     };
@@ -90,7 +87,7 @@
     std::function<const Configuration&()> configuration; ///< If not empty, used instead of the log's configuration.
     SystemClock clock;
     Random random { systemSeed() };
-    std::unique_ptr<event_base, EventBaseDeleter> base { event_base_new() };
+    EventBasePointer base { event_base_new() };
     HttpClient http;
     HttpLogClient log;
     ConfigurationService configurationService;
--- a/src/net/CallerServer.cpp
+++ b/src/net/CallerServer.cpp
@@ -127,7 +127,7 @@
         , destroyClosedEvent(event_new(&eventBase, -1, 0, onDestroyClosed, this))
         , readBuffer(readBufferBytes)
     {
-        setEventPriority(*readNewEvent, EventPriority::IncomingRequests);
+        setEventPriority(*readNewEvent, options.priority);
     }
 
     void close(Connection* connection);
@@ -158,7 +158,7 @@
         , m_timer(evtimer_new(&owner.base, onTimer, this))
         , m_acceptedAt(owner.clock.now())
     {
-        setEventPriority(*m_readEvent, EventPriority::IncomingRequests);
+        setEventPriority(*m_readEvent, owner.options.priority);
         http_parser_init(&m_parser, HTTP_REQUEST);
         m_parser.data = this;
     }
@@ -484,7 +484,7 @@
                 && !equalIgnoringAsciiCase(m_request.header("Transfer-Encoding"), "chunked")))
             return setRequestError(ErrorKind::BadRequest, "the body is framed in more than one way");
         std::size_t hostHeaderCount = countHeaders(m_request, "Host");
-        if (hostHeaderCount > 1 || (hostHeaderCount == 0 && m_parser.http_minor == 1))
+        if (hostHeaderCount > 1 || (hostHeaderCount == 0 && m_parser.http_minor == 1 && m_owner.options.requiresHost))
             return setRequestError(ErrorKind::BadRequest, "exactly one Host header is required");
         if (m_parser.http_major != 1 || m_parser.upgrade != 0 || m_request.method == "CONNECT")
             return setRequestError(ErrorKind::BadRequest, "only HTTP/1.1 without upgrade is supported");
@@ -705,6 +705,11 @@
 {
     if (options.maxConnections == 0 || connections.size() < options.maxConnections)
         return true;
+    if (options.closesOldestConnection) {
+        auto isOlder = [](const auto& a, const auto& b) { return a.first->number() < b.first->number(); };
+        close(std::min_element(connections.begin(), connections.end(), isOlder)->first);
+        return true;
+    }
     std::vector<std::pair<Millis, Connection*>> idle;
     for (const auto& [connection, owned] : connections) {
         if (connection->isIdle() && !unreadByNumber.contains(connection->number()))
@@ -781,7 +786,7 @@
     state.listener = std::move(socket);
     state.acceptEvent.reset(
         event_new(&state.base, state.listener.value(), EV_READ | EV_PERSIST, State::onAccept, &state));
-    setEventPriority(*state.acceptEvent, EventPriority::IncomingRequests);
+    setEventPriority(*state.acceptEvent, state.options.priority);
     event_add(state.acceptEvent.get(), nullptr);
     sockaddr_in boundAddress {};
     socklen_t length = sizeof(boundAddress);
--- a/src/net/CallerServer.h
+++ b/src/net/CallerServer.h
@@ -2,6 +2,7 @@
 
 #include "base/Clock.h"
 #include "base/Result.h"
+#include "net/EventPriority.h"
 
 #include <cstddef>
 #include <cstdint>
@@ -96,6 +97,10 @@
     /// For further connections those that have been idle for longest are closed or, if there are none, the new ones
     /// unread; 0: no limit.
     std::size_t maxConnections { 0 };
+    /// At maxConnections the oldest connection is closed, also if it is not idle, so that new ones are always served.
+    bool closesOldestConnection { false };
+    bool requiresHost { true }; ///< Refuses HTTP/1.1 requests without a Host header.
+    EventPriority priority { EventPriority::IncomingRequests }; ///< Of new connections and requests.
     /// Of all requests that are being received or handled; later ones are refused as not run. Bodies of more than
     /// CallerServer::smallBodyBytes may use three quarters of it. 0: no limit.
     std::size_t maxTotalBodyBytes { 0 };
--- a/src/net/SimpleHttpServer.cpp
+++ b/src/net/SimpleHttpServer.cpp
@@ -1,62 +1,75 @@
 #include "net/SimpleHttpServer.h"
 
-#include "net/HttpClient.h"
+#include "net/CallerServer.h"
 
-#include <event2/buffer.h>
-#include <event2/event.h>
-#include <event2/http.h>
+#include <vector>
 
 namespace jasminestack {
 
 namespace {
 
-    // Idle connections of health checks are closed after this time.
-    constexpr int idleTimeoutSeconds = 30;
+    // Requests to this server have no body and few headers.
+    constexpr std::size_t maxBodyBytes = 1U << 10U;
+    constexpr std::size_t maxHeaderBytes = 8U << 10U;
+
+    constexpr Millis readTimeout { 5'000 };
 
-    // Requests to this server have no body.
-    constexpr ev_ssize_t maxBodyBytes = 1 << 10;
+    // Idle connections of health checks are closed after this time.
+    constexpr Millis idleTimeout { 30'000 };
 
-    struct ServerDeleter {
-        void operator()(evhttp* server) const noexcept { evhttp_free(server); }
-    };
+    CallerServerOptions serverOptions(std::string_view address, const SimpleHttpServerOptions& options)
+    {
+        return { .address = std::string(address),
+            .maxHeaderBytes = maxHeaderBytes,
+            .maxBodyBytes = maxBodyBytes,
+            .headerTimeout = readTimeout,
+            .readTimeout = readTimeout,
+            .idleTimeout = idleTimeout,
+            .maxConnections = options.maxConnections,
+            .closesOldestConnection = true,
+            .requiresHost = false,
+            .priority = EventPriority::ActiveRequests };
+    }
 
 }
 
-struct SimpleHttpServer::State {
+struct SimpleHttpServer::State final : CallerHandler {
+    event_base& base;
     Handler handler;
-    std::unique_ptr<evhttp, ServerDeleter> server;
+    SimpleHttpServerOptions options;
+    std::vector<std::unique_ptr<CallerServer>> servers; ///< One for each address.
+
+    State(event_base& eventBase, Handler requestHandler, const SimpleHttpServerOptions& serverOptions)
+        : base(eventBase)
+        , handler(std::move(requestHandler))
+        , options(serverOptions)
+    {
+    }
 
-    static void onRequest(evhttp_request* request, void* argument)
+    void onRequest(CallerRequest request, CallerExchange& exchange) override
     {
-        auto& state = *static_cast<State*>(argument);
-        SimpleHttpResponse response = state.handler(evhttp_request_get_uri(request));
-        evhttp_add_header(evhttp_request_get_output_headers(request), "Content-Type", response.contentType.c_str());
-        evbuffer_add(evhttp_request_get_output_buffer(request), response.body.data(), response.body.size());
-        evhttp_send_reply(request, response.status, nullptr, nullptr);
+        bool isRead = request.method == "GET" || request.method == "HEAD";
+        SimpleHttpResponse response = isRead
+            ? handler(request.target)
+            : SimpleHttpResponse { .status = errorResponseFor(ErrorKind::MethodNotAllowed).httpStatus };
+        exchange.sendResponse(
+            { .status = response.status, .headers = { { "Content-Type", response.contentType } } }, response.body);
     }
 };
 
-SimpleHttpServer::SimpleHttpServer(event_base& base, Handler handler)
-    : m_state(std::make_unique<State>())
+SimpleHttpServer::SimpleHttpServer(event_base& base, Handler handler, const SimpleHttpServerOptions& options)
+    : m_state(std::make_unique<State>(base, std::move(handler), options))
 {
-    m_state->handler = std::move(handler);
-    m_state->server.reset(evhttp_new(&base));
-    evhttp_set_timeout(m_state->server.get(), idleTimeoutSeconds);
-    evhttp_set_max_body_size(m_state->server.get(), maxBodyBytes);
-    evhttp_set_allowed_methods(m_state->server.get(), EVHTTP_REQ_GET);
-    evhttp_set_gencb(m_state->server.get(), State::onRequest, m_state.get());
 }
 
 SimpleHttpServer::~SimpleHttpServer() = default;
 
 Result<void> SimpleHttpServer::listen(std::string_view address)
 {
-    auto split = splitAddress(address);
-    if (!split)
-        return Error { .kind = ErrorKind::SettingsInvalid, .message = split.error().message };
-    const auto& [host, port] = split.value();
-    if (evhttp_bind_socket(m_state->server.get(), host.c_str(), port) != 0)
-        return Error { .kind = ErrorKind::SettingsInvalid, .message = "cannot listen on " + std::string(address) };
+    auto server = std::make_unique<CallerServer>(m_state->base, *m_state, serverOptions(address, m_state->options));
+    if (auto listening = server->listen(); !listening)
+        return listening.error();
+    m_state->servers.push_back(std::move(server));
     return ok();
 }
 
--- a/src/net/SimpleHttpServer.h
+++ b/src/net/SimpleHttpServer.h
@@ -2,6 +2,7 @@
 
 #include "base/Result.h"
 
+#include <cstddef>
 #include <functional>
 #include <memory>
 #include <string>
@@ -18,15 +19,20 @@
     std::string contentType { "text/plain; charset=utf-8" };
 };
 
-/// \brief A small HTTP server (evhttp) for health checks, metrics and the configuration documents that peers fetch.
-/// Requests of callers are handled by CallerServer.
+/// \brief Limits of SimpleHttpServer.
+struct SimpleHttpServerOptions {
+    std::size_t maxConnections { 64 }; ///< At each address; the oldest connection is closed for another one.
+};
+
+/// \brief A small HTTP server for health checks, metrics and the configuration documents that peers fetch. It uses
+/// CallerServer, since evhttp reads all bytes that have arrived before it looks at its limits.
 class SimpleHttpServer {
 public:
-    /// \brief Handles a GET request.
+    /// \brief Handles a GET or HEAD request.
     /// \param target Path, and query if there is one.
     using Handler = std::function<SimpleHttpResponse(std::string_view target)>;
 
-    SimpleHttpServer(event_base&, Handler);
+    SimpleHttpServer(event_base&, Handler, const SimpleHttpServerOptions& = {});
     ~SimpleHttpServer();
     SimpleHttpServer(const SimpleHttpServer&) = delete;
     SimpleHttpServer& operator=(const SimpleHttpServer&) = delete;
--- a/src/router/RouterDaemon.cpp
+++ b/src/router/RouterDaemon.cpp
@@ -85,6 +85,14 @@
         return static_cast<std::size_t>(callerDescriptorFraction * settings.daemon.maxDescriptors);
     }
 
+    // For each of the addresses at which readiness, metrics and documents are served.
+    constexpr double statusDescriptorFraction = 0.05;
+
+    std::size_t maxStatusConnections(const RouterSettings& settings)
+    {
+        return static_cast<std::size_t>(statusDescriptorFraction * settings.daemon.maxDescriptors);
+    }
+
     // The other half is for the process without requests, answers, and bytes in the kernel's buffers.
     std::size_t maxTotalBodyBytes(const RouterSettings& settings)
     {
@@ -205,7 +213,8 @@
                   .instanceId = instanceId,
                   .cpuCores = static_cast<float>(settings.daemon.cpuCores),
                   .minDaemonsForCoordinators = settings.coordination.fromDaemons })
-        , statusServer(*base, [this](std::string_view target) { return statusResponse(target); })
+        , statusServer(*base, [this](std::string_view target) { return statusResponse(target); },
+              { .maxConnections = maxStatusConnections(settings) })
         , tickTimer(event_new(base.get(), -1, EV_PERSIST, onTick, this))
         , loopMonitor(*base, clock)
     {
