Release the memory of refused requests, and count heads and buffers

100 callers with bodies in chunks far over the limit took a router with router.memoryMb 64 to 203 MB, legal bodies in chunks that stop short of their end to 125 MB.

Cause: a refused request left the buffer of its body with the connection until it closed, since assigning an empty string keeps the capacity; the limit for all requests counted the bytes of a body without a length, and not its buffer, which doubles; it did not count heads, whose short fields take 20 times their size; each connection kept a read buffer of up to 128 KiB; the system's receive buffers grew to megabytes; the allocator kept the gaps between large buffers.

Buffers are now released and counted by their capacity, fields are counted with the memory that they take (MemoryReservation), 16 KiB are read ahead instead of 64, receive buffers are 64 KiB, and buffers from 128 KiB on are mapped one by one. A head within the limit whose fields have no optional spaces is no longer refused: a space was counted for each.

--- a/bench/crowds/crowds.py
+++ b/bench/crowds/crowds.py
@@ -246,7 +246,7 @@
             fields = line.split()
             if fields[1] in ports and fields[3] != "0A":  # Of a listening socket it is the number of connections.
                 queued += int(fields[4].split(":")[1], 16)
-        return resident + queued
+        return resident, queued
 
     def descriptors(self):
         return len(os.listdir(f"/proc/{self.child.pid}/fd"))
@@ -278,11 +278,14 @@
     def __init__(self, router):
         self.router = router
         self.memory = 0
+        self.parts = (0, 0)  # Resident and queued bytes at the peak of their sum.
         self.descriptors = 0
 
     def sample(self):
         if self.router.is_alive():
-            self.memory = max(self.memory, self.router.memory())
+            parts = self.router.memory()
+            if sum(parts) > self.memory:
+                self.memory, self.parts = sum(parts), parts
             self.descriptors = max(self.descriptors, self.router.descriptors())
 
 
@@ -366,7 +369,8 @@
             state = "ok" if not faults else "known" if case in known else "FAILED"
             new_failures += state == "FAILED"
             passed = "; listed in KNOWN-RED.txt, but passed" if not faults and case in known else ""
-            print(f"{state:7}{case:34}{peaks.memory / BYTES_PER_MB:7.0f} MB {peaks.descriptors:5} descriptors  "
+            print(f"{state:7}{case:34}{peaks.memory / BYTES_PER_MB:7.0f} MB "
+                  f"({peaks.parts[1] / BYTES_PER_MB:.0f} queued) {peaks.descriptors:5} descriptors  "
                   f"{', '.join(faults)}{passed}", flush=True)
     print(f"misbehaving clients: {new_failures} failures that KNOWN-RED.txt does not list")
     return 1 if new_failures else 0
--- a/src/net/CallerServer.cpp
+++ b/src/net/CallerServer.cpp
@@ -5,6 +5,7 @@
 #include "net/HttpClient.h"
 #include "net/HttpResponseHead.h"
 #include "net/HttpResponseParser.h"
+#include "net/MemoryReservation.h"
 #include "net/Socket.h"
 #include "observe/Logging.h"
 
@@ -30,7 +31,10 @@
     constexpr Millis lingerTimeout { 1'000 };
 
     // Maximum bytes of pipelined requests that are buffered while a response is in progress.
-    constexpr std::size_t maxPipelinedBytes = 64U << 10U;
+    constexpr std::size_t maxPipelinedBytes = 16U << 10U;
+
+    // Receive buffer of a connection whose caller has sent more than that, or was refused.
+    constexpr int smallReceiveBytes = 16 << 10;
 
     constexpr std::size_t readBufferBytes = 64U << 10U;
 
@@ -45,6 +49,9 @@
         .keepAliveIdleSeconds = 5, .keepAliveProbes = 3, .unacknowledgedTimeout = { 8'000 }
     };
 
+    // Memory of a header field without its text, in a list whose capacity doubles.
+    constexpr std::size_t fieldMemory = 2 * sizeof(std::pair<std::string, std::string>);
+
     // A part of the memory for bodies, one in so many, is left for small ones.
     constexpr std::size_t smallBodyShare = 4;
 
@@ -61,6 +68,9 @@
         });
     }
 
+    // Gives back memory, too, which the assignment of an empty string keeps.
+    template <typename Value> void release(Value& value) { static_cast<void>(std::exchange(value, {})); }
+
     bool statusHasNoBody(int status) noexcept { return status == 204 || status == 304; }
 
     std::size_t countHeaders(const CallerRequest& request, std::string_view name) noexcept
@@ -75,24 +85,6 @@
 
 std::string_view CallerRequest::path() const noexcept { return std::string_view(target).substr(0, target.find('?')); }
 
-namespace {
-
-    /// \brief A part of the memory for request bodies; given back when the request ends.
-    struct BodyReservation {
-        std::shared_ptr<std::size_t> totalBytes; ///< Of all reservations.
-        std::size_t bytes { 0 };
-
-        explicit BodyReservation(std::shared_ptr<std::size_t> total)
-            : totalBytes(std::move(total))
-        {
-        }
-        BodyReservation(const BodyReservation&) = delete;
-        BodyReservation& operator=(const BodyReservation&) = delete;
-        ~BodyReservation() { *totalBytes -= bytes; }
-    };
-
-}
-
 struct CallerServer::State {
     class Connection;
 
@@ -117,7 +109,7 @@
     std::vector<std::unique_ptr<Connection>> closedConnections;
     EventPointer destroyClosedEvent;
     std::vector<char> readBuffer;
-    std::shared_ptr<std::size_t> totalBodyBytes { std::make_shared<std::size_t>(0) };
+    std::shared_ptr<std::size_t> totalRequestBytes { std::make_shared<std::size_t>(0) };
 
     State(event_base& eventBase, CallerHandler& callerHandler, const CallerServerOptions& serverOptions)
         : base(eventBase)
@@ -298,7 +290,7 @@
     {
         m_listener = nullptr;
         m_phase = Phase::Idle;
-        m_request = {};
+        release(m_request);
         m_reservation.reset();
         if (m_isHttp10)
             m_keepAlive = false;
@@ -336,6 +328,8 @@
 
     void rejectRequest(ErrorKind kind, std::string_view message)
     {
+        release(m_input);
+        limitReceiveBuffer();
         m_keepAlive = false;
         m_phase = Phase::Responding;
         CallerResponseHead head { .status = errorResponseFor(kind).httpStatus,
@@ -357,7 +351,7 @@
     void read()
     {
         std::vector<char>& readBuffer = m_owner.readBuffer;
-        ssize_t length = recv(m_socket.value(), readBuffer.data(), readBuffer.size(), 0);
+        ssize_t length = recv(m_socket.value(), readBuffer.data(), maxReadBytes(), 0);
         if (length < 0 && (errno == EAGAIN || errno == EINTR) && !m_writeFailed)
             return;
         if (!std::exchange(m_hasRead, true))
@@ -370,7 +364,26 @@
             return;
         m_input.append(readBuffer.data(), static_cast<std::size_t>(length));
         if (m_phase == Phase::Responding && m_input.size() >= maxPipelinedBytes)
-            event_del(m_readEvent.get());
+            pauseReading();
+    }
+
+    // Bytes after a request stay in memory until its response is sent, so no more than a head is read at once.
+    [[nodiscard]] std::size_t maxReadBytes() const noexcept
+    {
+        bool isInBody = m_phase == Phase::Receiving && m_headComplete;
+        return isInBody || m_phase == Phase::Lingering ? readBufferBytes : maxPipelinedBytes;
+    }
+
+    // What the caller goes on sending stays in its own buffers: it counts as memory of this host once it has arrived.
+    void limitReceiveBuffer()
+    {
+        setsockopt(m_socket.value(), SOL_SOCKET, SO_RCVBUF, &smallReceiveBytes, sizeof(smallReceiveBytes));
+    }
+
+    void pauseReading()
+    {
+        event_del(m_readEvent.get());
+        limitReceiveBuffer();
     }
 
     void parse()
@@ -379,9 +392,11 @@
             return;
         if (m_phase == Phase::Idle) {
             m_phase = Phase::Receiving;
-            m_request = { .arrivedAt = m_owner.clock.now() };
+            release(m_request);
+            m_request.arrivedAt = m_owner.clock.now();
             m_reservation.reset();
             m_headBytes = 0;
+            m_headMemory = 0;
             m_headComplete = false;
             m_requestComplete = false;
             m_requestError.reset();
@@ -398,7 +413,10 @@
             rejectRequest(ErrorKind::BadRequest, http_errno_description(error));
             return;
         }
-        m_input.erase(0, parsedBytes);
+        if (parsedBytes == m_input.size())
+            release(m_input); // Most connections wait.
+        else
+            m_input.erase(0, parsedBytes);
         if (m_requestComplete)
             deliverRequest();
     }
@@ -439,6 +457,7 @@
     int countHeadBytes(std::size_t length)
     {
         m_headBytes += length;
+        m_headMemory += length;
         if (m_headBytes > m_owner.options.maxHeaderBytes)
             return setRequestError(ErrorKind::HeaderTooLarge,
                 "the headers are longer than " + std::to_string(m_owner.options.maxHeaderBytes) + " bytes");
@@ -451,7 +470,10 @@
         if (m_lastHeaderHasValue || m_request.headers.empty()) {
             m_request.headers.emplace_back();
             m_lastHeaderHasValue = false;
-            m_headBytes += std::string_view(": \r\n").size();
+            m_headBytes += std::string_view(":\r\n").size();
+            m_headMemory += fieldMemory;
+            if (!reserve(0))
+                return setMemoryFull();
         }
         m_request.headers.back().first.append(text);
         return countHeadBytes(text.size());
@@ -492,7 +514,7 @@
         if (contentLengthCount == 1 && length > m_owner.options.maxBodyBytes)
             return setBodyTooLarge();
         if (contentLengthCount == 1 && length != 0) {
-            if (!reserveBody(static_cast<std::size_t>(length)))
+            if (!reserve(static_cast<std::size_t>(length)))
                 return setMemoryFull();
             m_request.body.reserve(static_cast<std::size_t>(length));
         }
@@ -508,37 +530,43 @@
             "the body is longer than " + std::to_string(m_owner.options.maxBodyBytes) + " bytes");
     }
 
-    // Returns whether there is memory for a body of \p bytes in all.
-    [[nodiscard]] bool reserveBody(std::size_t bytes)
+    // Returns whether there is memory for the request with a buffer of \p bodyBytes for its body.
+    [[nodiscard]] bool reserve(std::size_t bodyBytes)
     {
         if (!m_reservation) {
-            m_reservation = std::make_shared<BodyReservation>(m_owner.totalBodyBytes);
+            m_reservation = std::make_shared<MemoryReservation>(m_owner.totalRequestBytes);
             m_request.bodyReservation = m_reservation;
         }
-        if (bytes <= m_reservation->bytes)
-            return true;
         std::size_t limit = m_owner.options.maxTotalBodyBytes;
-        if (bytes > smallBodyBytes)
+        if (bodyBytes > smallBodyBytes)
             limit -= limit / smallBodyShare;
-        std::size_t total = *m_owner.totalBodyBytes - m_reservation->bytes + bytes;
-        if (m_owner.options.maxTotalBodyBytes != 0 && total > limit)
-            return false;
-        *m_owner.totalBodyBytes = total;
-        m_reservation->bytes = bytes;
-        return true;
+        return m_reservation->growTo(m_headMemory + bodyBytes, limit);
     }
 
     int setMemoryFull()
     {
-        return setRequestError(ErrorKind::RouterOverloaded, "the bodies of the requests in progress need all memory");
+        return setRequestError(ErrorKind::RouterOverloaded, "the requests in progress need all memory");
+    }
+
+    // Returns the capacity that a body of \p bytes needs, 0 if it has it. It doubles, so that a body without a length
+    // is rarely copied, and all of it is reserved, since it is memory of the process.
+    [[nodiscard]] std::size_t bodyCapacityFor(std::size_t bytes) const
+    {
+        std::size_t capacity = m_request.body.capacity();
+        if (bytes <= capacity && m_reservation && m_reservation->bytes() >= capacity)
+            return 0;
+        return std::max(bytes, std::min(2 * capacity, m_owner.options.maxBodyBytes));
     }
 
     int addBody(std::string_view text)
     {
         if (m_request.body.size() + text.size() > m_owner.options.maxBodyBytes)
             return setBodyTooLarge();
-        if (!reserveBody(m_request.body.size() + text.size()))
-            return setMemoryFull();
+        if (std::size_t capacity = bodyCapacityFor(m_request.body.size() + text.size()); capacity != 0) {
+            if (!reserve(capacity))
+                return setMemoryFull();
+            m_request.body.reserve(capacity);
+        }
         m_request.body.append(text);
         return 0;
     }
@@ -593,7 +621,7 @@
                 connection.startTimer(connection.m_owner.options.writeTimeout);
             return;
         }
-        connection.m_output.clear();
+        release(connection.m_output);
         connection.m_writtenBytes = 0;
         event_del(connection.m_writeEvent.get());
         if (connection.m_phase == Phase::Idle) {
@@ -627,8 +655,9 @@
     std::string m_pendingHead; ///< Head of a stream; sent together with its first chunk.
     std::size_t m_writtenBytes { 0 };
     CallerRequest m_request;
-    std::shared_ptr<BodyReservation> m_reservation; ///< Of the request that is being received.
-    std::size_t m_headBytes { 0 };
+    std::shared_ptr<MemoryReservation> m_reservation; ///< Of the request that is being received.
+    std::size_t m_headBytes { 0 }; ///< As sent, without optional spaces.
+    std::size_t m_headMemory { 0 }; ///< Bytes that the head takes in the process.
     std::optional<ErrorKind> m_requestError;
     std::string m_requestErrorMessage;
     CallerListener* m_listener { nullptr };
@@ -778,6 +807,9 @@
         return Error { .kind = ErrorKind::SettingsInvalid, .message = "invalid address " + state.options.address };
     FileDescriptor socket(::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0));
     int reuseAddress = 1;
+    // Accepted sockets inherit it. Otherwise the system lets each buffer grow to several megabytes.
+    int receiveBytes = state.options.receiveBufferBytes;
+    setsockopt(socket.value(), SOL_SOCKET, SO_RCVBUF, &receiveBytes, sizeof(receiveBytes));
     if (socket.value() < 0
         || setsockopt(socket.value(), SOL_SOCKET, SO_REUSEADDR, &reuseAddress, sizeof(reuseAddress)) != 0
         || ::bind(socket.value(), reinterpret_cast<const sockaddr*>(&localAddress), sizeof(localAddress)) != 0
--- a/src/net/CallerServer.h
+++ b/src/net/CallerServer.h
@@ -22,7 +22,7 @@
     std::string target; ///< Path and query as sent.
     std::vector<std::pair<std::string, std::string>> headers;
     std::string body;
-    std::shared_ptr<void> bodyReservation; ///< The body's part of CallerServerOptions::maxTotalBodyBytes.
+    std::shared_ptr<void> bodyReservation; ///< The request's part of CallerServerOptions::maxTotalBodyBytes.
     Millis arrivedAt {}; ///< Time at which the request's first byte was read.
 
     /// \returns The value of the first header \p name (any case), or an empty view.
@@ -99,10 +99,11 @@
     std::size_t maxConnections { 0 };
     /// At maxConnections the oldest connection is closed, also if it is not idle, so that new ones are always served.
     bool closesOldestConnection { false };
+    int receiveBufferBytes { 64 << 10 }; ///< Of each connection in the system; what it holds counts as memory too.
     bool requiresHost { true }; ///< Refuses HTTP/1.1 requests without a Host header.
     EventPriority priority { EventPriority::IncomingRequests }; ///< Of new connections and requests.
-    /// Of all requests that are being received or handled; later ones are refused as not run. Bodies of more than
-    /// CallerServer::smallBodyBytes may use three quarters of it. 0: no limit.
+    /// Of all requests that are being received or handled, their heads included; later ones are refused as not run.
+    /// Requests with bodies of more than CallerServer::smallBodyBytes may use three quarters of it. 0: no limit.
     std::size_t maxTotalBodyBytes { 0 };
 };
 
--- a/src/net/SimpleHttpServer.cpp
+++ b/src/net/SimpleHttpServer.cpp
@@ -12,6 +12,8 @@
     constexpr std::size_t maxBodyBytes = 1U << 10U;
     constexpr std::size_t maxHeaderBytes = 8U << 10U;
 
+    constexpr int receiveBufferBytes = 16 << 10;
+
     constexpr Millis readTimeout { 5'000 };
 
     // Idle connections of health checks are closed after this time.
@@ -27,6 +29,7 @@
             .idleTimeout = idleTimeout,
             .maxConnections = options.maxConnections,
             .closesOldestConnection = true,
+            .receiveBufferBytes = receiveBufferBytes,
             .requiresHost = false,
             .priority = EventPriority::ActiveRequests };
     }
--- a/src/router/RouterDaemon.cpp
+++ b/src/router/RouterDaemon.cpp
@@ -22,6 +22,7 @@
 #include <csignal>
 #include <event2/event.h>
 #include <fstream>
+#include <malloc.h>
 #include <sstream>
 #include <sys/stat.h>
 #include <unistd.h>
@@ -104,6 +105,10 @@
         return memoryBytes / 2;
     }
 
+    // Buffers from this size on are mapped one by one, so that their memory goes back to the system at once. Otherwise
+    // the allocator raises the size with the buffers that are freed, and gaps between large ones stay in memory.
+    constexpr int largeBufferBytes = 128 << 10;
+
     std::optional<std::string> readFile(const std::string& path)
     {
         std::ifstream file(path);
@@ -450,6 +455,7 @@
 Result<void> RouterDaemon::start()
 {
     State& state = *m_state;
+    mallopt(M_MMAP_THRESHOLD, largeBufferBytes);
     if (auto bound = state.peerTransport.bind(state.settings.peers.address); !bound)
         return bound.error();
     for (const std::string& address :
--- a/tests/RequestMemoryTests.cpp
+++ b/tests/RequestMemoryTests.cpp
@@ -133,3 +133,61 @@
     // The engines read no more. A quarter is for buffers and for the copies that the test itself has.
     CHECK(peak - before < requests * bodyBytes * 5 / 4 + bodyBytes);
 }
+
+// Guards against buffers that stay with a connection after its request was refused: 100 callers with bodies over the
+// limit took a router of 64 MB to 203 MB.
+TEST_CASE("a refused request gives its memory back while its connection is open", "[callers][memory]")
+{
+    constexpr int callerCount = 20;
+    constexpr std::size_t maxBodyBytes = 500'000;
+    Fixture fixture;
+    fixture.server.setLimits({ .maxBodyBytes = maxBodyBytes, .maxTotalBodyBytes = callerCount * maxBodyBytes * 2 });
+    std::list<BlockingSocket> callers;
+    std::size_t before = allocatedBytes();
+    std::string body(maxBodyBytes + 1, 'x');
+    for (int i = 0; i < callerCount; ++i) {
+        callers.push_back(BlockingSocket::connectTo(fixture.server.port()));
+        std::thread writer([&] {
+            try {
+                callers.back().write("POST /x HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n"
+                    + LoopbackDaemon::encodeChunk(body));
+            } catch (const std::runtime_error&) {
+                // The server has refused the request and closed the connection.
+            }
+        });
+        fixture.run();
+        writer.join();
+    }
+    CHECK(fixture.handler.requests.empty());
+    CHECK(allocatedBytes() < before + callerCount * maxBodyBytes / 4);
+}
+
+// Guards against heads of many short fields, which take many times their size on the wire, outside of the limit for all
+// requests.
+TEST_CASE("the fields of a head count as memory of its request", "[callers][memory]")
+{
+    Fixture fixture;
+    fixture.server.setLimits({ .maxTotalBodyBytes = 100'000 });
+    std::string head = "GET /x HTTP/1.1\r\nHost: a\r\n";
+    for (int i = 0; i < 2'000; ++i)
+        head += "a:\r\n";
+    BlockingSocket caller = BlockingSocket::connectTo(fixture.server.port());
+    caller.write(head);
+    fixture.run();
+    CHECK(caller.readUntil("\r\n").starts_with("HTTP/1.1 503"));
+}
+
+// Guards against the refusal of a head within the limit because spaces are counted that it does not contain.
+TEST_CASE("a head of many short fields within the limit is accepted", "[callers][memory]")
+{
+    Fixture fixture;
+    std::string head = "GET /x HTTP/1.1\r\nHost: a\r\n";
+    for (int i = 0; i < 3'200; ++i)
+        head += "a:b\r\n";
+    head += "\r\n";
+    REQUIRE(head.size() < CallerServerOptions {}.maxHeaderBytes);
+    BlockingSocket caller = BlockingSocket::connectTo(fixture.server.port());
+    caller.write(head);
+    fixture.run();
+    CHECK(fixture.handler.requests.size() == 1);
+}
