--- a/src/router/RouterDaemon.cpp
+++ b/src/router/RouterDaemon.cpp
@@ -23,6 +23,7 @@
 #include <csignal>
 #include <event2/event.h>
 #include <fstream>
+#include <malloc.h>
 #include <sstream>
 #include <sys/stat.h>
 #include <unistd.h>
@@ -98,6 +99,14 @@
         return static_cast<std::size_t>(callerDescriptorFraction * settings.daemon.maxDescriptors);
     }
 
+    // For each of the addresses at which readiness, metrics and documents are served.
+    constexpr double statusDescriptorFraction = 0.05;
+
+    std::size_t maxStatusConnections(const RouterSettings& settings)
+    {
+        return static_cast<std::size_t>(statusDescriptorFraction * settings.daemon.maxDescriptors);
+    }
+
     // The other half is for the process without requests, answers, and bytes in the kernel's buffers.
     std::size_t maxTotalBodyBytes(const RouterSettings& settings)
     {
@@ -109,6 +118,10 @@
         return memoryBytes / 2;
     }
 
+    // Buffers from this size on are mapped one by one, so that their memory goes back to the system at once. Otherwise
+    // the allocator raises the size with the buffers that are freed, and gaps between large ones stay in memory.
+    constexpr int largeBufferBytes = 128 << 10;
+
     std::optional<std::string> readFile(const std::string& path)
     {
         std::ifstream file(path);
@@ -218,7 +231,8 @@
                   .instanceId = instanceId,
                   .cpuCores = static_cast<float>(settings.daemon.cpuCores),
                   .minDaemonsForCoordinators = settings.coordination.fromDaemons })
-        , statusServer(*base, [this](std::string_view target) { return statusResponse(target); })
+        , statusServer(*base, [this](std::string_view target) { return statusResponse(target); },
+              { .maxConnections = maxStatusConnections(settings) })
         , tickTimer(event_new(base.get(), -1, EV_PERSIST, onTick, this))
         , loopMonitor(*base, clock)
     {
@@ -501,6 +515,7 @@
 Result<void> RouterDaemon::start()
 {
     State& state = *m_state;
+    mallopt(M_MMAP_THRESHOLD, largeBufferBytes);
     if (auto bound = state.peerTransport.bind(state.settings.peers.address); !bound)
         return bound.error();
     for (const std::string& address :
