Do not take the end of a connection for the end of an early answer

Callers got a part of an answer as a complete one with status 200: an endpoint that had not read a long request yet answered without a length and ended its side of the connection in order. A reset, and a close with unread bytes (which resets), were failures before.

Cause: an answer without a length ends with its connection, whether or not the endpoint had received the request. Change: it is complete only if the request was written and, if it is longer than 64 KiB, acknowledged by the endpoint's system. Otherwise the attempt fails as truncated. This holds for the router and the daemon command.

Evidence: EarlyAnswerTests, uploads of 2 MB, 4 framings, answers after 0, 20,000 and 1,000,000 bytes of the body, ended by reset, close and half-close. Answers without a length after the whole body are passed on as before (tested).

--- a/src/net/EndpointClient.cpp
+++ b/src/net/EndpointClient.cpp
@@ -253,13 +253,19 @@
             event_add(exchange.writeEvent.get(), nullptr);
     }
 
-    // Returns whether the endpoint has received the whole request, so that the next one does not wait behind its rest.
+    // Returns whether the endpoint's system has received the whole request. An answer to a short one shows that it has.
+    static bool isRequestReceived(const Exchange& exchange)
+    {
+        return exchange.isRequestWritten()
+            && (!exchange.isLongRequest || isOutputAcknowledged(exchange.socket.value()));
+    }
+
+    // Returns whether the next request would not wait behind the rest of this one.
     static bool prepareReuseAfterRequest(const Exchange& exchange)
     {
-        if (!exchange.isLongRequest)
-            return true;
-        setUnacknowledgedTimeout(exchange.socket.value(), TcpKeepAliveOptions {}.unacknowledgedTimeout);
-        return isOutputAcknowledged(exchange.socket.value());
+        if (exchange.isLongRequest)
+            setUnacknowledgedTimeout(exchange.socket.value(), TcpKeepAliveOptions {}.unacknowledgedTimeout);
+        return isRequestReceived(exchange);
     }
 
     void finish(Exchange& exchange, ErrorKind error, bool isComplete = false)
@@ -279,8 +285,7 @@
         if (auto announced = announcedIdleTime(exchange.parser.head()))
             idleTimeout
                 = std::min(idleTimeout, std::max(*announced - options.keepAliveMargin, *announced - half(*announced)));
-        if (isComplete && exchange.parser.connectionIsReusable() && exchange.isRequestWritten()
-            && prepareReuseAfterRequest(exchange)) {
+        if (isComplete && exchange.parser.connectionIsReusable() && prepareReuseAfterRequest(exchange)) {
             exchange.readEvent.reset();
             exchange.writeEvent.reset();
             reusableSocket = std::move(exchange.socket);
@@ -370,7 +375,8 @@
         }
         if (length < 0 && (errno == EAGAIN || errno == EINTR))
             return;
-        if (length == 0) {
+        // The end of a connection whose endpoint has not received the whole request is no end of an answer.
+        if (length == 0 && isRequestReceived(exchange)) {
             exchange.parser.endOfInput();
             if (exchange.parser.complete()) {
                 state.finish(exchange, ErrorKind::Internal, true);
