Bound what a caller's estimate of its stream's length changes

Found by reading: a workspace above its fair share could keep twice the queue limit by stating long streams; the cost of a late end has no maximum and could exceed the constant that ranks endpoints beyond the admission limits last, so that such an endpoint was chosen and the request refused; one made-up estimate made the streams of all callers look short.

The longer queue is only for workspaces below their fair share, endpoints are ranked by limits first and score second, and an estimate counts as at most 100,000 tokens. The three new tests of StreamDurationTests.cpp were not run on the code before.

--- a/src/routing/FleetView.cpp
+++ b/src/routing/FleetView.cpp
@@ -52,9 +52,6 @@
     // An endpoint's failure rate is penalised only if it exceeds the pool's by more than this.
     constexpr double failureRateTolerance = 0.1;
 
-    // Added to the score of endpoints beyond the admission limits, so that they rank after all others.
-    constexpr double overLimitPenalty = 1e9;
-
     // Fraction of the remaining warm-up time that is added to an endpoint's score.
     constexpr double warmupWeight = 0.1;
 
@@ -77,9 +74,6 @@
     constexpr double reportedIntervalWeight = 0.2;
     constexpr double reportedPoolIntervalWeight = 0.05;
 
-    // Factor on the queue limits at fast endpoints for a stream that would end too late elsewhere.
-    constexpr double urgentQueueLimitFactor = 2.0;
-
     unsigned slotCount(const EndpointView& view, const PoolSpec& spec) noexcept
     {
         return std::max(1U, view.registration.slots != 0 ? view.registration.slots : spec.slots);
@@ -208,8 +202,8 @@
     AdmissionLimits limitsForUrgentStream(const AdmissionLimits& limits) noexcept
     {
         AdmissionLimits urgent = limits;
-        urgent.maxQueueMs *= urgentQueueLimitFactor;
-        urgent.maxQueueWhenLateMs *= urgentQueueLimitFactor;
+        urgent.maxQueueMs *= limits.urgentQueueFactor;
+        urgent.maxQueueWhenLateMs *= limits.urgentQueueFactor;
         return urgent;
     }
 
@@ -466,7 +460,8 @@
     auto streamTimeLeftMs = static_cast<double>(rules.streamTimeLeft.count);
     StreamEndPrediction averageEnd { .streamMs = events * poolView.eventInterval.averageMs,
         .timeToDeadlineMs = streamTimeLeftMs };
-    double bestScore = std::numeric_limits<double>::infinity();
+    // Endpoints beyond the admission limits rank after all others.
+    std::pair bestRank { true, std::numeric_limits<double>::infinity() };
     for (const auto& [view, cachedTokens] : usableEndpoints) {
         EndpointLoad load = view->load();
         std::uint64_t prefillTokens = workload.promptTokens - cachedTokens;
@@ -502,13 +497,12 @@
         score += lateEndCostMs(streamEnd, prediction.firstByteMs());
         if (view != preferredEndpoint)
             score += nonPreferredCostMs;
-        if (!isWithinLimits)
-            score += overLimitPenalty;
+        std::pair rank { !isWithinLimits, score };
         if (options.leastOutstanding)
-            score = load.inFlight;
-        if (score >= bestScore)
+            rank = { false, static_cast<double>(load.inFlight) };
+        if (rank >= bestRank)
             continue;
-        bestScore = score;
+        bestRank = rank;
         best = { .endpoint = view,
             .prediction = prediction,
             .isWithinLimits = isWithinLimits,
--- a/src/routing/LatencyAdmission.cpp
+++ b/src/routing/LatencyAdmission.cpp
@@ -22,6 +22,9 @@
     constexpr double maximumLimitFactor = 2.0;
     constexpr double limitFactorExponent = 3.0;
 
+    // The same for a stream of a workspace below its fair share that ends in time at few endpoints only.
+    constexpr double urgentStreamQueueFactor = 2.0;
+
     // A request that cannot meet its objective is refused once it has waited for 1/6 of the time left to its deadline,
     // at most for maximumLateWait, so that its caller still has time to retry.
     constexpr std::int64_t lateWaitDivisor = 6;
@@ -51,7 +54,8 @@
     return { .maxQueueMs = tightestMs * queueFraction * limitFactor,
         .maxFirstByteMs = (objectiveMs - static_cast<double>(input.timeSinceFirstArrival.count)) / input.overrunFactor,
         .maxQueueWhenLateMs = tightestMs * lateQueueFraction * limitFactor,
-        .recomputeCostWeight = std::min(input.fairShareRatio, 1.0) };
+        .recomputeCostWeight = std::min(input.fairShareRatio, 1.0),
+        .urgentQueueFactor = input.fairShareRatio <= 1.0 ? urgentStreamQueueFactor : 1.0 };
 }
 
 bool isLate(const AdmissionLimits& limits, const LatencyPrediction& prediction) noexcept
--- a/src/routing/LatencyAdmission.h
+++ b/src/routing/LatencyAdmission.h
@@ -40,6 +40,9 @@
     double maxQueueWhenLateMs { 0 };
     /// Weight of LatencyPrediction::recomputeCostMs; less than 1 below the fair share.
     double recomputeCostWeight { 1.0 };
+    /// Factor on the queue limits of a stream that ends in time at few endpoints only; 1 above the fair share, so that
+    /// a workspace gains nothing from overstating the length of its streams.
+    double urgentQueueFactor { 1.0 };
 };
 
 /// \brief Predicted times of a request at an endpoint.
--- a/src/routing/StreamDuration.cpp
+++ b/src/routing/StreamDuration.cpp
@@ -16,6 +16,9 @@
     // Sum of weights from which the length of streams is predicted.
     constexpr double minimumStreams = 20.0;
 
+    // Bounds a caller's estimate, so that a made-up one does not spoil the average over all callers.
+    constexpr std::uint64_t maxExpectedTokens = 100'000;
+
     // Margin on the time that a stream takes, since its number of events and the engine's later load are uncertain.
     constexpr double streamTimeMargin = 1.25;
 
@@ -47,14 +50,16 @@
     constexpr double decay = 1.0 - 1.0 / decayStreams;
     model.weight = model.weight * decay + 1.0;
     model.sumEvents = model.sumEvents * decay + static_cast<double>(events);
-    model.sumExpectedTokens = model.sumExpectedTokens * decay + static_cast<double>(expectedOutputTokens);
+    model.sumExpectedTokens
+        = model.sumExpectedTokens * decay + static_cast<double>(std::min(expectedOutputTokens, maxExpectedTokens));
 }
 
 double expectedEvents(const StreamLengthModel& model, std::uint64_t expectedOutputTokens) noexcept
 {
     if (model.weight < minimumStreams || model.sumExpectedTokens == 0)
         return 0;
-    return model.sumEvents / model.sumExpectedTokens * static_cast<double>(expectedOutputTokens);
+    return model.sumEvents / model.sumExpectedTokens
+        * static_cast<double>(std::min(expectedOutputTokens, maxExpectedTokens));
 }
 
 double StreamEndPrediction::excessMs(double firstByteMs) const noexcept
--- a/tests/StreamDurationTests.cpp
+++ b/tests/StreamDurationTests.cpp
@@ -177,3 +177,40 @@
         CHECK(decoded.value().query.expectedOutputTokens == tokens);
     }
 }
+
+// Guards against a workspace that gets more than its share by overstating the length of its streams.
+TEST_CASE("only workspaces below their fair share join longer queues", "[policy][stream]")
+{
+    AdmissionInput input { .objective = { 400 }, .tightestPoolObjective = { 400 }, .timeToDeadline = timeLeft };
+    CHECK(admissionLimits(input).urgentQueueFactor > 1.0);
+    input.fairShareRatio = 1.1;
+    CHECK(admissionLimits(input).urgentQueueFactor == 1.0);
+}
+
+// Guards against a refusal because the endpoint that is chosen has a queue above the limits, although another endpoint
+// has none: the cost of a late end has no maximum.
+TEST_CASE("endpoints within the admission limits come before all others, however long the stream", "[policy][stream]")
+{
+    FleetView fleetView = viewWithEndpoints(2);
+    Millis now = start;
+    for (unsigned i = 0; i < 30; ++i) {
+        runStream(fleetView, "e0", Millis { 50 }, now);
+        now = runStream(fleetView, "e1", Millis { 250 }, now);
+    }
+    setPeerLoad(fleetView, 1, instanceOf(fleetView, "e0"), { .inFlight = 30, .pendingPrefillTokens = 1'000'000 });
+    constexpr std::uint64_t madeUpTokens { 1'000'000'000'000 };
+    EndpointChoice choice = choose(fleetView, madeUpTokens, now);
+    CHECK(choice.endpoint->registration.id.value == "e1");
+    CHECK(choice.isWithinLimits);
+}
+
+// Guards against one caller's made-up estimate that makes the streams of all others look short.
+TEST_CASE("a made-up estimate hardly changes the predicted length of other streams", "[policy][stream]")
+{
+    StreamLengthModel model;
+    for (unsigned i = 0; i < 400; ++i)
+        addCompleteStream(model, 20, 120);
+    double before = expectedEvents(model, 120);
+    addCompleteStream(model, 20, 1'000'000'000'000'000);
+    CHECK(expectedEvents(model, 120) > before / 5);
+}
