--- a/src/routing/FleetView.cpp
+++ b/src/routing/FleetView.cpp
@@ -73,7 +73,7 @@
     constexpr double reportedPoolIntervalWeight = 0.05;
 
     // Factor on the queue limits at fast endpoints for a stream that would end too late elsewhere.
-    constexpr double urgentQueueLimitFactor = 2.0;
+    constexpr double urgentQueueLimitFactor = 3.0;
 
     unsigned slotCount(const EndpointView& view, const PoolSpec& spec) noexcept
     {
@@ -434,7 +434,7 @@
             score += static_cast<double>(options.crossZoneCost.count);
         if (view->registration.remainingWarmup > Millis {})
             score += static_cast<double>(view->registration.remainingWarmup.count) * warmupWeight;
-        score += lateEndCostMs(streamEnd, prediction.firstByteMs());
+        score += lateEndCostMs(streamEnd, prediction.firstByteMs(), workload.promptTokens);
         if (view != preferredEndpoint)
             score += nonPreferredCostMs;
         if (!isWithinLimits)
--- a/src/routing/StreamDuration.cpp
+++ b/src/routing/StreamDuration.cpp
@@ -22,7 +22,10 @@
     // Cost per millisecond of predicted lateness. A late stream is lost, but so are the prompt tokens that another
     // endpoint must process again for it if that one is too slow as well. The cost has no maximum, since it must differ
     // between endpoints that are all too slow: a stream may be shorter than expected.
-    constexpr double lateEndWeight = 0.25;
+    constexpr double lateEndWeight = 0.5;
+
+    // Prompt tokens at which the weight is halved: long prompts are better processed where they are cached.
+    constexpr double halfWeightPromptTokens = 1'000.0;
 
 }
 
@@ -64,9 +67,10 @@
     return std::max(firstByteMs + streamMs * streamTimeMargin - timeToDeadlineMs, 0.0);
 }
 
-double lateEndCostMs(const StreamEndPrediction& prediction, double firstByteMs) noexcept
+double lateEndCostMs(const StreamEndPrediction& prediction, double firstByteMs, std::uint64_t promptTokens) noexcept
 {
-    return prediction.excessMs(firstByteMs) * lateEndWeight;
+    double promptFactor = halfWeightPromptTokens / (halfWeightPromptTokens + static_cast<double>(promptTokens));
+    return prediction.excessMs(firstByteMs) * lateEndWeight * promptFactor;
 }
 
 }
--- a/src/routing/StreamDuration.h
+++ b/src/routing/StreamDuration.h
@@ -55,7 +55,8 @@
     [[nodiscard]] double excessMs(double firstByteMs) const noexcept;
 };
 
-/// \returns The cost in the placement score for a stream that is predicted to end too late.
-[[nodiscard]] double lateEndCostMs(const StreamEndPrediction&, double firstByteMs) noexcept;
+/// \returns The cost in the placement score for a stream that is predicted to end too late. It is lower for long
+/// prompts.
+[[nodiscard]] double lateEndCostMs(const StreamEndPrediction&, double firstByteMs, std::uint64_t promptTokens) noexcept;
 
 }
--- a/tests/StreamDurationTests.cpp
+++ b/tests/StreamDurationTests.cpp
@@ -147,10 +147,12 @@
 
 TEST_CASE("a stream without a deadline or of unknown length has no cost for a late end", "[policy][stream]")
 {
-    CHECK(lateEndCostMs({ .streamMs = 60'000 }, 100) == 0);
-    CHECK(lateEndCostMs({ .timeToDeadlineMs = 1'000 }, 2'000) == 0);
-    CHECK(lateEndCostMs({ .streamMs = 9'000, .timeToDeadlineMs = 12'000 }, 100) == 0);
-    CHECK(lateEndCostMs({ .streamMs = 12'000, .timeToDeadlineMs = 12'000 }, 100) > 0);
+    CHECK(lateEndCostMs({ .streamMs = 60'000 }, 100, 800) == 0);
+    CHECK(lateEndCostMs({ .timeToDeadlineMs = 1'000 }, 2'000, 800) == 0);
+    CHECK(lateEndCostMs({ .streamMs = 9'000, .timeToDeadlineMs = 12'000 }, 100, 800) == 0);
+    StreamEndPrediction lateEnd { .streamMs = 12'000, .timeToDeadlineMs = 12'000 };
+    CHECK(lateEndCostMs(lateEnd, 100, 800) > 0);
+    CHECK(lateEndCostMs(lateEnd, 100, 12'000) < lateEndCostMs(lateEnd, 100, 800) / 2);
 }
 
 // Guards against a field that old and new daemons read in different ways.
