--- a/src/routing/FleetView.cpp
+++ b/src/routing/FleetView.cpp
@@ -494,7 +494,7 @@
             score += static_cast<double>(options.crossZoneCost.count);
         if (view->registration.remainingWarmup > Millis {})
             score += static_cast<double>(view->registration.remainingWarmup.count) * warmupWeight;
-        score += lateEndCostMs(streamEnd, prediction.firstByteMs());
+        score += lateEndCostMs(streamEnd, prediction.firstByteMs(), workload.promptTokens);
         if (view != preferredEndpoint)
             score += nonPreferredCostMs;
         std::pair rank { !isWithinLimits, score };
--- a/src/routing/LatencyAdmission.cpp
+++ b/src/routing/LatencyAdmission.cpp
@@ -23,7 +23,7 @@
     constexpr double limitFactorExponent = 3.0;
 
     // The same for a stream of a workspace below its fair share that ends in time at few endpoints only.
-    constexpr double urgentStreamQueueFactor = 2.0;
+    constexpr double urgentStreamQueueFactor = 3.0;
 
     // A request that cannot meet its objective is refused once it has waited for 1/6 of the time left to its deadline,
     // at most for maximumLateWait, so that its caller still has time to retry.
