Bound the sum of the responses that callers do not read

Each response that a caller does not take was bounded, by the pause of its endpoint, but not the sum: 614 callers (0.6 of 1,024 descriptors) could hold about 256 KiB each in a router of 64 MB. The documents and metrics listeners had no bound for their responses either.

CallerServer now counts the bytes of all unsent responses. Over a quarter of the memory for requests (an eighth of router.memoryMb) it closes the connection that holds most of them, by a reset, so that the caller sees a truncated response; a single response may be longer. The status listeners get a quarter of these limits each.

The fixture of the memory tests runs its server until the bytes are written instead of for 100 ms.

--- a/src/net/CallerServer.cpp
+++ b/src/net/CallerServer.cpp
@@ -55,6 +55,9 @@
     // A part of the memory for bodies, one in so many, is left for small ones.
     constexpr std::size_t smallBodyShare = 4;
 
+    // Responses that callers have not read may take this part of the memory for requests, one in so many, besides it.
+    constexpr std::size_t outputShare = 4;
+
     // Time in which some of the requests that use the memory for bodies end.
     constexpr Millis retryAfterFullMemory { 500 };
 
@@ -104,6 +107,8 @@
     std::uint64_t lastNumber { 0 };
     EventPointer readNewEvent; ///< Pending while there are unread connections.
     CallerConnectionCounts counts; ///< Without \c open and \c queued.
+    std::size_t totalOutputBytes { 0 }; ///< Of responses that callers have not taken yet.
+    Millis lastSlowReaderLogAt {};
     std::unordered_map<Connection*, std::unique_ptr<Connection>> connections;
     /// Destroyed by an event, because a connection may be closed inside one of its methods.
     std::vector<std::unique_ptr<Connection>> closedConnections;
@@ -127,6 +132,7 @@
     void accept(int count);
     /// \returns Whether there is room for another connection, for which idle ones may be closed.
     bool makeRoom();
+    void limitOutput();
     void readNewest();
     void closeExpired();
 
@@ -155,6 +161,10 @@
         m_parser.data = this;
     }
 
+    Connection(const Connection&) = delete;
+    Connection& operator=(const Connection&) = delete;
+    ~Connection() override { m_owner.totalOutputBytes -= m_output.size(); }
+
     /// \brief Begins to read requests.
     void start()
     {
@@ -236,6 +246,19 @@
 
     [[nodiscard]] std::size_t bufferedBytes() const override { return m_output.size() - m_writtenBytes; }
 
+    /// \returns Bytes of memory that unsent responses take.
+    [[nodiscard]] std::size_t outputBytes() const noexcept { return m_output.size(); }
+
+    /// \brief Sends nothing more. The read event closes the connection, after the handler's call has returned; the
+    /// caller detects that the response is truncated.
+    void failWrite()
+    {
+        m_writeFailed = true;
+        discardOutput();
+        setResetOnClose(m_socket.value(), true);
+        event_active(m_readEvent.get(), EV_READ, 0);
+    }
+
 private:
     enum class Phase : std::uint8_t {
         Idle, ///< Between requests.
@@ -265,24 +288,38 @@
 
     void enqueue(std::string_view bytes)
     {
-        if (bytes.empty())
+        if (bytes.empty() || m_writeFailed)
             return;
         if (bufferedBytes() != 0) {
-            m_output.append(bytes);
+            addOutput(bytes);
             return;
         }
         ssize_t sent = send(m_socket.value(), bytes.data(), bytes.size(), MSG_NOSIGNAL);
         if (sent < 0 && errno != EAGAIN && errno != EINTR) {
-            m_writeFailed = true; // Reported by the read event, after the handler's call has returned.
+            failWrite();
             return;
         }
         auto sentBytes = static_cast<std::size_t>(std::max<ssize_t>(sent, 0));
         if (sentBytes == bytes.size())
             return;
-        m_output.assign(bytes.substr(sentBytes));
-        m_writtenBytes = 0;
         event_add(m_writeEvent.get(), nullptr);
         startTimer(m_owner.options.writeTimeout);
+        addOutput(bytes.substr(sentBytes));
+    }
+
+    void addOutput(std::string_view bytes)
+    {
+        m_output.append(bytes);
+        m_owner.totalOutputBytes += bytes.size();
+        m_owner.limitOutput();
+    }
+
+    void discardOutput()
+    {
+        m_owner.totalOutputBytes -= m_output.size();
+        release(m_output);
+        m_writtenBytes = 0;
+        event_del(m_writeEvent.get());
     }
 
     // Ends the exchange. The next request, which may already be buffered, is parsed after the handler's call returns.
@@ -294,7 +331,7 @@
         m_reservation.reset();
         if (m_isHttp10)
             m_keepAlive = false;
-        if (bufferedBytes() == 0)
+        if (bufferedBytes() == 0 && !m_writeFailed)
             onResponseWritten();
     }
 
@@ -621,9 +658,7 @@
                 connection.startTimer(connection.m_owner.options.writeTimeout);
             return;
         }
-        release(connection.m_output);
-        connection.m_writtenBytes = 0;
-        event_del(connection.m_writeEvent.get());
+        connection.discardOutput();
         if (connection.m_phase == Phase::Idle) {
             connection.onResponseWritten();
             return;
@@ -752,6 +787,25 @@
     return closeCount != 0;
 }
 
+// Callers that read slowly, or not at all, must not fill the memory with their responses. A single one may be long.
+void CallerServer::State::limitOutput()
+{
+    std::size_t limit = options.maxTotalBodyBytes / outputShare;
+    if (limit == 0 || totalOutputBytes <= limit)
+        return;
+    auto hasLess = [](const auto& a, const auto& b) { return a.first->outputBytes() < b.first->outputBytes(); };
+    Connection* slowest = std::max_element(connections.begin(), connections.end(), hasLess)->first;
+    if (slowest->outputBytes() == totalOutputBytes)
+        return;
+    slowest->failWrite();
+    Millis now = clock.now();
+    if (now - lastSlowReaderLogAt < dropLogInterval)
+        return;
+    lastSlowReaderLogAt = now;
+    logEvent(LogLevel::Warning, "slow_reader_closed",
+        { { "unread_bytes", totalOutputBytes }, { "connections", connections.size() } });
+}
+
 void CallerServer::State::readNewest()
 {
     closeExpired();
--- a/src/net/SimpleHttpServer.cpp
+++ b/src/net/SimpleHttpServer.cpp
@@ -31,7 +31,8 @@
             .closesOldestConnection = true,
             .receiveBufferBytes = receiveBufferBytes,
             .requiresHost = false,
-            .priority = EventPriority::ActiveRequests };
+            .priority = EventPriority::ActiveRequests,
+            .maxTotalBodyBytes = options.maxTotalBytes };
     }
 
 }
--- a/src/net/SimpleHttpServer.h
+++ b/src/net/SimpleHttpServer.h
@@ -22,6 +22,7 @@
 /// \brief Limits of SimpleHttpServer.
 struct SimpleHttpServerOptions {
     std::size_t maxConnections { 64 }; ///< At each address; the oldest connection is closed for another one.
+    std::size_t maxTotalBytes { 0 }; ///< Of the requests at each address, and a quarter for responses; 0: no limit.
 };
 
 /// \brief A small HTTP server for health checks, metrics and the configuration documents that peers fetch. It uses
--- a/src/router/RouterDaemon.cpp
+++ b/src/router/RouterDaemon.cpp
@@ -219,7 +219,7 @@
                   .cpuCores = static_cast<float>(settings.daemon.cpuCores),
                   .minDaemonsForCoordinators = settings.coordination.fromDaemons })
         , statusServer(*base, [this](std::string_view target) { return statusResponse(target); },
-              { .maxConnections = maxStatusConnections(settings) })
+              { .maxConnections = maxStatusConnections(settings), .maxTotalBytes = maxTotalBodyBytes(settings) / 4 })
         , tickTimer(event_new(base.get(), -1, EV_PERSIST, onTick, this))
         , loopMonitor(*base, clock)
     {
--- a/tests/RequestMemoryTests.cpp
+++ b/tests/RequestMemoryTests.cpp
@@ -2,6 +2,7 @@
 #include "net/CallerServer.h"
 #include "net/EventPriority.h"
 
+#include <atomic>
 #include <catch2/catch.hpp>
 #include <event2/event.h>
 #include <list>
@@ -43,22 +44,32 @@
         }
     }
 
-    [[nodiscard]] BlockingSocket send(std::size_t bodyBytes, bool isChunked = false) const
+    /// \brief Writes from a thread, and runs the server until the caller's system has taken everything.
+    void write(const BlockingSocket& caller, const std::string& bytes) const
     {
-        BlockingSocket caller = BlockingSocket::connectTo(server.port());
-        std::string body(bodyBytes, 'x');
-        std::string head = "POST /x HTTP/1.1\r\nHost: a\r\n";
-        head += isChunked ? "Transfer-Encoding: chunked\r\n\r\n"
-                          : "Content-Length: " + std::to_string(bodyBytes) + "\r\n\r\n";
+        std::atomic<bool> isWritten { false };
         std::thread writer([&] {
             try {
-                caller.write(head + (isChunked ? LoopbackDaemon::encodeChunk(body) + "0\r\n\r\n" : body));
+                caller.write(bytes);
             } catch (const std::runtime_error&) {
                 // The server has refused the request and closed the connection before the end of the body.
             }
+            isWritten = true;
         });
+        while (!isWritten)
+            run();
         run();
         writer.join();
+    }
+
+    [[nodiscard]] BlockingSocket send(std::size_t bodyBytes, bool isChunked = false) const
+    {
+        BlockingSocket caller = BlockingSocket::connectTo(server.port());
+        std::string body(bodyBytes, 'x');
+        std::string head = "POST /x HTTP/1.1\r\nHost: a\r\n";
+        head += isChunked ? "Transfer-Encoding: chunked\r\n\r\n"
+                          : "Content-Length: " + std::to_string(bodyBytes) + "\r\n\r\n";
+        write(caller, head + (isChunked ? LoopbackDaemon::encodeChunk(body) + "0\r\n\r\n" : body));
         return caller;
     }
 };
@@ -143,23 +154,15 @@
     Fixture fixture;
     fixture.server.setLimits({ .maxBodyBytes = maxBodyBytes, .maxTotalBodyBytes = callerCount * maxBodyBytes * 2 });
     std::list<BlockingSocket> callers;
-    std::size_t before = allocatedBytes();
     std::string body(maxBodyBytes + 1, 'x');
+    std::size_t before = allocatedBytes();
     for (int i = 0; i < callerCount; ++i) {
         callers.push_back(BlockingSocket::connectTo(fixture.server.port()));
-        std::thread writer([&] {
-            try {
-                callers.back().write("POST /x HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n"
-                    + LoopbackDaemon::encodeChunk(body));
-            } catch (const std::runtime_error&) {
-                // The server has refused the request and closed the connection.
-            }
-        });
-        fixture.run();
-        writer.join();
+        fixture.write(callers.back(),
+            "POST /x HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n" + LoopbackDaemon::encodeChunk(body));
     }
     CHECK(fixture.handler.requests.empty());
-    CHECK(allocatedBytes() < before + callerCount * maxBodyBytes / 4);
+    CHECK(allocatedBytes() < before + maxBodyBytes);
 }
 
 // Guards against heads of many short fields, which take many times their size on the wire, outside of the limit for all
@@ -191,3 +194,28 @@
     fixture.run();
     CHECK(fixture.handler.requests.size() == 1);
 }
+
+// Guards against callers that do not read their responses, whose sum fills the memory.
+TEST_CASE("responses that many callers do not read are dropped", "[callers][memory]")
+{
+    constexpr int callerCount = 20;
+    constexpr std::size_t responseBytes = 8'000'000; // More than the buffers of the system take.
+    Fixture fixture;
+    std::size_t before = allocatedBytes();
+    std::list<BlockingSocket> callers;
+    std::string body(responseBytes, 'x');
+    for (int i = 0; i < callerCount; ++i) {
+        callers.push_back(fixture.send(10));
+        REQUIRE(!fixture.handler.exchanges.empty());
+        fixture.handler.exchanges.back()->sendResponse({ .status = 200 }, body);
+        fixture.handler.exchanges.clear();
+        fixture.handler.requests.clear();
+        fixture.run();
+    }
+    CHECK(allocatedBytes() < before + 3 * responseBytes);
+    CHECK(fixture.server.connectionCount() <= 2);
+    BlockingSocket ordinary = fixture.send(10);
+    REQUIRE(!fixture.handler.exchanges.empty());
+    fixture.handler.exchanges.back()->sendResponse({ .status = 200 }, "done");
+    CHECK(ordinary.readUntil("done").starts_with("HTTP/1.1 200"));
+}
