Bound late grants to cold endpoints, and presume no restart beside answers

Found by a review of the pace: requests of one window that are sent late and early ones of the next met in one second, so that two owners could exceed the bound; refused connections of an overloaded endpoint, or of a daemon that is cut off, made an endpoint that answers others count as restarted; a daemon that reads every reply late asked again without end.

The window is 1.2 s, a restart is presumed only after 500 ms without any response, and a late grant is asked for again once, then the request is placed elsewhere.

--- a/src/router/RoutedRequest.cpp
+++ b/src/router/RoutedRequest.cpp
@@ -6,6 +6,7 @@
 
 #include <algorithm>
 #include <event2/event.h>
+#include <utility>
 
 namespace jasminestack {
 
@@ -220,8 +221,13 @@
         return;
     }
     // The coordinator counted the request where it granted it, so it must not be sent in a later second.
-    if (isCold(entry->second->pace, now()) && reply.receivedLate >= maxColdGrantDelay && requestFromCoordinator())
+    if (isCold(entry->second->pace, now()) && reply.receivedLate >= maxColdGrantDelay) {
+        // A daemon that reads all replies late would otherwise use up the endpoint's allowance.
+        bool hasAskedBefore = std::exchange(m_hasAskedAnew, true);
+        if (hasAskedBefore || !requestFromCoordinator())
+            onCoordinatorsUnresponsive();
         return;
+    }
     m_isGranted = true;
     sendToEndpoint({ .endpoint = entry->second,
         // The reply contains only the sum of the prediction's times; sendToEndpoint() reads only their sum.
--- a/src/router/RoutedRequest.h
+++ b/src/router/RoutedRequest.h
@@ -182,6 +182,7 @@
     ShardId m_shard { 0 }; ///< Shard of the request if coordinators place requests; 0: all endpoints of the pool.
     std::optional<PlacementRequestId> m_placementRequest; ///< Open placement request to a coordinator.
     std::string m_placedBy { "self" }; ///< Address of the coordinator that placed the request, or "self"; for logs.
+    bool m_hasAskedAnew { false }; ///< A grant to a cold endpoint came too late, and another one was requested.
     bool m_isGranted { false }; ///< A coordinator chose the endpoint and has already recorded the request's prompt.
     bool m_isPredictedLate { false }; ///< See PlacementDecision::isLate; from the last placement decision or reply.
     bool m_wasRefusedBefore { false }; ///< The same content was refused for overload before.
--- a/src/routing/EndpointPace.cpp
+++ b/src/routing/EndpointPace.cpp
@@ -8,8 +8,9 @@
 
 namespace {
 
-    // The bound holds for each second, wherever it begins.
-    constexpr Millis boundWindow { 1'000 };
+    // The bound holds for each second, wherever it begins. Longer by the time for which a grant may be on its way, so
+    // that late requests of one window and early ones of the next do not meet in one second.
+    constexpr Millis boundWindow { 1'200 };
 
     // Daemons that may believe to be the owner at the same time, around a restart, a partition or a suspicion.
     constexpr double simultaneousOwners = 2.0;
@@ -29,6 +30,9 @@
     // An endpoint that left this many attempts in a row without an answer may have been restarted.
     constexpr unsigned unansweredUntilRestartPresumed = 2;
 
+    // A process takes at least this long to restart. Failures of single connections beside answers are no restart.
+    constexpr Millis minRestartSilence { 500 };
+
     // In pools without a cold rate, the ramp starts at this part of the slots.
     constexpr unsigned slotsPerInitialAllowance = 4;
 
@@ -181,7 +185,8 @@
 
 bool recordResponse(EndpointPace& pace, Millis now)
 {
-    bool hasRecovered = isPaced(pace) && pace.unansweredAttempts >= unansweredUntilRestartPresumed;
+    bool hasRecovered = isPaced(pace) && pace.unansweredAttempts >= unansweredUntilRestartPresumed
+        && now - pace.lastResponseAt >= minRestartSilence;
     pace.unansweredAttempts = 0;
     pace.lastResponseAt = now;
     if (hasRecovered)
--- a/tests/EndpointPaceTests.cpp
+++ b/tests/EndpointPaceTests.cpp
@@ -1,3 +1,4 @@
+#include "base/Random.h"
 #include "platform/StoreDocuments.h"
 #include "routing/FleetView.h"
 #include "routing/PlacementDecision.h"
@@ -461,3 +462,33 @@
         CHECK(table.value()->poolSpec(PoolId { other }).coldDuration == Millis {});
     }
 }
+
+// Two daemons that both believe to be the owner grant under a backlog, and each grant is sent up to 200 ms later.
+// Guards against requests of one second and of the next that arrive together.
+TEST_CASE("late grants of two owners stay within the bound", "[pace]")
+{
+    std::vector<Millis> sends;
+    for (std::uint64_t owner = 1; owner <= 2; ++owner) {
+        EndpointPace pace = pacedEndpoint();
+        pace.isOwner = true;
+        presumeCold(pace, PaceCause::Recovery, start);
+        Random random(owner);
+        for (Millis granted : offerEachMillisecond(pace, start, start + coldDuration))
+            sends.push_back(granted + Millis { static_cast<std::int64_t>(random.uniformInteger(201)) });
+    }
+    CHECK(mostInOneSecond(sends) <= bound);
+}
+
+// An overloaded endpoint, or a cut at one daemon, refuses some connections while other requests are answered. Guards
+// against presuming that the endpoint was restarted, which would take away its capacity in an overload.
+TEST_CASE("refused connections beside answers are no restart", "[pace]")
+{
+    EndpointPace pace = pacedEndpoint();
+    recordResponse(pace, start);
+    for (int i = 0; i < 3; ++i)
+        recordUnanswered(pace, start + Millis { 100 });
+    CHECK_FALSE(recordResponse(pace, start + Millis { 200 }));
+    for (int i = 0; i < 3; ++i)
+        recordUnanswered(pace, start + Millis { 300 });
+    CHECK(recordResponse(pace, start + Millis { 1'500 }));
+}
