Stop reading pipelined requests while their answers wait to be written

A caller that sent requests without reading the answers took a router with a memory of 64 MB to 451 MB, and to 237 to 283 MB at the readiness, metrics and documents addresses.

Cause: reading paused only if a request was being handled when bytes arrived. Answers that are sent at once leave the connection idle with output that is not written; nothing is parsed then, but each turn appended another 16 KiB, until the write timeout. Without unwritten output, too, more was read in each turn than one request.

Between requests no more is read now while 16 KiB wait. Reading pauses if the wait is for output; onResponseWritten() continues it. A head or body that is being received is still read without this limit, except while an interim response waits to be written; the read timeout and the parsing of what has arrived continue after it, which they did not.

--- a/bench/crowds/crowds.py
+++ b/bench/crowds/crowds.py
@@ -106,6 +106,13 @@
         yield head(target, method="GET")
 
 
+def endless_requests_ahead(target):
+    """4 MB at a time, so that a router which keeps what it cannot answer goes over its memory."""
+    requests = head(target, method="GET") * 20_000
+    for _ in range(8):
+        yield requests
+
+
 def slow_senders(target):
     for byte in head(target, "Content-Length: 100"):
         yield bytes([byte])
@@ -129,8 +136,8 @@
 
 
 KINDS = [short_of_end_whole, short_of_end_pieces, short_of_end_chunks, one_byte_chunks, over_with_length, over_in_chunks,
-         many_empty_fields, legal_short_fields, endless_head, requests_ahead, slow_senders, slow_readers, half_a_head,
-         half_a_body]
+         many_empty_fields, legal_short_fields, endless_head, requests_ahead, endless_requests_ahead, slow_senders,
+         slow_readers, half_a_head, half_a_body]
 
 
 class Connection:
--- a/src/net/CallerServer.cpp
+++ b/src/net/CallerServer.cpp
@@ -30,7 +30,7 @@
     // closing a socket with unread bytes resets the connection, and the caller may then lose the response.
     constexpr Millis lingerTimeout { 1'000 };
 
-    // Maximum bytes of pipelined requests that are buffered while a response is in progress.
+    // No more is read while so many bytes of pipelined requests wait for the responses before them.
     constexpr std::size_t maxPipelinedBytes = 16U << 10U;
 
     // Receive buffer of a connection whose caller has sent more than that, or was refused.
@@ -316,6 +316,15 @@
             event_active(m_readEvent.get(), EV_TIMEOUT, 0);
     }
 
+    // The body may have arrived while the interim response waited to be written.
+    void onContinueWritten()
+    {
+        startTimer(m_owner.options.readTimeout);
+        event_add(m_readEvent.get(), nullptr);
+        if (!m_input.empty())
+            event_active(m_readEvent.get(), EV_TIMEOUT, 0);
+    }
+
     void handleDisconnect()
     {
         if (!m_hasDelivered)
@@ -343,11 +352,22 @@
     {
         auto& connection = *static_cast<Connection*>(argument);
         if (events & EV_READ)
-            connection.read();
+            connection.readOrPause();
         if (connection.m_owner.connections.contains(&connection))
             connection.parse();
     }
 
+    // Requests that the caller sends before it has read its answers wait in its own buffers.
+    void readOrPause()
+    {
+        bool isParsing = m_phase == Phase::Receiving && bufferedBytes() == 0;
+        bool isFull = !isParsing && m_phase != Phase::Lingering && m_input.size() >= maxPipelinedBytes;
+        if (!isFull || m_writeFailed)
+            read();
+        else if (m_phase == Phase::Responding || bufferedBytes() != 0)
+            pauseReading();
+    }
+
     void read()
     {
         std::vector<char>& readBuffer = m_owner.readBuffer;
@@ -363,14 +383,12 @@
         if (m_phase == Phase::Lingering)
             return;
         m_input.append(readBuffer.data(), static_cast<std::size_t>(length));
-        if (m_phase == Phase::Responding && m_input.size() >= maxPipelinedBytes)
-            pauseReading();
     }
 
     // Bytes after a request stay in memory until its response is sent, so no more than a head is read at once.
     [[nodiscard]] std::size_t maxReadBytes() const noexcept
     {
-        bool isInBody = m_phase == Phase::Receiving && m_headComplete;
+        bool isInBody = m_phase == Phase::Receiving && m_headComplete && bufferedBytes() == 0;
         return isInBody || m_phase == Phase::Lingering ? readBufferBytes : maxPipelinedBytes;
     }
 
@@ -628,6 +646,10 @@
             connection.onResponseWritten();
             return;
         }
+        if (connection.m_phase == Phase::Receiving) {
+            connection.onContinueWritten();
+            return;
+        }
         evtimer_del(connection.m_timer.get());
         if (connection.m_listener)
             connection.m_listener->onSendBufferEmpty();
--- a/tests/RequestMemoryTests.cpp
+++ b/tests/RequestMemoryTests.cpp
@@ -191,3 +191,42 @@
     fixture.run();
     CHECK(fixture.handler.requests.size() == 1);
 }
+
+// Guards against requests that are read and kept without a limit while the caller reads none of their answers.
+TEST_CASE("requests wait in the system's buffers while their caller reads no answers", "[callers][memory]")
+{
+    constexpr std::size_t sentBytes = 32'000'000;
+    constexpr std::size_t maxHeldBytes = 1'000'000;
+    struct RefusingHandler final : CallerHandler {
+        std::string body = std::string(1'000, 'x');
+        void onRequest(CallerRequest, CallerExchange& exchange) override
+        {
+            exchange.sendResponse({ .status = 404 }, body);
+        }
+    };
+    EventBasePointer base = makePrioritizedEventBase();
+    RefusingHandler handler;
+    CallerServer server { *base, handler, { .address = "127.0.0.1:0", .maxTotalBodyBytes = maxTotalBodyBytes } };
+    REQUIRE(server.listen());
+    BlockingSocket caller = BlockingSocket::connectTo(server.port());
+    std::string requests;
+    while (requests.size() < 64'000)
+        requests += "GET /nowhere HTTP/1.1\r\nHost: a\r\n\r\n";
+    std::size_t before = allocatedBytes();
+    std::size_t peak = before;
+    std::size_t offset = 0;
+    std::size_t total = 0;
+    constexpr int maxTurnsWithoutProgress = 500;
+    for (int turns = 0; turns < maxTurnsWithoutProgress && total < sentBytes; ++turns) {
+        ssize_t sent = ::send(caller.descriptor(), requests.data() + offset, requests.size() - offset, MSG_DONTWAIT);
+        if (sent > 0) {
+            total += static_cast<std::size_t>(sent);
+            offset = (offset + static_cast<std::size_t>(sent)) % requests.size();
+            turns = 0;
+        }
+        event_base_loop(base.get(), EVLOOP_NONBLOCK);
+        peak = std::max(peak, allocatedBytes());
+    }
+    CHECK(peak - before < maxHeldBytes);
+    CHECK(total < sentBytes);
+}
