Let callers' requests pass those that a status client pipelines

A client that pipelined requests at the readiness, metrics or documents address kept callers' connections from being accepted and read.

Cause: these connections have the priority of active requests. The next pipelined request activates the connection's event in the queue that is being handled, and libevent handles events of lower priority only once no event of a higher one is pending.

A connection whose requests follow each other within 50 ms, and one that only discards bytes before it is closed, now gets the priority of callers' requests. Health checks, which come less often, keep theirs, so readiness is answered on a busy host as before. Clients that open new connections all the time keep the higher priority.

--- a/src/net/CallerServer.cpp
+++ b/src/net/CallerServer.cpp
@@ -38,6 +38,10 @@
 
     constexpr std::size_t readBufferBytes = 64U << 10U;
 
+    // A connection whose requests follow each other faster waits like those of callers, so that it does not keep them
+    // from being read.
+    constexpr Millis minPrioritizedInterval { 50 };
+
     constexpr Millis dropLogInterval { 1'000 };
 
     // At the limit of connections this fraction of them is closed if they are idle, so that the next ones find room
@@ -306,6 +310,7 @@
             m_phase = Phase::Lingering;
             shutdown(m_socket.value(), SHUT_WR);
             startTimer(lingerTimeout);
+            setEventPriority(*m_readEvent, EventPriority::IncomingRequests);
             event_add(m_readEvent.get(), nullptr);
             return;
         }
@@ -455,6 +460,10 @@
             return;
         }
         m_phase = Phase::Responding;
+        Millis now = m_owner.clock.now();
+        if (m_hasDelivered && now - m_deliveredAt < minPrioritizedInterval)
+            setEventPriority(*m_readEvent, EventPriority::IncomingRequests);
+        m_deliveredAt = now;
         m_hasDelivered = true;
         ++m_owner.counts.requests;
         m_request.method = http_method_str(static_cast<http_method>(m_parser.method));
@@ -694,6 +703,7 @@
     Millis m_idleSince { m_acceptedAt };
     bool m_hasRead { false }; ///< Bytes, or the end of the connection, were read.
     bool m_hasDelivered { false }; ///< A request was passed to the handler.
+    Millis m_deliveredAt {}; ///< Time of the last one.
 };
 
 void CallerServer::State::close(Connection* connection)
--- a/tests/SimpleHttpServerTests.cpp
+++ b/tests/SimpleHttpServerTests.cpp
@@ -2,6 +2,7 @@
 #include "net/EventPriority.h"
 #include "net/HttpClient.h"
 #include "net/SimpleHttpServer.h"
+#include "net/Socket.h"
 
 #include <catch2/catch.hpp>
 
@@ -81,3 +82,40 @@
     fixture.run();
     CHECK(client.readUntil("\r\n").starts_with(status));
 }
+
+// Guards against a client of this server that keeps callers' requests from being read, because the next of its requests
+// is always handled before them.
+TEST_CASE("callers are served while a client of the status server pipelines requests", "[simple-http]")
+{
+    constexpr int requestCount = 600;
+    constexpr int maxHandledBefore = 100;
+    struct Counts {
+        int handled { 0 };
+        int handledBeforeCaller { -1 };
+    } counts;
+    EventBasePointer base = makePrioritizedEventBase();
+    SimpleHttpServer server { *base, [&](std::string_view) {
+                                 ++counts.handled;
+                                 return SimpleHttpResponse {};
+                             } };
+    std::string address = freeAddress();
+    REQUIRE(server.listen(address));
+    auto serveCaller = [](evutil_socket_t, short, void* argument) {
+        auto& calls = *static_cast<Counts*>(argument);
+        calls.handledBeforeCaller = calls.handled;
+    };
+    EventPointer callerEvent(event_new(base.get(), -1, 0, serveCaller, &counts));
+    setEventPriority(*callerEvent, EventPriority::IncomingRequests);
+    BlockingSocket client = BlockingSocket::connectTo(splitAddress(address).value().second);
+    std::string requests;
+    for (int i = 0; i < requestCount; ++i)
+        requests += "GET /r HTTP/1.1\r\n\r\n";
+    client.write(requests);
+    event_active(callerEvent.get(), EV_TIMEOUT, 0);
+    constexpr int maxTurns = 1'000;
+    for (int i = 0; i < maxTurns && counts.handled < requestCount; ++i)
+        event_base_loop(base.get(), EVLOOP_NONBLOCK);
+    CHECK(counts.handled == requestCount);
+    CHECK(counts.handledBeforeCaller >= 0);
+    CHECK(counts.handledBeforeCaller <= maxHandledBefore);
+}
