Serve documents and metrics at their own addresses only

Each status address served all of the status paths, so a client of the health check's address could read /documents, with the API keys of the configuration, and callers of the peers' address the metrics.

Documents are now served at peers.address only, metrics at health.metricsAddress, or at health.address if there is no such field. The health path is answered at all three, as before. The addresses are compared when they are bound, so a reload of the settings does not change this.

Test "documents and metrics are served at their own addresses only": before, 4 of its 9 checks failed (200 in place of 404); now it passes.

--- a/src/router/RouterDaemon.cpp
+++ b/src/router/RouterDaemon.cpp
@@ -154,7 +154,7 @@
     RequestRouter router;
     CallerServer callerServer;
     FleetSync fleetSync;
-    SimpleHttpServer statusServer;
+    std::vector<std::unique_ptr<SimpleHttpServer>> statusServers; ///< One for each address.
     EventPointer tickTimer;
     LoopMonitor loopMonitor;
     std::array<EventPointer, 3> signalEvents;
@@ -231,8 +231,6 @@
                   .instanceId = instanceId,
                   .cpuCores = static_cast<float>(settings.daemon.cpuCores),
                   .minDaemonsForCoordinators = settings.coordination.fromDaemons })
-        , statusServer(*base, [this](std::string_view target) { return statusResponse(target); },
-              { .maxConnections = maxStatusConnections(settings) })
         , tickTimer(event_new(base.get(), -1, EV_PERSIST, onTick, this))
         , loopMonitor(*base, clock)
     {
@@ -246,15 +244,34 @@
         return phase == Phase::Running && board.table->version != 0 && hasRegistrations;
     }
 
-    SimpleHttpResponse statusResponse(std::string_view target)
+    // What is served at an address of the status servers, besides the health path.
+    struct StatusContent {
+        bool hasMetrics { false };
+        bool hasDocuments { false }; ///< They contain API keys, so only peers read them.
+    };
+
+    Result<void> listenForStatus(const std::string& address)
+    {
+        const auto& health = settings.health;
+        StatusContent content {
+            .hasMetrics = address == (health.metricsAddress.empty() ? health.address : health.metricsAddress),
+            .hasDocuments = address == settings.peers.address,
+        };
+        auto respond = [this, content](std::string_view target) { return statusResponse(content, target); };
+        statusServers.push_back(std::make_unique<SimpleHttpServer>(
+            *base, respond, SimpleHttpServerOptions { .maxConnections = maxStatusConnections(settings) }));
+        return statusServers.back()->listen(address);
+    }
+
+    SimpleHttpResponse statusResponse(const StatusContent& content, std::string_view target)
     {
         std::string_view path = target.substr(0, target.find('?'));
         if (path == settings.health.path)
             return isReady() ? SimpleHttpResponse { .body = "ready\n" }
                              : SimpleHttpResponse { .status = 503, .body = "not ready\n" };
-        if (path == "/metrics")
+        if (content.hasMetrics && path == "/metrics")
             return { .body = metrics.text(), .contentType = "text/plain; version=0.0.4" };
-        if (path == documentsPath)
+        if (content.hasDocuments && path == documentsPath)
             return { .body = source->exportDocuments(parseDocumentsTarget(target)), .contentType = "application/json" };
         return { .status = 404, .body = "not found\n" };
     }
@@ -522,7 +539,7 @@
         { state.settings.peers.address, state.settings.health.address, state.settings.health.metricsAddress }) {
         if (address.empty())
             continue;
-        if (auto bound = state.statusServer.listen(address); !bound)
+        if (auto bound = state.listenForStatus(address); !bound)
             return bound.error();
     }
     if (auto listening = state.callerServer.listen(); !listening)
--- a/tests/RouterHarness.h
+++ b/tests/RouterHarness.h
@@ -56,6 +56,9 @@
     std::thread thread;
 
     std::vector<ListeningSocket> moreEngines;
+    std::string healthAddress = freeAddress();
+    std::string metricsAddress = freeAddress();
+    std::string peersAddress = freeAddress();
 
     /// \param engineCount Model engines; the test accepts the connections to those after the second one itself.
     /// \param grace Time from SIGTERM to the end of the daemon, and a margin of 300 ms.
@@ -192,8 +195,9 @@
         RouterSettings settings;
         settings.daemon = { .id = DaemonId { "router-1" }, .availabilityZone = "a" };
         settings.callers.address = "127.0.0.1:0";
-        settings.health.address = freeAddress();
-        settings.peers.address = freeAddress();
+        settings.health.address = healthAddress;
+        settings.health.metricsAddress = metricsAddress;
+        settings.peers.address = peersAddress;
         settings.retries.slack = 100;
         settings.shutdown.grace = m_grace;
         auto makeSource = [this](event_base&, HttpClient&, const Clock& clock, const RouterSettings&) {
--- a/tests/SimpleHttpServerTests.cpp
+++ b/tests/SimpleHttpServerTests.cpp
@@ -1,4 +1,5 @@
 #include "LoopbackHarness.h"
+#include "RouterHarness.h"
 #include "net/EventPriority.h"
 #include "net/HttpClient.h"
 #include "net/SimpleHttpServer.h"
@@ -119,3 +120,23 @@
     CHECK(counts.handledBeforeCaller >= 0);
     CHECK(counts.handledBeforeCaller <= maxHandledBefore);
 }
+
+// Guards against API keys that clients of the health check can read.
+TEST_CASE("documents and metrics are served at their own addresses only", "[simple-http][router]")
+{
+    LoopbackRouter router;
+    auto status = [](const std::string& address, const std::string& target) {
+        BlockingSocket client = BlockingSocket::connectTo(splitAddress(address).value().second);
+        client.write("GET " + target + " HTTP/1.1\r\nHost: a\r\n\r\n");
+        return client.readUntil("\r\n").substr(0, std::string_view("HTTP/1.1 200").size());
+    };
+    const std::string documents = "/documents?configuration=0&registrations=0";
+    CHECK(status(router.peersAddress, documents) == "HTTP/1.1 200");
+    CHECK(status(router.healthAddress, documents) == "HTTP/1.1 404");
+    CHECK(status(router.metricsAddress, documents) == "HTTP/1.1 404");
+    CHECK(status(router.metricsAddress, "/metrics") == "HTTP/1.1 200");
+    CHECK(status(router.healthAddress, "/metrics") == "HTTP/1.1 404");
+    CHECK(status(router.peersAddress, "/metrics") == "HTTP/1.1 404");
+    for (const std::string& address : { router.healthAddress, router.metricsAddress, router.peersAddress })
+        CHECK(status(address, "/readyz") != "HTTP/1.1 404");
+}
