Reserve the memory of a head's text as it arrives

A target or a value of up to the header limit took memory outside of the limit for all requests: it was counted, but reserved only when the next field began, and never if the request stopped there.

Each part of a head now reserves what it adds, twice its length, since the strings double their capacity.

Test "the text of a head counts as memory of its request": before, a target and a value of 15,000 bytes were accepted with a limit of 11,250; now both get a 503.

--- a/src/net/CallerServer.cpp
+++ b/src/net/CallerServer.cpp
@@ -56,6 +56,9 @@
     // Memory of a header field without its text, in a list whose capacity doubles.
     constexpr std::size_t fieldMemory = 2 * sizeof(std::pair<std::string, std::string>);
 
+    // A target or field that arrives in parts is in a string whose capacity doubles.
+    constexpr std::size_t textCapacityFactor = 2;
+
     // A part of the memory for bodies, one in so many, is left for small ones.
     constexpr std::size_t smallBodyShare = 4;
 
@@ -484,11 +487,11 @@
     int countHeadBytes(std::size_t length)
     {
         m_headBytes += length;
-        m_headMemory += length;
+        m_headMemory += textCapacityFactor * length;
         if (m_headBytes > m_owner.options.maxHeaderBytes)
             return setRequestError(ErrorKind::HeaderTooLarge,
                 "the headers are longer than " + std::to_string(m_owner.options.maxHeaderBytes) + " bytes");
-        return 0;
+        return reserve(0) ? 0 : setMemoryFull();
     }
 
     int addFieldName(std::string_view text)
@@ -499,8 +502,6 @@
             m_lastHeaderHasValue = false;
             m_headBytes += std::string_view(":\r\n").size();
             m_headMemory += fieldMemory;
-            if (!reserve(0))
-                return setMemoryFull();
         }
         m_request.headers.back().first.append(text);
         return countHeadBytes(text.size());
--- a/tests/RequestMemoryTests.cpp
+++ b/tests/RequestMemoryTests.cpp
@@ -230,3 +230,19 @@
     CHECK(peak - before < maxHeldBytes);
     CHECK(total < sentBytes);
 }
+
+// Guards against long targets and values of fields that take memory outside of the limit for all requests.
+TEST_CASE("the text of a head counts as memory of its request", "[callers][memory]")
+{
+    constexpr std::size_t textBytes = 15'000;
+    std::string start = GENERATE(std::string("GET /"), std::string("GET /x HTTP/1.1\r\na: "));
+    Fixture fixture;
+    fixture.server.setLimits({ .maxTotalBodyBytes = textBytes * 3 / 4 });
+    BlockingSocket caller = BlockingSocket::connectTo(fixture.server.port());
+    caller.write(start + std::string(textBytes, 'x'));
+    fixture.run();
+    std::array<char, 32> answer {};
+    ssize_t length = recv(caller.descriptor(), answer.data(), answer.size(), MSG_DONTWAIT);
+    CHECK(std::string_view(answer.data(), static_cast<std::size_t>(std::max<ssize_t>(length, 0)))
+              .starts_with("HTTP/1.1 503"));
+}
