Document which connections get a lower priority

Comments only: the priority of a connection falls if its requests follow each other fast, and libevent does not change the priority of an active event.

--- a/src/net/CallerServer.h
+++ b/src/net/CallerServer.h
@@ -101,7 +101,8 @@
     bool closesOldestConnection { false };
     int receiveBufferBytes { 64 << 10 }; ///< Of each connection in the system; what it holds counts as memory too.
     bool requiresHost { true }; ///< Refuses HTTP/1.1 requests without a Host header.
-    EventPriority priority { EventPriority::IncomingRequests }; ///< Of new connections and requests.
+    /// Of new connections and requests; connections with many requests in a short time get IncomingRequests.
+    EventPriority priority { EventPriority::IncomingRequests };
     /// Of all requests that are being received or handled, their heads included; later ones are refused as not run.
     /// Requests with bodies of more than CallerServer::smallBodyBytes may use three quarters of it. 0: no limit.
     std::size_t maxTotalBodyBytes { 0 };
--- a/src/net/EventPriority.h
+++ b/src/net/EventPriority.h
@@ -26,7 +26,8 @@
 /// checks for events of higher priority.
 [[nodiscard]] EventBasePointer makePrioritizedEventBase();
 
-/// \brief Sets the priority of an event that is not pending. Has no effect on a loop without priorities.
+/// \brief Sets the priority of an event that is not active. Has no effect on an active one or on a loop without
+/// priorities.
 void setEventPriority(event& item, EventPriority) noexcept;
 
 }
