--- a/src/net/CallerServer.cpp
+++ b/src/net/CallerServer.cpp
@@ -30,7 +30,7 @@
     // closing a socket with unread bytes resets the connection, and the caller may then lose the response.
     constexpr Millis lingerTimeout { 1'000 };
 
-    // Maximum bytes of pipelined requests that are buffered while a response is in progress.
+    // No more is read while so many bytes of pipelined requests wait for the responses before them.
     constexpr std::size_t maxPipelinedBytes = 16U << 10U;
 
     // Receive buffer of a connection whose caller has sent more than that, or was refused.
@@ -38,6 +38,10 @@
 
     constexpr std::size_t readBufferBytes = 64U << 10U;
 
+    // A connection whose requests follow each other faster waits like those of callers, so that it does not keep them
+    // from being read.
+    constexpr Millis minPrioritizedInterval { 50 };
+
     constexpr Millis dropLogInterval { 1'000 };
 
     // At the limit of connections this fraction of them is closed if they are idle, so that the next ones find room
@@ -52,6 +56,9 @@
     // Memory of a header field without its text, in a list whose capacity doubles.
     constexpr std::size_t fieldMemory = 2 * sizeof(std::pair<std::string, std::string>);
 
+    // A target or field that arrives in parts is in a string whose capacity doubles.
+    constexpr std::size_t textCapacityFactor = 2;
+
     // A part of the memory for bodies, one in so many, is left for small ones.
     constexpr std::size_t smallBodyShare = 4;
 
@@ -343,6 +350,7 @@
             m_phase = Phase::Lingering;
             shutdown(m_socket.value(), SHUT_WR);
             startTimer(lingerTimeout);
+            setEventPriority(*m_readEvent, EventPriority::IncomingRequests);
             event_add(m_readEvent.get(), nullptr);
             return;
         }
@@ -353,6 +361,15 @@
             event_active(m_readEvent.get(), EV_TIMEOUT, 0);
     }
 
+    // The body may have arrived while the interim response waited to be written.
+    void onContinueWritten()
+    {
+        startTimer(m_owner.options.readTimeout);
+        event_add(m_readEvent.get(), nullptr);
+        if (!m_input.empty())
+            event_active(m_readEvent.get(), EV_TIMEOUT, 0);
+    }
+
     void handleDisconnect()
     {
         if (!m_hasDelivered)
@@ -380,11 +397,22 @@
     {
         auto& connection = *static_cast<Connection*>(argument);
         if (events & EV_READ)
-            connection.read();
+            connection.readOrPause();
         if (connection.m_owner.connections.contains(&connection))
             connection.parse();
     }
 
+    // Requests that the caller sends before it has read its answers wait in its own buffers.
+    void readOrPause()
+    {
+        bool isParsing = m_phase == Phase::Receiving && bufferedBytes() == 0;
+        bool isFull = !isParsing && m_phase != Phase::Lingering && m_input.size() >= maxPipelinedBytes;
+        if (!isFull || m_writeFailed)
+            read();
+        else if (m_phase == Phase::Responding || bufferedBytes() != 0)
+            pauseReading();
+    }
+
     void read()
     {
         std::vector<char>& readBuffer = m_owner.readBuffer;
@@ -400,14 +428,12 @@
         if (m_phase == Phase::Lingering)
             return;
         m_input.append(readBuffer.data(), static_cast<std::size_t>(length));
-        if (m_phase == Phase::Responding && m_input.size() >= maxPipelinedBytes)
-            pauseReading();
     }
 
     // Bytes after a request stay in memory until its response is sent, so no more than a head is read at once.
     [[nodiscard]] std::size_t maxReadBytes() const noexcept
     {
-        bool isInBody = m_phase == Phase::Receiving && m_headComplete;
+        bool isInBody = m_phase == Phase::Receiving && m_headComplete && bufferedBytes() == 0;
         return isInBody || m_phase == Phase::Lingering ? readBufferBytes : maxPipelinedBytes;
     }
 
@@ -474,6 +500,10 @@
             return;
         }
         m_phase = Phase::Responding;
+        Millis now = m_owner.clock.now();
+        if (m_hasDelivered && now - m_deliveredAt < minPrioritizedInterval)
+            setEventPriority(*m_readEvent, EventPriority::IncomingRequests);
+        m_deliveredAt = now;
         m_hasDelivered = true;
         ++m_owner.counts.requests;
         m_request.method = http_method_str(static_cast<http_method>(m_parser.method));
@@ -494,11 +524,11 @@
     int countHeadBytes(std::size_t length)
     {
         m_headBytes += length;
-        m_headMemory += length;
+        m_headMemory += textCapacityFactor * length;
         if (m_headBytes > m_owner.options.maxHeaderBytes)
             return setRequestError(ErrorKind::HeaderTooLarge,
                 "the headers are longer than " + std::to_string(m_owner.options.maxHeaderBytes) + " bytes");
-        return 0;
+        return reserve(0) ? 0 : setMemoryFull();
     }
 
     int addFieldName(std::string_view text)
@@ -509,8 +539,6 @@
             m_lastHeaderHasValue = false;
             m_headBytes += std::string_view(":\r\n").size();
             m_headMemory += fieldMemory;
-            if (!reserve(0))
-                return setMemoryFull();
         }
         m_request.headers.back().first.append(text);
         return countHeadBytes(text.size());
@@ -663,6 +691,10 @@
             connection.onResponseWritten();
             return;
         }
+        if (connection.m_phase == Phase::Receiving) {
+            connection.onContinueWritten();
+            return;
+        }
         evtimer_del(connection.m_timer.get());
         if (connection.m_listener)
             connection.m_listener->onSendBufferEmpty();
@@ -707,6 +739,7 @@
     Millis m_idleSince { m_acceptedAt };
     bool m_hasRead { false }; ///< Bytes, or the end of the connection, were read.
     bool m_hasDelivered { false }; ///< A request was passed to the handler.
+    Millis m_deliveredAt {}; ///< Time of the last one.
 };
 
 void CallerServer::State::close(Connection* connection)
--- a/tests/RequestMemoryTests.cpp
+++ b/tests/RequestMemoryTests.cpp
@@ -219,3 +219,58 @@
     fixture.handler.exchanges.back()->sendResponse({ .status = 200 }, "done");
     CHECK(ordinary.readUntil("done").starts_with("HTTP/1.1 200"));
 }
+
+// Guards against requests that are read and kept without a limit while the caller reads none of their answers.
+TEST_CASE("requests wait in the system's buffers while their caller reads no answers", "[callers][memory]")
+{
+    constexpr std::size_t sentBytes = 32'000'000;
+    constexpr std::size_t maxHeldBytes = 1'000'000;
+    struct RefusingHandler final : CallerHandler {
+        std::string body = std::string(1'000, 'x');
+        void onRequest(CallerRequest, CallerExchange& exchange) override
+        {
+            exchange.sendResponse({ .status = 404 }, body);
+        }
+    };
+    EventBasePointer base = makePrioritizedEventBase();
+    RefusingHandler handler;
+    CallerServer server { *base, handler, { .address = "127.0.0.1:0", .maxTotalBodyBytes = maxTotalBodyBytes } };
+    REQUIRE(server.listen());
+    BlockingSocket caller = BlockingSocket::connectTo(server.port());
+    std::string requests;
+    while (requests.size() < 64'000)
+        requests += "GET /nowhere HTTP/1.1\r\nHost: a\r\n\r\n";
+    std::size_t before = allocatedBytes();
+    std::size_t peak = before;
+    std::size_t offset = 0;
+    std::size_t total = 0;
+    constexpr int maxTurnsWithoutProgress = 500;
+    for (int turns = 0; turns < maxTurnsWithoutProgress && total < sentBytes; ++turns) {
+        ssize_t sent = ::send(caller.descriptor(), requests.data() + offset, requests.size() - offset, MSG_DONTWAIT);
+        if (sent > 0) {
+            total += static_cast<std::size_t>(sent);
+            offset = (offset + static_cast<std::size_t>(sent)) % requests.size();
+            turns = 0;
+        }
+        event_base_loop(base.get(), EVLOOP_NONBLOCK);
+        peak = std::max(peak, allocatedBytes());
+    }
+    CHECK(peak - before < maxHeldBytes);
+    CHECK(total < sentBytes);
+}
+
+// Guards against long targets and values of fields that take memory outside of the limit for all requests.
+TEST_CASE("the text of a head counts as memory of its request", "[callers][memory]")
+{
+    constexpr std::size_t textBytes = 15'000;
+    std::string start = GENERATE(std::string("GET /"), std::string("GET /x HTTP/1.1\r\na: "));
+    Fixture fixture;
+    fixture.server.setLimits({ .maxTotalBodyBytes = textBytes * 3 / 4 });
+    BlockingSocket caller = BlockingSocket::connectTo(fixture.server.port());
+    caller.write(start + std::string(textBytes, 'x'));
+    fixture.run();
+    std::array<char, 32> answer {};
+    ssize_t length = recv(caller.descriptor(), answer.data(), answer.size(), MSG_DONTWAIT);
+    CHECK(std::string_view(answer.data(), static_cast<std::size_t>(std::max<ssize_t>(length, 0)))
+              .starts_with("HTTP/1.1 503"));
+}
--- a/tests/SimpleHttpServerTests.cpp
+++ b/tests/SimpleHttpServerTests.cpp
@@ -1,7 +1,9 @@
 #include "LoopbackHarness.h"
+#include "RouterHarness.h"
 #include "net/EventPriority.h"
 #include "net/HttpClient.h"
 #include "net/SimpleHttpServer.h"
+#include "net/Socket.h"
 
 #include <catch2/catch.hpp>
 
@@ -81,3 +83,60 @@
     fixture.run();
     CHECK(client.readUntil("\r\n").starts_with(status));
 }
+
+// Guards against a client of this server that keeps callers' requests from being read, because the next of its requests
+// is always handled before them.
+TEST_CASE("callers are served while a client of the status server pipelines requests", "[simple-http]")
+{
+    constexpr int requestCount = 600;
+    constexpr int maxHandledBefore = 100;
+    struct Counts {
+        int handled { 0 };
+        int handledBeforeCaller { -1 };
+    } counts;
+    EventBasePointer base = makePrioritizedEventBase();
+    SimpleHttpServer server { *base, [&](std::string_view) {
+                                 ++counts.handled;
+                                 return SimpleHttpResponse {};
+                             } };
+    std::string address = freeAddress();
+    REQUIRE(server.listen(address));
+    auto serveCaller = [](evutil_socket_t, short, void* argument) {
+        auto& calls = *static_cast<Counts*>(argument);
+        calls.handledBeforeCaller = calls.handled;
+    };
+    EventPointer callerEvent(event_new(base.get(), -1, 0, serveCaller, &counts));
+    setEventPriority(*callerEvent, EventPriority::IncomingRequests);
+    BlockingSocket client = BlockingSocket::connectTo(splitAddress(address).value().second);
+    std::string requests;
+    for (int i = 0; i < requestCount; ++i)
+        requests += "GET /r HTTP/1.1\r\n\r\n";
+    client.write(requests);
+    event_active(callerEvent.get(), EV_TIMEOUT, 0);
+    constexpr int maxTurns = 1'000;
+    for (int i = 0; i < maxTurns && counts.handled < requestCount; ++i)
+        event_base_loop(base.get(), EVLOOP_NONBLOCK);
+    CHECK(counts.handled == requestCount);
+    CHECK(counts.handledBeforeCaller >= 0);
+    CHECK(counts.handledBeforeCaller <= maxHandledBefore);
+}
+
+// Guards against API keys that clients of the health check can read.
+TEST_CASE("documents and metrics are served at their own addresses only", "[simple-http][router]")
+{
+    LoopbackRouter router;
+    auto status = [](const std::string& address, const std::string& target) {
+        BlockingSocket client = BlockingSocket::connectTo(splitAddress(address).value().second);
+        client.write("GET " + target + " HTTP/1.1\r\nHost: a\r\n\r\n");
+        return client.readUntil("\r\n").substr(0, std::string_view("HTTP/1.1 200").size());
+    };
+    const std::string documents = "/documents?configuration=0&registrations=0";
+    CHECK(status(router.peersAddress, documents) == "HTTP/1.1 200");
+    CHECK(status(router.healthAddress, documents) == "HTTP/1.1 404");
+    CHECK(status(router.metricsAddress, documents) == "HTTP/1.1 404");
+    CHECK(status(router.metricsAddress, "/metrics") == "HTTP/1.1 200");
+    CHECK(status(router.healthAddress, "/metrics") == "HTTP/1.1 404");
+    CHECK(status(router.peersAddress, "/metrics") == "HTTP/1.1 404");
+    for (const std::string& address : { router.healthAddress, router.metricsAddress, router.peersAddress })
+        CHECK(status(address, "/readyz") != "HTTP/1.1 404");
+}
