--- a/review/common-2/deployment.py
+++ b/review/common-2/deployment.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import base64
+import http.client
 import json
 import os
 import random
@@ -200,6 +201,42 @@
         return 404, as_json, b"{}"
 
 
+class StoreProcess:
+    """The same store in a process of its own; see store_process.py."""
+
+    def __init__(self, ip):
+        self.ip = ip
+        self.port = 0
+        self._process = None
+
+    @property
+    def address(self):
+        return f"{self.ip}:{self.port}"
+
+    async def start(self):
+        path = os.path.join(os.path.dirname(os.path.abspath(__file__)), "store_process.py")
+        # It ends with its standard input, that is, with this process.
+        self._process = await asyncio.create_subprocess_exec(
+            sys.executable, "-B", path, self.ip, stdin=asyncio.subprocess.PIPE, stdout=asyncio.subprocess.PIPE)
+        self.port = int(await self._process.stdout.readline())
+
+    def put(self, topic, key, value):
+        """Returns the time of the acknowledgement, by the clock of this host."""
+        body = json.dumps({"topic": topic, "key": key, "value": value})
+        return self._call("POST", "/put", body)["at"]
+
+    def calls(self):
+        return self._call("GET", "/calls", None)
+
+    def _call(self, method, path, body):
+        connection = http.client.HTTPConnection(self.ip, self.port, timeout=5)
+        try:
+            connection.request(method, path, body)
+            return json.loads(connection.getresponse().read())
+        finally:
+            connection.close()
+
+
 class Engine:
     """An engine that registers in the store; `serve` is a coroutine that handles one connection."""
 
@@ -414,12 +451,17 @@
     async def main():
         return await asyncio.wait_for(case(record, workspace, routers), limit_s)
 
+    def stop(number, _):
+        raise CannotRun(f"signal {number}")
+
+    for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
+        signal.signal(number, stop)
     verdict = COULD_NOT_RUN
     try:
         if not os.access(ROUTER, os.X_OK):
             raise CannotRun("target/jasminestack is not built")
         verdict = asyncio.new_event_loop().run_until_complete(main())
-    except (CannotRun, OSError, asyncio.TimeoutError) as error:
+    except Exception as error:  # pylint: disable=broad-except  # Any error of the case itself is no verdict.
         record.line(f"could not run: {error!r}")
     finally:
         for router in routers:
