review: raise the cases' own limit of descriptors

A case's clients and engines may need more than a shell's limit. Case 8 doesn't run where 8,000 are not allowed.

--- a/review/common-2/deployment.py
+++ b/review/common-2/deployment.py
@@ -11,6 +11,7 @@
 import os
 import random
 import re
+import resource
 import shutil
 import signal
 import socket
@@ -36,6 +37,9 @@
 LIMITS = {"cpuQuota": 0.25, "cores": 1, "memoryMb": 260, "maxFds": 4100, "linkMbps": 1000.0, "diskMb": 0}
 HEARTBEAT_S = 1.2
 
+# Of the process of a case: the clients and engines of the largest one.
+OWN_DESCRIPTORS = 8000
+
 REQUEST_ID = "X-Jasminestack-Attempt-Id"
 SIGNATURE = "X-Jasminestack-Server-Signature"
 
@@ -442,6 +446,13 @@
         writer.close()
 
 
+def raise_own_descriptors():
+    soft, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
+    wanted = OWN_DESCRIPTORS if hard == resource.RLIM_INFINITY else min(OWN_DESCRIPTORS, hard)
+    if soft != resource.RLIM_INFINITY and soft < wanted:
+        resource.setrlimit(resource.RLIMIT_NOFILE, (wanted, hard))
+
+
 def run_case(folder, case, limit_s=110):
     """Runs `case(record, folder)`, a coroutine that returns HELD or BROKEN, and exits with its verdict."""
     record = Record(os.path.join(folder, "record.txt"))
@@ -460,6 +471,7 @@
     try:
         if not os.access(ROUTER, os.X_OK):
             raise CannotRun("target/jasminestack is not built")
+        raise_own_descriptors()
         verdict = asyncio.new_event_loop().run_until_complete(main())
     except Exception as error:  # pylint: disable=broad-except  # Any error of the case itself is no verdict.
         record.line(f"could not run: {error!r}")
