Outgoing connections leave their local address to processes that listen on it

A router whose port had meanwhile become the local port of a connection, which the kernel chooses, exited with 'cannot listen', and so did its next starts until a minute after the end of that connection (TIME_WAIT). Cause: outgoing connections to endpoints, the store and peers did not set SO_REUSEADDR, so the kernel refuses a listener on their local address. Routers of one machine, or a router's predecessor, could so keep a router from starting. Change: startConnection() and HttpClient set the option. Why it works: the kernel lets a listener and a connection share a local address if both sockets have the option and the connection does not listen.

--- a/src/net/HttpClient.cpp
+++ b/src/net/HttpClient.cpp
@@ -154,8 +154,10 @@
         return;
     }
     // A long poll whose connection no longer carries data would otherwise end only with its timeout.
-    if (int descriptor = bufferevent_getfd(evhttp_connection_get_bufferevent(exchange.connection)); descriptor >= 0)
+    if (int descriptor = bufferevent_getfd(evhttp_connection_get_bufferevent(exchange.connection)); descriptor >= 0) {
         configureConnection(descriptor);
+        setAddressReusable(descriptor);
+    }
 }
 
 Result<std::pair<std::string, std::uint16_t>> splitAddress(std::string_view address)
--- a/src/net/Socket.cpp
+++ b/src/net/Socket.cpp
@@ -46,6 +46,8 @@
     setOption(descriptor, IPPROTO_TCP, TCP_USER_TIMEOUT, static_cast<int>(timeout.count));
 }
 
+void setAddressReusable(int descriptor) noexcept { setOption(descriptor, SOL_SOCKET, SO_REUSEADDR, 1); }
+
 bool isOutputAcknowledged(int descriptor) noexcept
 {
     int unacknowledgedBytes = 0;
@@ -70,6 +72,7 @@
     if (socket.value() < 0)
         return Error { .kind = ErrorKind::EndpointUnavailable, .message = "cannot create a socket" };
     configureConnection(socket.value());
+    setAddressReusable(socket.value());
     if (connect(socket.value(), reinterpret_cast<sockaddr*>(&target), sizeof(target)) != 0 && errno != EINPROGRESS)
         return Error { .kind = ErrorKind::EndpointUnavailable, .message = "cannot connect to " + std::string(address) };
     return socket;
--- a/src/net/Socket.h
+++ b/src/net/Socket.h
@@ -67,6 +67,10 @@
 /// can tell it from the end of a response.
 void setResetOnClose(int descriptor, bool isReset) noexcept;
 
+/// \brief Lets another process listen on the local address of an outgoing connection, whose port the system chooses:
+/// otherwise a process whose port it is can't start until a minute after the connection's end.
+void setAddressReusable(int descriptor) noexcept;
+
 /// \returns Whether all written bytes were acknowledged by the other end; true if the system does not tell.
 [[nodiscard]] bool isOutputAcknowledged(int descriptor) noexcept;
 
