observe: log how a process ends

What operators saw: a process was gone, and its log ended in the middle of the traffic or without a line.

Cause: an end by std::terminate, by a fatal signal or by libevent's fatal error left no line and took the lines that were still in the log's buffer with it. Exits before the start was complete wrote to standard error only, and no exit stated its code.

The buffered lines are written first; the signal then has its default action, so that the parent process still learns its number. Every exit that the process chooses ends with process_exit, its code and its reason. Logging starts before the settings are read, so that a refused start is logged, too.

--- /dev/null
+++ b/bench/lifecycle/test_ends.py
@@ -0,0 +1,156 @@
+"""Checks with real processes that each end of a router or daemon leaves a log line that tells its cause."""
+
+import json
+import os
+import pathlib
+import signal
+import socket
+import subprocess
+import sys
+import tempfile
+import time
+import unittest
+
+ROOT = pathlib.Path(__file__).resolve().parent.parent.parent
+BINARY = pathlib.Path(os.environ.get("JASMINESTACK_BINARY", ROOT / "build/release/jasminestack"))
+START_S = 10.0
+END_S = 10.0
+ENVIRONMENT = {**os.environ, "JASMINESTACK_OPERATOR_TOKEN": "test-token-0123456789abcdef",
+               "JASMINESTACK_FLEET_KEY": "test-key-0123456789abcdef0123456789abcdef"}
+
+
+def free_ports(count):
+    sockets = [socket.socket() for _ in range(count)]
+    for one in sockets:
+        one.bind(("127.0.0.1", 0))
+    ports = [one.getsockname()[1] for one in sockets]
+    for one in sockets:
+        one.close()
+    return ports
+
+
+def router_settings(ports, **router):
+    callers, ready, metrics, peers, store = (f"127.0.0.1:{port}" for port in ports)
+    return {"router": {"id": "r1", "availabilityZone": "a", "processorShare": 0.25, "maxDescriptors": 1024,
+                       "memoryMb": 260, **router},
+            "callers": {"address": callers}, "health": {"address": ready, "path": "/readyz", "metricsAddress": metrics},
+            "peers": {"address": peers, "seeds": []}, "store": {"address": store, "contactMs": 3000},
+            "shutdown": {"graceSeconds": 1}}
+
+
+def daemon_settings(ports):
+    callers, peers, log, admin, services = (f"127.0.0.1:{port}" for port in ports)
+    return {"daemon": {"id": "d1", "availabilityZone": "a", "region": "r"}, "callers": {"address": callers},
+            "admin": {"address": admin, "operatorTokenEnv": "JASMINESTACK_OPERATOR_TOKEN"},
+            "peers": {"address": peers, "fleetKeyEnv": "JASMINESTACK_FLEET_KEY", "seeds": []}, "log": {"address": log},
+            "hostList": {"address": services}, "weightStore": {"address": services},
+            "shutdown": {"balancerGraceMs": 0, "drainMs": 1000}}
+
+
+class Process:
+    """A router or daemon whose output goes to a file."""
+
+    def __init__(self, folder, role, settings, **options):
+        path = pathlib.Path(folder) / "settings.json"
+        path.write_text(settings if isinstance(settings, str) else json.dumps(settings))
+        self.log_path = pathlib.Path(folder) / "log"
+        with open(self.log_path, "wb") as log:
+            self.process = subprocess.Popen([BINARY, role, "--settings", path], stdin=subprocess.DEVNULL, stdout=log,
+                                            stderr=subprocess.STDOUT, env=ENVIRONMENT, **options)
+
+    def log(self):
+        return self.log_path.read_text()
+
+    def wait_for(self, text):
+        """Waits until the log contains the text or the process has ended."""
+        end = time.monotonic() + START_S
+        while text not in self.log() and self.process.poll() is None and time.monotonic() < end:
+            time.sleep(0.01)
+        return text in self.log()
+
+    def send(self, number):
+        self.process.send_signal(number)
+
+    def end(self):
+        return self.process.wait(END_S)
+
+    def last_line(self):
+        lines = self.log().splitlines()
+        return lines[-1] if lines else ""
+
+
+class EndsTest(unittest.TestCase):
+    def setUp(self):
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.folder = folder.name
+
+    def start(self, role="router", settings=None, **options):
+        if settings is None:
+            settings = router_settings(free_ports(5)) if role == "router" else daemon_settings(free_ports(5))
+        process = Process(self.folder, role, settings, **options)
+        self.addCleanup(process.process.wait)
+        self.addCleanup(process.process.kill)
+        return process
+
+    def started(self, role="router", **options):
+        process = self.start(role, **options)
+        self.assertTrue(process.wait_for("event=started "), process.log())
+        return process
+
+    # Guards against ends by a fatal signal that leave no line, or another exit status than the signal's.
+    def test_fatal_signals(self):
+        for role in ("router", "daemon"):
+            for number in (signal.SIGSEGV, signal.SIGBUS, signal.SIGILL, signal.SIGFPE, signal.SIGABRT, signal.SIGQUIT,
+                           signal.SIGXCPU, signal.SIGALRM):
+                with self.subTest(role=role, signal=number.name):
+                    process = self.started(role)
+                    process.send(number)
+                    self.assertEqual(process.end(), -number)
+                    self.assertIn(f"level=error event=fatal_signal signal={number.name} sender={os.getpid()}",
+                                  process.last_line())
+                    self.assertIn("event_base_loop", process.last_line())
+                    self.assertEqual(process.log().count("event=started "), 1)
+
+    # Guards against a report of fatal signals that also takes the signals of a planned stop.
+    def test_planned_stop(self):
+        for role in ("router", "daemon"):
+            for number in (signal.SIGTERM, signal.SIGINT):
+                with self.subTest(role=role, signal=number.name):
+                    process = self.started(role)
+                    process.send(number)
+                    self.assertEqual(process.end(), 0)
+                    self.assertIn("level=info event=process_exit code=0 reason=stopped", process.last_line())
+                    self.assertNotIn("event=fatal_signal", process.log())
+
+    # Guards against a stop that is forced by a second signal and leaves no line about its exit code.
+    def test_forced_stop(self):
+        settings = daemon_settings(free_ports(5))
+        settings["shutdown"]["balancerGraceMs"] = 30_000
+        settings["shutdown"]["drainMs"] = 40_000
+        process = self.start("daemon", settings)
+        self.assertTrue(process.wait_for("event=started "))
+        process.send(signal.SIGTERM)
+        self.assertTrue(process.wait_for("event=shutdown_started "))
+        process.send(signal.SIGTERM)
+        self.assertEqual(process.end(), 1)
+        self.assertIn("level=error event=process_exit code=1 reason=shutdown_forced", process.last_line())
+
+    # Guards against a refused start whose exit code and reason are in no log line.
+    def test_refused_starts(self):
+        for role in ("router", "daemon"):
+            with self.subTest(role=role, reason="invalid settings"):
+                process = self.start(role, "{")
+                self.assertEqual(process.end(), 3)
+                self.assertIn("level=error event=process_exit code=3 reason=settings_invalid message=",
+                              process.last_line())
+            with self.subTest(role=role, reason="no settings"):
+                process = self.start(role, preexec_fn=lambda: os.unlink(pathlib.Path(self.folder) / "settings.json"))
+                self.assertEqual(process.end(), 1)
+                self.assertIn("level=error event=process_exit code=1 reason=settings_unreadable", process.last_line())
+
+
+if __name__ == "__main__":
+    if not BINARY.exists():
+        sys.exit(f"{BINARY} is missing: build it first")
+    unittest.main()
--- a/src/cli/CheckCommand.cpp
+++ b/src/cli/CheckCommand.cpp
@@ -3,6 +3,8 @@
 #include "config/DaemonSettings.h"
 #include "config/DocumentCheck.h"
 #include "daemon/Daemon.h"
+#include "observe/Logging.h"
+#include "observe/ProcessEnd.h"
 
 #include <absl/flags/flag.h>
 #include <fstream>
@@ -56,15 +58,17 @@
         std::cerr << "jasminestack: 'daemon' needs --settings FILE\n";
         return exit_code::usage;
     }
+    startLogging(LogLevel::Info);
+    observeProcessEnd();
     const auto text = readFile(path);
     if (!text) {
         std::cerr << "jasminestack: cannot read " << path << "\n";
-        return exit_code::failure;
+        return logExit(exit_code::failure, "settings_unreadable", path);
     }
     const auto settings = parseDaemonSettings(*text, path);
     if (!settings) {
         std::cerr << settings.error().message << "\n";
-        return exit_code::invalidInput;
+        return logExit(exit_code::invalidInput, "settings_invalid", settings.error().message);
     }
     return runDaemon(settings.value());
 }
--- a/src/cli/RouterCommand.cpp
+++ b/src/cli/RouterCommand.cpp
@@ -1,6 +1,8 @@
 #include "cli/Commands.h"
 #include "cli/Flags.h"
 #include "config/RouterSettings.h"
+#include "observe/Logging.h"
+#include "observe/ProcessEnd.h"
 #include "platform/PlatformAdapter.h"
 
 #include <absl/flags/flag.h>
@@ -15,15 +17,17 @@
         std::cerr << "jasminestack: 'router' needs --settings FILE\n";
         return exit_code::usage;
     }
+    startBufferedLogging(LogLevel::Info);
+    observeProcessEnd();
     const auto text = readFile(path);
     if (!text) {
         std::cerr << "jasminestack: cannot read " << path << "\n";
-        return exit_code::failure;
+        return logExit(exit_code::failure, "settings_unreadable", path);
     }
     const auto settings = parseRouterSettings(*text, path);
     if (!settings) {
         std::cerr << settings.error().message << "\n";
-        return exit_code::invalidInput;
+        return logExit(exit_code::invalidInput, "settings_invalid", settings.error().message);
     }
     return runRouter(settings.value(), platform::makePlatformAdapter(), path);
 }
--- a/src/daemon/Daemon.cpp
+++ b/src/daemon/Daemon.cpp
@@ -18,6 +18,7 @@
 #include "net/HttpLogClient.h"
 #include "observe/Logging.h"
 #include "observe/Metrics.h"
+#include "observe/ProcessEnd.h"
 #include "observe/Tracing.h"
 
 #include <array>
@@ -330,17 +331,18 @@
 int runDaemon(const DaemonSettings& settings)
 {
     std::signal(SIGPIPE, SIG_IGN);
-    startLogging(parseLogLevel(settings.logging.level).value());
+    setLogLevel(parseLogLevel(settings.logging.level).value());
     Daemon daemon(settings);
     auto started = daemon.start();
     if (!started) {
         logEvent(LogLevel::Error, "start_failed", { { "message", started.error().message } });
-        return 1;
+        return logExit(1, "start_failed");
     }
     daemon.watchSignals();
     logEvent(
         LogLevel::Info, "started", { { "daemon", settings.daemon.id.value }, { "callers", settings.callers.address } });
-    return daemon.run();
+    int code = daemon.run();
+    return logExit(code, code == 0 ? "stopped" : "shutdown_forced");
 }
 
 }
--- a/src/daemon/Daemon.h
+++ b/src/daemon/Daemon.h
@@ -42,7 +42,7 @@
     std::unique_ptr<State> m_state;
 };
 
-/// \brief Runs a daemon until SIGTERM or SIGINT.
+/// \brief Runs a daemon until SIGTERM or SIGINT; logging has been started.
 /// \returns The process's exit code, as returned by Daemon::run(); 1 if the daemon cannot start.
 [[nodiscard]] int runDaemon(const DaemonSettings&);
 
--- a/src/observe/Logging.cpp
+++ b/src/observe/Logging.cpp
@@ -14,7 +14,9 @@
 #include <cerrno>
 #include <fcntl.h>
 #include <iostream>
+#include <poll.h>
 #include <unistd.h>
+#include <utility>
 
 namespace jasminestack {
 
@@ -48,6 +50,48 @@
     // The buffer is written at once when it reaches this size, without waiting for the next flushLog().
     constexpr std::size_t flushThresholdBytes = 32U << 10U;
 
+    // Longest time for which a process that ends waits for the reader of its log.
+    constexpr int finalWaitMs = 100;
+
+    // Where lines are written; unset until logging is started.
+    std::atomic<int> logDescriptor { -1 };
+
+    /// \brief Writes \p text, waiting for a slow reader while \p waitMs lasts; signal handlers may call it.
+    void writeWaiting(std::string_view text, int& waitMs) noexcept
+    {
+        while (!text.empty()) {
+            ssize_t writtenCount = write(logDescriptor, text.data(), text.size());
+            if (writtenCount > 0) {
+                text.remove_prefix(static_cast<std::size_t>(writtenCount));
+                continue;
+            }
+            if (writtenCount < 0 && errno == EINTR)
+                continue;
+            constexpr int stepMs = 10;
+            pollfd output { .fd = logDescriptor, .events = POLLOUT };
+            if (writtenCount == 0 || errno != EAGAIN || waitMs <= 0)
+                return;
+            waitMs -= stepMs;
+            (void)poll(&output, 1, stepMs);
+        }
+    }
+
+    /// Marks the time in which an object is inconsistent, for signal handlers.
+    class ChangeMark {
+    public:
+        explicit ChangeMark(std::atomic<bool>& isChanging)
+            : m_isChanging(isChanging)
+        {
+            m_isChanging = true;
+        }
+        ~ChangeMark() { m_isChanging = false; }
+        ChangeMark(const ChangeMark&) = delete;
+        ChangeMark& operator=(const ChangeMark&) = delete;
+
+    private:
+        std::atomic<bool>& m_isChanging;
+    };
+
     /// Buffers lines for standard output, whose reader may be slow or stopped.
     class LineBuffer {
     public:
@@ -57,14 +101,20 @@
                 ++m_droppedLines;
                 return;
             }
+            appendLine(line);
+            if (m_buffer.size() - m_writtenBytes >= flushThresholdBytes)
+                flush();
+        }
+
+        void appendLine(std::string_view line)
+        {
+            ChangeMark mark(m_isChanging);
             if (m_droppedLines != m_reportedDroppedLines) {
                 m_buffer += "level=warning event=log_lines_dropped count="
                     + std::to_string(m_droppedLines - m_reportedDroppedLines) + "\n";
                 m_reportedDroppedLines = m_droppedLines;
             }
             m_buffer.append(line).push_back('\n');
-            if (m_buffer.size() - m_writtenBytes >= flushThresholdBytes)
-                flush();
         }
 
         void flush()
@@ -76,10 +126,32 @@
                     break;
                 m_writtenBytes += static_cast<std::size_t>(writtenCount);
             }
+            ChangeMark mark(m_isChanging);
             m_buffer.erase(0, m_writtenBytes);
             m_writtenBytes = 0;
         }
 
+        /// \brief Writes the buffered lines, then \p line.
+        void writeFinal(std::string_view line) noexcept
+        {
+            int waitMs = finalWaitMs;
+            if (!m_isChanging) {
+                std::size_t start = std::exchange(m_writtenBytes, m_buffer.size());
+                writeWaiting(std::string_view(m_buffer).substr(start), waitMs);
+            }
+            writeWaiting(line, waitMs);
+            writeWaiting("\n", waitMs);
+        }
+
+        void finish()
+        {
+            int waitMs = finalWaitMs;
+            writeWaiting(std::string_view(m_buffer).substr(m_writtenBytes), waitMs);
+            ChangeMark mark(m_isChanging);
+            m_buffer.clear();
+            m_writtenBytes = 0;
+        }
+
         [[nodiscard]] std::uint64_t droppedLines() const noexcept { return m_droppedLines; }
 
     private:
@@ -87,6 +159,7 @@
         std::size_t m_writtenBytes { 0 };
         std::uint64_t m_droppedLines { 0 };
         std::uint64_t m_reportedDroppedLines { 0 };
+        std::atomic<bool> m_isChanging { false };
     };
 
     LineBuffer& lineBuffer()
@@ -122,6 +195,13 @@
         line += '"';
     }
 
+    void replaceSink(const boost::shared_ptr<logging::sinks::sink>& sink)
+    {
+        logging::core::get()->remove_all_sinks();
+        logging::core::get()->add_sink(sink);
+        logging::core::get()->add_global_attribute("TimeStamp", logging::attributes::utc_clock());
+    }
+
     void formatRecord(const logging::record_view& record, logging::formatting_ostream& stream)
     {
         auto time = logging::extract<boost::posix_time::ptime>("TimeStamp", record);
@@ -138,29 +218,33 @@
 void startLogging(LogLevel level)
 {
     setLogLevel(level);
+    logDescriptor = STDERR_FILENO;
     auto backend = boost::make_shared<StreamBackend>();
     backend->add_stream(boost::shared_ptr<std::ostream>(&std::clog, [](std::ostream*) {}));
     backend->auto_flush(true);
     auto sink = boost::make_shared<logging::sinks::synchronous_sink<StreamBackend>>(backend);
     sink->set_formatter(&formatRecord);
-    logging::core::get()->add_sink(sink);
-    logging::core::get()->add_global_attribute("TimeStamp", logging::attributes::utc_clock());
+    replaceSink(sink);
 }
 
 void startBufferedLogging(LogLevel level)
 {
     setLogLevel(level);
+    logDescriptor = STDOUT_FILENO;
     int flags = fcntl(STDOUT_FILENO, F_GETFL);
     if (flags >= 0)
         fcntl(STDOUT_FILENO, F_SETFL, flags | O_NONBLOCK);
     auto sink = boost::make_shared<logging::sinks::synchronous_sink<BufferBackend>>();
     sink->set_formatter(&formatRecord);
-    logging::core::get()->add_sink(sink);
-    logging::core::get()->add_global_attribute("TimeStamp", logging::attributes::utc_clock());
+    replaceSink(sink);
 }
 
 void flushLog() { lineBuffer().flush(); }
 
+void finishLog() { lineBuffer().finish(); }
+
+void writeFinalLine(std::string_view line) noexcept { lineBuffer().writeFinal(line); }
+
 std::uint64_t droppedLogLines() noexcept { return lineBuffer().droppedLines(); }
 
 void setLogLevel(LogLevel level) noexcept { currentLevel.store(level, std::memory_order_relaxed); }
--- a/src/observe/Logging.h
+++ b/src/observe/Logging.h
@@ -40,16 +40,26 @@
     }
 };
 
-/// \brief Starts logging to standard error; call it once, before the first event.
+/// \brief Starts logging to standard error; call it before the first event. Ends logging to elsewhere.
 void startLogging(LogLevel);
 
 /// \brief Starts logging to standard output without blocking: lines are collected in a bounded buffer and written by
 /// flushLog(), or as soon as 32 KiB are buffered. If the buffer is full, lines are dropped and counted.
+/// Ends logging to elsewhere.
 void startBufferedLogging(LogLevel);
 
 /// \brief Writes buffered lines until standard output would block; call it a few times a second and before exit.
 void flushLog();
 
+/// \brief Writes the buffered lines before the process ends and waits for a slow reader, for at most a tenth of a
+/// second.
+void finishLog();
+
+/// \brief Writes the buffered lines and then \p line, which has no line break, as finishLog() does. It neither
+/// allocates memory nor takes locks, so that signal handlers may call it. Buffered lines are left out if the signal
+/// interrupted a change of the buffer.
+void writeFinalLine(std::string_view line) noexcept;
+
 /// \returns Number of lines dropped since the start because the buffer was full.
 [[nodiscard]] std::uint64_t droppedLogLines() noexcept;
 
--- a/src/router/RouterDaemon.cpp
+++ b/src/router/RouterDaemon.cpp
@@ -9,6 +9,7 @@
 #include "net/UdpTransport.h"
 #include "observe/Logging.h"
 #include "observe/Metrics.h"
+#include "observe/ProcessEnd.h"
 #include "router/DeploymentSource.h"
 #include "router/DocumentsRequest.h"
 #include "router/FleetSync.h"
@@ -576,19 +577,18 @@
 int runRouter(const RouterSettings& settings, DeploymentAdapter adapter, std::string settingsPath)
 {
     std::signal(SIGPIPE, SIG_IGN);
-    startBufferedLogging(parseLogLevel(settings.logging.level).value());
+    setLogLevel(parseLogLevel(settings.logging.level).value());
     RouterDaemon daemon(settings, std::move(adapter));
     if (auto started = daemon.start(); !started) {
         logEvent(LogLevel::Error, "start_failed", { { "message", started.error().message } });
-        flushLog();
-        return 1;
+        return logExit(1, "start_failed");
     }
     daemon.watchSignals(std::move(settingsPath));
     logEvent(LogLevel::Info, "started",
         { { "daemon", settings.daemon.id.value }, { "availability_zone", settings.daemon.availabilityZone },
             { "callers", settings.callers.address }, { "store", settings.store.address } });
     daemon.run();
-    return 0;
+    return logExit(0, "stopped");
 }
 
 }
--- a/src/router/RouterDaemon.h
+++ b/src/router/RouterDaemon.h
@@ -54,7 +54,7 @@
     std::unique_ptr<State> m_state;
 };
 
-/// \brief Runs a router with logging to standard output until it is stopped.
+/// \brief Runs a router until it is stopped; logging has been started.
 /// \returns The process's exit code.
 [[nodiscard]] int runRouter(const RouterSettings&, DeploymentAdapter, std::string settingsPath);
 
