net: check the lengths that a peer's message announces before it is unpacked

The decoders of fleet updates, placement messages and store confirmations unpacked messages without limits. The library allocates an array or a map with the announced length before it reads an element, so that a datagram of five bytes asks for 48 GB, and one that announces ten million elements gets 240 MB. Where an allocator refuses, or a sanitizer watches, the process ends. Levels of nesting had no bound either.

unpackMessage() first walks over the message without allocating for it. Each element takes at least one byte, so all arrays of a message together can't announce more elements than it has bytes; the tree then takes at most 24 bytes for a byte of the message. More than 8 levels (messages have 6) and maps, which no message has, are rejected. All four codecs use it. PeerCodec had limits of its own, 65,536 elements in each array and four levels, which let four nested arrays of a short message ask for 1.5 MB each; they are replaced, and so is its check for bytes after the message, which now holds for all codecs.

--- a/src/net/MessagePack.cpp
+++ b/src/net/MessagePack.cpp
@@ -4,6 +4,56 @@
 
 namespace jasminestack {
 
+namespace {
+
+    constexpr unsigned maxNestingDepth = 8;
+
+    // Checks the lengths that a message announces, without allocating anything for them.
+    class AnnouncedSizeVisitor : public msgpack::null_visitor {
+    public:
+        explicit AnnouncedSizeVisitor(std::size_t messageBytes)
+            : m_remainingElements(messageBytes)
+        {
+        }
+
+        bool start_array(std::uint32_t size)
+        {
+            if (m_depth == maxNestingDepth)
+                throw msgpack::depth_size_overflow("the message is nested too deeply");
+            if (size >= m_remainingElements)
+                throw msgpack::array_size_overflow("the message announces more elements than it has bytes");
+            m_remainingElements -= size;
+            ++m_depth;
+            return true;
+        }
+
+        bool end_array()
+        {
+            --m_depth;
+            return true;
+        }
+
+        // No message has maps.
+        bool start_map(std::uint32_t) { throw msgpack::type_error(); }
+
+    private:
+        std::size_t m_remainingElements;
+        unsigned m_depth { 0 };
+    };
+
+}
+
+msgpack::object_handle unpackMessage(std::string_view bytes)
+{
+    AnnouncedSizeVisitor visitor(bytes.size());
+    std::size_t parsedBytes = 0;
+    if (!msgpack::parse(bytes.data(), bytes.size(), parsedBytes, visitor))
+        throw msgpack::insufficient_bytes("the message is incomplete or malformed");
+    if (parsedBytes != bytes.size())
+        throw msgpack::parse_error("bytes follow the message");
+    return msgpack::unpack(bytes.data(), bytes.size());
+}
+
 MsgpackArrayReader::MsgpackArrayReader(const msgpack::object& object)
     : m_elements(nullptr)
     , m_size(0)
--- a/src/net/MessagePack.h
+++ b/src/net/MessagePack.h
@@ -18,6 +18,14 @@
     void write(const char* data, std::size_t size) { bytes.append(data, size); }
 };
 
+/// \brief Unpacks a whole message that consists of arrays, strings and scalars.
+///
+/// The library's unpacker allocates an array with the length that the message announces before it reads the elements.
+/// The announced lengths are therefore checked first: an element takes at least one byte, so all arrays together have
+/// fewer elements than the message has bytes. Throws msgpack::unpack_error if they announce more, if arrays are nested
+/// deeper than 8 levels, or if the bytes are not exactly one message; msgpack::type_error if it has a map.
+[[nodiscard]] msgpack::object_handle unpackMessage(std::string_view bytes);
+
 /// \brief Reads the elements of a msgpack array one by one. Throws msgpack::type_error if the next element
 /// does not have the requested type or does not exist.
 class MsgpackArrayReader {
--- a/src/net/PeerCodec.cpp
+++ b/src/net/PeerCodec.cpp
@@ -10,8 +10,6 @@
 namespace {
 
     constexpr unsigned protocolVersion = 1;
-    constexpr std::size_t maxArrayElements = 65'536;
-    constexpr std::size_t maxNestingDepth = 4;
 
 }
 
@@ -96,12 +94,7 @@
         return reject(PeerRejection::WrongTag);
     PeerMessage message;
     try {
-        // The unpacker allocates an array with the length that the message states before it reads the elements;
-        // maxArrayElements bounds this allocation at 1.5 MB for each level of nesting.
-        msgpack::unpack_limit limits(maxArrayElements, 0, body.size(), 0, 0, maxNestingDepth);
-        std::size_t parsedBytes = 0;
-        msgpack::object_handle handle
-            = msgpack::unpack(body.data(), body.size(), parsedBytes, nullptr, nullptr, limits);
+        msgpack::object_handle handle = unpackMessage(body);
         MsgpackArrayReader reader(handle.get());
         if (reader.readUnsigned() != protocolVersion)
             return reject(PeerRejection::UnknownVersion);
@@ -111,7 +104,7 @@
         message.sequence = reader.readUnsigned();
         message.payload = unpackPayload(type, reader.readArray());
         reader.requireEnd();
-        if (parsedBytes != body.size() || message.sender.empty())
+        if (message.sender.empty())
             return reject(PeerRejection::Malformed);
     } catch (const std::exception&) {
         return reject(PeerRejection::Malformed);
--- a/src/router/FleetUpdateCodec.cpp
+++ b/src/router/FleetUpdateCodec.cpp
@@ -256,7 +256,7 @@
 Result<FleetUpdate> decodeFleetUpdate(std::string_view bytes, Millis now)
 {
     try {
-        msgpack::object_handle handle = msgpack::unpack(bytes.data(), bytes.size());
+        msgpack::object_handle handle = unpackMessage(bytes);
         MsgpackArrayReader reader(handle.get());
         if (reader.readUnsigned() != formatVersion)
             return Error { .kind = ErrorKind::PeerMessageRejected, .message = "unsupported format version" };
--- a/src/router/PlacementCodec.cpp
+++ b/src/router/PlacementCodec.cpp
@@ -119,7 +119,7 @@
 Result<PlacementRequest> decodePlacementRequest(std::string_view bytes, Millis now)
 {
     try {
-        msgpack::object_handle handle = msgpack::unpack(bytes.data(), bytes.size());
+        msgpack::object_handle handle = unpackMessage(bytes);
         MsgpackArrayReader reader(handle.get());
         if (reader.readUnsigned() != formatVersion)
             return rejectionError("unsupported format version");
@@ -163,7 +163,7 @@
 Result<PlacementReply> decodePlacementReply(std::string_view bytes)
 {
     try {
-        msgpack::object_handle handle = msgpack::unpack(bytes.data(), bytes.size());
+        msgpack::object_handle handle = unpackMessage(bytes);
         MsgpackArrayReader reader(handle.get());
         if (reader.readUnsigned() != formatVersion)
             return rejectionError("unsupported format version");
--- a/src/router/StoreConfirmationCodec.cpp
+++ b/src/router/StoreConfirmationCodec.cpp
@@ -51,7 +51,7 @@
 Result<StoreConfirmation> decodeStoreConfirmation(std::string_view bytes)
 {
     try {
-        msgpack::object_handle handle = msgpack::unpack(bytes.data(), bytes.size());
+        msgpack::object_handle handle = unpackMessage(bytes);
         MsgpackArrayReader reader(handle.get());
         if (reader.readUnsigned() != formatVersion)
             return Error { .kind = ErrorKind::PeerMessageRejected, .message = "unsupported format version" };
