Handle SIGHUP, SIGINT and SIGTERM from main() until the process has ended

Operators saw processes that ended by themselves without a log line. The handlers were registered after the addresses were bound, and removed when the router was destroyed; before and after, the default action of the three signals ended the process with -1, -2 or -15. The daemon had no handler for SIGHUP at all, so that a SIGHUP ended it at any time.

main() now blocks the signals first. Router and daemon register their signal events right after the event base is created, then unblock, so that a signal during the start is handled by the loop: SIGHUP reloads, SIGTERM and SIGINT end in order with code 0. Before registration a handler that does nothing replaces the default action; libevent restores it when the events are removed, so signals in the teardown have no effect, in whichever thread they arrive (nng starts threads). SIG_IGN would discard signals that are pending at the start. The daemon reloads the log level and the times of the shutdown on SIGHUP. Commands that run no service get back the mask that they were started with.

The window itself can't be closed from inside the process and is documented.

bench/lifecycle tests it with real processes. A FIFO as the settings file holds a process in its start.

--- /dev/null
+++ b/bench/lifecycle/test_lifecycle.py
@@ -0,0 +1,159 @@
+"""Tests of how the router and the daemon start and stop, with real processes on loopback."""
+
+import errno
+import json
+import os
+import signal
+import socket
+import subprocess
+import tempfile
+import time
+import unittest
+
+import service
+from service import LIFECYCLE_SIGNALS, Service, daemon_settings, loopback_ip, router_settings
+
+
+class LifecycleTest(unittest.TestCase):
+    def setUp(self):
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.folder = folder.name
+        self.ip = loopback_ip()
+
+    def settings(self, command):
+        return router_settings(self.ip) if command == "router" else daemon_settings(self.ip, self.folder)
+
+
+class SignalsDuringStartTest(LifecycleTest):
+    """A FIFO in the place of the settings holds the process in its start: it waits for a writer.
+
+    The loader's time before main() can't be covered from inside the process, so nothing is sent in it.
+    """
+
+    def start_held(self, command):
+        """Returns the process, and the descriptor to which its settings are written."""
+        path = os.path.join(self.folder, "settings.json")
+        os.mkfifo(path)
+        started = Service(command, self.folder)
+        self.addCleanup(started.__exit__)
+
+        def open_for_writing():
+            try:
+                return os.open(path, os.O_WRONLY | os.O_NONBLOCK)
+            except OSError as error:
+                if error.errno != errno.ENXIO:
+                    raise
+                return None
+
+        return started, started.wait_for(open_for_writing, "reading of the settings")
+
+    def release(self, command, started, writer):
+        """Puts a file in the place of the FIFO, which a reload reads, and writes the settings to the FIFO."""
+        text = json.dumps(self.settings(command))
+        replacement = started.settings_path.with_suffix(".new")
+        replacement.write_text(text)
+        replacement.rename(started.settings_path)
+        os.write(writer, text.encode())
+        os.close(writer)
+
+    def test_sighup_during_the_start_reloads_instead_of_ending_the_process(self):
+        for command in ("router", "daemon"):
+            with self.subTest(command):
+                self.setUp()
+                started, writer = self.start_held(command)
+                started.send(signal.SIGHUP)
+                self.release(command, started, writer)
+                started.wait_for_event("started")
+                started.wait_for_event("settings_reloaded")
+
+    def test_stop_signal_during_the_start_ends_in_order(self):
+        for command in ("router", "daemon"):
+            for number in (signal.SIGTERM, signal.SIGINT):
+                with self.subTest(command, signal=number):
+                    self.setUp()
+                    started, writer = self.start_held(command)
+                    started.send(number)
+                    self.release(command, started, writer)
+                    self.assertEqual(started.exit_code(), 0, started.log())
+                    self.assertIn("event=shutdown_started", started.log())
+                    self.assertIn("event=shutdown_finished", started.log())
+
+    def test_series_of_sighup_from_the_start_of_main_does_not_end_the_process(self):
+        for command in ("router", "daemon"):
+            with self.subTest(command):
+                self.setUp()
+                with Service(command, self.folder, self.settings(command)) as started:
+                    started.wait_for(started.holds_lifecycle_signals, "blocked signals")
+
+                    def send_and_look():
+                        started.send(signal.SIGHUP)
+                        return "event=started" in started.log()
+
+                    started.wait_for(send_and_look, "event=started")
+
+
+class SignalsAfterStartTest(LifecycleTest):
+    def test_signals_until_the_end_of_a_stop_leave_exit_code_0(self):
+        # Each stop meets the end of the process at another moment.
+        for number in LIFECYCLE_SIGNALS:
+            for attempt in range(6):
+                with self.subTest(signal=number, attempt=attempt):
+                    self.setUp()
+                    with Service("router", self.folder, self.settings("router")) as started:
+                        started.wait_for_event("started")
+                        started.send(signal.SIGTERM)
+                        started.send_series_until_end(number)
+                        self.assertEqual(started.exit_code(), 0, started.log())
+
+    def test_signals_until_the_end_of_a_daemons_stop_do_not_end_it_by_a_signal(self):
+        # A second SIGTERM or SIGINT forces the end of a daemon, with exit code 1.
+        for number in LIFECYCLE_SIGNALS:
+            allowed = (0,) if number == signal.SIGHUP else (0, 1)
+            for attempt in range(6):
+                with self.subTest(signal=number, attempt=attempt):
+                    self.setUp()
+                    with Service("daemon", self.folder, self.settings("daemon")) as started:
+                        started.wait_for_event("started")
+                        started.send(signal.SIGTERM)
+                        started.send_series_until_end(number)
+                        self.assertIn(started.exit_code(), allowed, started.log())
+
+    def test_sighup_changes_the_log_level_of_a_running_daemon(self):
+        settings = self.settings("daemon")
+        with Service("daemon", self.folder, settings) as started:
+            started.wait_for_event("started")
+            settings["logging"] = {"level": "error"}
+            started.settings_path.write_text(json.dumps(settings))
+            started.send(signal.SIGHUP)
+            # The line itself is of level info, so what follows tells: an invalid file is reported as an error.
+            time.sleep(0.2)
+            started.settings_path.write_text("{")
+            started.send(signal.SIGHUP)
+            started.wait_for_event("reload_failed")
+            started.send(signal.SIGTERM)
+            self.assertEqual(started.exit_code(), 0, started.log())
+            self.assertNotIn("event=shutdown_started", started.log())
+
+
+class ClientCommandTest(LifecycleTest):
+    def test_sigterm_ends_a_command_that_waits_for_a_response(self):
+        # The command waits for a server that accepts connections and never answers.
+        with socket.create_server((self.ip, 0)) as silent:
+            address = f"{self.ip}:{silent.getsockname()[1]}"
+            silent.settimeout(service.PATIENCE_S)
+            command = subprocess.Popen([service.BINARY, "status", "--admin", address, "--timeout-ms", "60000"],
+                                       stdout=subprocess.DEVNULL, stderr=subprocess.DEVNULL)
+            connection, _ = silent.accept()
+            with connection:
+                command.send_signal(signal.SIGTERM)
+                try:
+                    self.assertEqual(command.wait(service.PATIENCE_S), -signal.SIGTERM)
+                finally:
+                    if command.poll() is None:
+                        command.kill()
+                        command.wait()
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/src/cli/CheckCommand.cpp
+++ b/src/cli/CheckCommand.cpp
@@ -2,28 +2,15 @@
 #include "cli/Flags.h"
 #include "config/DaemonSettings.h"
 #include "config/DocumentCheck.h"
+#include "config/SettingsFile.h"
 #include "daemon/Daemon.h"
 
 #include <absl/flags/flag.h>
-#include <fstream>
 #include <iostream>
-#include <iterator>
 #include <nlohmann/json.hpp>
-#include <optional>
 
 namespace jasminestack {
 
-std::optional<std::string> readFile(const std::string& path)
-{
-    std::ifstream stream(path, std::ios::binary);
-    if (!stream)
-        return std::nullopt;
-    std::string text { std::istreambuf_iterator<char>(stream), {} };
-    if (stream.bad())
-        return std::nullopt;
-    return text;
-}
-
 int runCheck(const std::vector<std::string>& arguments)
 {
     const std::string& file = arguments.front();
@@ -66,7 +53,7 @@
         std::cerr << settings.error().message << "\n";
         return exit_code::invalidInput;
     }
-    return runDaemon(settings.value());
+    return runDaemon(settings.value(), path);
 }
 
 }
--- a/src/cli/Cli.cpp
+++ b/src/cli/Cli.cpp
@@ -1,5 +1,6 @@
 #include "cli/Cli.h"
 
+#include "base/LifecycleSignals.h"
 #include "cli/Commands.h"
 #include "cli/Flags.h"
 
@@ -174,9 +175,9 @@
 const std::vector<Command>& commands()
 {
     static const std::vector<Command> list {
-        { "daemon", "", "run a daemon until it is stopped by SIGTERM", { "settings" }, runDaemonCommand },
+        { "daemon", "", "run a daemon until it is stopped by SIGTERM", { "settings" }, runDaemonCommand, true },
         { "router", "", "run a router with the store of a deployment until it is stopped by SIGTERM", { "settings" },
-            runRouterCommand },
+            runRouterCommand, true },
         { "explain", "[ID] [FILE...]", "print the lines of a request from routers' logs (default: standard input)",
             { "summary" }, runExplain },
         { "check", "FILE", "check settings or a configuration and print every error", { "json" }, runCheck },
@@ -242,6 +243,8 @@
     if (!acceptsArgumentCount(*matched, positional.size()))
         return usageError("'" + std::string(matched->words) + "' takes "
             + (matched->arguments.empty() ? "no arguments" : "the arguments " + std::string(matched->arguments)));
+    if (!matched->runsService)
+        restoreSignalMask();
     return matched->run(positional);
 }
 
--- a/src/cli/Commands.h
+++ b/src/cli/Commands.h
@@ -1,6 +1,5 @@
 #pragma once
 
-#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -18,9 +17,6 @@
     constexpr int outcomeUnknown = 6;
 }
 
-/// \returns The content of the file, or std::nullopt if the file cannot be read.
-[[nodiscard]] std::optional<std::string> readFile(const std::string& path);
-
 /// \brief One subcommand of the command line.
 struct Command {
     std::string_view words; ///< For example "workspace create".
@@ -29,6 +25,7 @@
     std::string_view summary;
     std::vector<std::string_view> flags; ///< Names of the accepted flags, as on the command line.
     int (*run)(const std::vector<std::string>& arguments);
+    bool runsService { false }; ///< Handles the signals of its life cycle itself; other commands are interruptible.
 };
 
 /// \returns All subcommands in the order of the help text.
--- a/src/cli/ConfigCommands.cpp
+++ b/src/cli/ConfigCommands.cpp
@@ -3,6 +3,7 @@
 #include "cli/Flags.h"
 #include "cli/Table.h"
 #include "config/DocumentCheck.h"
+#include "config/SettingsFile.h"
 
 #include <absl/flags/flag.h>
 #include <charconv>
--- a/src/cli/RouterCommand.cpp
+++ b/src/cli/RouterCommand.cpp
@@ -1,6 +1,7 @@
 #include "cli/Commands.h"
 #include "cli/Flags.h"
 #include "config/RouterSettings.h"
+#include "config/SettingsFile.h"
 #include "platform/PlatformAdapter.h"
 
 #include <absl/flags/flag.h>
--- a/src/daemon/Daemon.cpp
+++ b/src/daemon/Daemon.cpp
@@ -1,7 +1,9 @@
 #include "daemon/Daemon.h"
 
 #include "base/Clock.h"
+#include "base/LifecycleSignals.h"
 #include "base/Random.h"
+#include "config/SettingsFile.h"
 #include "core/CrashGuard.h"
 #include "core/EndpointHealth.h"
 #include "core/Retry.h"
@@ -106,7 +108,8 @@
     std::unique_ptr<AdminServer> adminServer;
     FleetServices fleetServices;
     EventPointer tickTimer;
-    std::array<EventPointer, 2> signalEvents;
+    std::array<EventPointer, 3> signalEvents;
+    std::string settingsPath;
     Phase phase { Phase::Running };
     Millis stopRequestedAt {};
     Millis leftAt {};
@@ -200,14 +203,31 @@
 
     void watchSignals()
     {
-        constexpr std::array<int, 2> signalNumbers { SIGTERM, SIGINT };
-        for (std::size_t i = 0; i < signalNumbers.size(); ++i) {
-            signalEvents[i].reset(evsignal_new(base.get(), signalNumbers[i], onSignal, this));
-            event_add(signalEvents[i].get(), nullptr);
-        }
+        auto watch = [this](std::size_t index, int signalNumber, event_callback_fn handler) {
+            signalEvents[index].reset(evsignal_new(base.get(), signalNumber, handler, this));
+            event_add(signalEvents[index].get(), nullptr);
+        };
+        auto onStop = [](evutil_socket_t, short, void* argument) { static_cast<State*>(argument)->stop(); };
+        watch(0, SIGTERM, onStop);
+        watch(1, SIGINT, onStop);
+        watch(
+            2, SIGHUP, [](evutil_socket_t, short, void* argument) { static_cast<State*>(argument)->reloadSettings(); });
     }
 
-    static void onSignal(evutil_socket_t, short, void* argument) { static_cast<State*>(argument)->stop(); }
+    // Addresses and the parts built from the other settings stay as they were at the start.
+    void reloadSettings()
+    {
+        auto text = readFile(settingsPath);
+        auto parsed = parseDaemonSettings(text.value_or(""), settingsPath);
+        if (!parsed) {
+            logEvent(LogLevel::Error, "reload_failed", { { "message", parsed.error().message } });
+            return;
+        }
+        settings.logging = parsed.value().logging;
+        settings.shutdown = parsed.value().shutdown;
+        setLogLevel(parseLogLevel(settings.logging.level).value());
+        logEvent(LogLevel::Info, "settings_reloaded", { { "signalled", 1 } });
+    }
 
     static void onTick(evutil_socket_t, short, void* argument) { static_cast<State*>(argument)->runTick(); }
 
@@ -321,23 +341,29 @@
     return m_state->isShutdownForced ? 1 : 0;
 }
 
-void Daemon::watchSignals() { m_state->watchSignals(); }
+void Daemon::watchSignals(std::string settingsPath)
+{
+    m_state->settingsPath = std::move(settingsPath);
+    m_state->watchSignals();
+}
 
 void Daemon::stop() { m_state->stop(); }
 
 std::uint16_t Daemon::callerPort() const noexcept { return m_state->callerServer.port(); }
 
-int runDaemon(const DaemonSettings& settings)
+int runDaemon(const DaemonSettings& settings, std::string settingsPath)
 {
     std::signal(SIGPIPE, SIG_IGN);
+    replaceDefaultSignalActions();
     startLogging(parseLogLevel(settings.logging.level).value());
     Daemon daemon(settings);
+    daemon.watchSignals(std::move(settingsPath));
+    unblockLifecycleSignals();
     auto started = daemon.start();
     if (!started) {
         logEvent(LogLevel::Error, "start_failed", { { "message", started.error().message } });
         return 1;
     }
-    daemon.watchSignals();
     logEvent(
         LogLevel::Info, "started", { { "daemon", settings.daemon.id.value }, { "callers", settings.callers.address } });
     return daemon.run();
--- a/src/daemon/Daemon.h
+++ b/src/daemon/Daemon.h
@@ -7,6 +7,7 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <string>
 
 namespace jasminestack {
 
@@ -28,8 +29,10 @@
     /// \returns The exit code: 0, or 1 if a second stop() ended the loop before the graceful shutdown was complete.
     [[nodiscard]] int run();
 
-    /// \brief Installs handlers that call stop() on SIGTERM and SIGINT.
-    void watchSignals();
+    /// \brief Installs handlers for SIGTERM and SIGINT, which call stop(), and for SIGHUP, which reads the log level
+    /// and the times of the shutdown from the settings again. Call it before start(), so that signals during the start
+    /// are handled when run() is called. \param settingsPath The settings file; empty: settings are not reloaded.
+    void watchSignals(std::string settingsPath = {});
 
     /// \brief Begins the graceful shutdown; a second call ends the loop at once. Call it only on the loop's thread.
     void stop();
@@ -43,7 +46,8 @@
 };
 
 /// \brief Runs a daemon until SIGTERM or SIGINT.
+/// \param settingsPath The settings file, for reloads.
 /// \returns The process's exit code, as returned by Daemon::run(); 1 if the daemon cannot start.
-[[nodiscard]] int runDaemon(const DaemonSettings&);
+[[nodiscard]] int runDaemon(const DaemonSettings&, std::string settingsPath);
 
 }
--- a/src/router/RouterDaemon.cpp
+++ b/src/router/RouterDaemon.cpp
@@ -1,6 +1,8 @@
 #include "router/RouterDaemon.h"
 
 #include "base/Hash.h"
+#include "base/LifecycleSignals.h"
+#include "config/SettingsFile.h"
 #include "net/AcceptPolicy.h"
 #include "net/CallerServer.h"
 #include "net/EndpointClient.h"
@@ -22,9 +24,7 @@
 #include <array>
 #include <csignal>
 #include <event2/event.h>
-#include <fstream>
 #include <malloc.h>
-#include <sstream>
 #include <sys/stat.h>
 #include <unistd.h>
 #include <utility>
@@ -122,15 +122,6 @@
     // the allocator raises the size with the buffers that are freed, and gaps between large ones stay in memory.
     constexpr int largeBufferBytes = 128 << 10;
 
-    std::optional<std::string> readFile(const std::string& path)
-    {
-        std::ifstream file(path);
-        std::ostringstream text;
-        if (!(text << file.rdbuf()))
-            return std::nullopt;
-        return text.str();
-    }
-
 }
 
 struct RouterDaemon::State final : DeploymentListener {
@@ -576,14 +567,16 @@
 int runRouter(const RouterSettings& settings, DeploymentAdapter adapter, std::string settingsPath)
 {
     std::signal(SIGPIPE, SIG_IGN);
+    replaceDefaultSignalActions();
     startBufferedLogging(parseLogLevel(settings.logging.level).value());
     RouterDaemon daemon(settings, std::move(adapter));
+    daemon.watchSignals(std::move(settingsPath));
+    unblockLifecycleSignals();
     if (auto started = daemon.start(); !started) {
         logEvent(LogLevel::Error, "start_failed", { { "message", started.error().message } });
         flushLog();
         return 1;
     }
-    daemon.watchSignals(std::move(settingsPath));
     logEvent(LogLevel::Info, "started",
         { { "daemon", settings.daemon.id.value }, { "availability_zone", settings.daemon.availabilityZone },
             { "callers", settings.callers.address }, { "store", settings.store.address } });
--- a/src/router/RouterDaemon.h
+++ b/src/router/RouterDaemon.h
@@ -39,7 +39,8 @@
     void run();
 
     /// \brief Installs handlers for SIGTERM and SIGINT (graceful shutdown) and SIGHUP (reload of the settings). From
-    /// now on the settings are also reloaded when the file changes.
+    /// now on the settings are also reloaded when the file changes. Call it before start(), so that signals during the
+    /// start are handled when run() is called.
     /// \param settingsPath The settings file; empty: settings are not reloaded.
     void watchSignals(std::string settingsPath);
 
