--- a/src/cli/RouterCommand.cpp
+++ b/src/cli/RouterCommand.cpp
@@ -1,6 +1,7 @@
 #include "cli/Commands.h"
 #include "cli/Flags.h"
 #include "config/RouterSettings.h"
+#include "config/SettingsFile.h"
 #include "observe/Logging.h"
 #include "observe/ProcessEnd.h"
 #include "platform/PlatformAdapter.h"
