observe: a log that cannot be written does not end the process

What operators saw: a process whose standard output is a file ended with -25 (SIGXFSZ) when the file reached RLIMIT_FSIZE, at the first flush if the file was long already.

Cause: SIGXFSZ had its default action. A daemon logged through std::clog, which after one failed write loses all later lines. A buffered log that could not be written was tried again for each line beyond 32 KiB.

Both logs use the line buffer: lines wait in it, at most 1 MiB, until there is room again; further ones are dropped and counted as before. After a write that took nothing, the next one is made 32 KiB or one flushLog() later.

--- a/bench/lifecycle/test_ends.py
+++ b/bench/lifecycle/test_ends.py
@@ -3,6 +3,7 @@
 import json
 import os
 import pathlib
+import resource
 import signal
 import socket
 import subprocess
@@ -15,6 +16,7 @@
 BINARY = pathlib.Path(os.environ.get("JASMINESTACK_BINARY", ROOT / "build/release/jasminestack"))
 START_S = 10.0
 END_S = 10.0
+LOG_LIMIT = 60  # Bytes, less than the line of the start.
 ENVIRONMENT = {**os.environ, "JASMINESTACK_OPERATOR_TOKEN": "test-token-0123456789abcdef",
                "JASMINESTACK_FLEET_KEY": "test-key-0123456789abcdef0123456789abcdef"}
 
@@ -68,6 +70,10 @@
             time.sleep(0.01)
         return text in self.log()
 
+    def cpu_seconds(self):
+        fields = pathlib.Path(f"/proc/{self.process.pid}/stat").read_text().rsplit(")", 1)[1].split()
+        return (int(fields[11]) + int(fields[12])) / os.sysconf("SC_CLK_TCK")
+
     def send(self, number):
         self.process.send_signal(number)
 
@@ -149,6 +155,40 @@
                 self.assertEqual(process.end(), 1)
                 self.assertIn("level=error event=process_exit code=1 reason=settings_unreadable", process.last_line())
 
+    # Guards against a log whose file is at its size limit and takes the process with it (SIGXFSZ), and against lines
+    # that stay lost when the file has room again.
+    def test_log_file_at_its_size_limit(self):
+        for role in ("router", "daemon"):
+            with self.subTest(role=role):
+                hard = resource.getrlimit(resource.RLIMIT_FSIZE)[1]
+                limit = LOG_LIMIT
+                process = self.start(role, preexec_fn=lambda: resource.setrlimit(resource.RLIMIT_FSIZE, (limit, hard)))
+                time.sleep(1.0)
+                self.assertIsNone(process.process.poll())
+                self.assertEqual(len(process.log()), limit)
+                cpu_before = process.cpu_seconds()
+                time.sleep(1.0)
+                self.assertLess(process.cpu_seconds() - cpu_before, 0.2)
+                resource.prlimit(process.process.pid, resource.RLIMIT_FSIZE, (hard, hard))
+                process.send(signal.SIGTERM)
+                self.assertEqual(process.end(), 0)
+                lines = process.log().splitlines()
+                self.assertTrue(all(line.startswith("time=") and " event=" in line for line in lines), lines)
+                self.assertEqual(sum(" event=started " in line for line in lines), 1)
+                self.assertIn("event=process_exit code=0", lines[-1])
+
+    # Guards against signals without a meaning here that end the process.
+    def test_ignored_signals(self):
+        for role in ("router", "daemon"):
+            for number in (signal.SIGXFSZ, signal.SIGPIPE):
+                with self.subTest(role=role, signal=number.name):
+                    process = self.started(role)
+                    process.send(number)
+                    time.sleep(0.1)
+                    process.send(signal.SIGTERM)
+                    self.assertEqual(process.end(), 0)
+                    self.assertIn("event=process_exit code=0", process.last_line())
+
 
 if __name__ == "__main__":
     if not BINARY.exists():
--- a/src/observe/Logging.cpp
+++ b/src/observe/Logging.cpp
@@ -5,7 +5,6 @@
 #include <boost/log/expressions.hpp>
 #include <boost/log/sinks/basic_sink_backend.hpp>
 #include <boost/log/sinks/sync_frontend.hpp>
-#include <boost/log/sinks/text_ostream_backend.hpp>
 #include <boost/log/sources/record_ostream.hpp>
 #include <boost/log/sources/severity_logger.hpp>
 #include <boost/log/support/date_time.hpp>
@@ -13,7 +12,6 @@
 #include <boost/shared_ptr.hpp>
 #include <cerrno>
 #include <fcntl.h>
-#include <iostream>
 #include <poll.h>
 #include <unistd.h>
 #include <utility>
@@ -24,7 +22,6 @@
 
     namespace logging = boost::log;
 
-    using StreamBackend = logging::sinks::text_ostream_backend;
     using LevelLogger = logging::sources::severity_logger<LogLevel>;
 
     std::atomic<LogLevel> currentLevel { LogLevel::Info };
@@ -47,7 +44,7 @@
     // Maximum number of bytes not yet written to standard output, about one minute of a busy daemon's log.
     constexpr std::size_t maxBufferedBytes = 1U << 20U;
 
-    // The buffer is written at once when it reaches this size, without waiting for the next flushLog().
+    // A buffered log is written at once when it reaches this size, without waiting for the next flushLog().
     constexpr std::size_t flushThresholdBytes = 32U << 10U;
 
     // Longest time for which a process that ends waits for the reader of its log.
@@ -92,9 +89,16 @@
         std::atomic<bool>& m_isChanging;
     };
 
-    /// Buffers lines for standard output, whose reader may be slow or stopped.
+    /// Buffers lines for an output whose reader may be slow or stopped, or that takes no more bytes.
     class LineBuffer {
     public:
+        /// \brief Lines are written as soon as \p bytes are buffered.
+        void setFlushThreshold(std::size_t bytes)
+        {
+            m_flushThreshold = bytes;
+            m_flushAt = bytes;
+        }
+
         void addLine(std::string_view line)
         {
             if (m_buffer.size() - m_writtenBytes + line.size() >= maxBufferedBytes) {
@@ -102,7 +106,7 @@
                 return;
             }
             appendLine(line);
-            if (m_buffer.size() - m_writtenBytes >= flushThresholdBytes)
+            if (m_buffer.size() - m_writtenBytes >= m_flushAt)
                 flush();
         }
 
@@ -121,7 +125,7 @@
         {
             while (m_writtenBytes < m_buffer.size()) {
                 ssize_t writtenCount
-                    = write(STDOUT_FILENO, m_buffer.data() + m_writtenBytes, m_buffer.size() - m_writtenBytes);
+                    = write(logDescriptor, m_buffer.data() + m_writtenBytes, m_buffer.size() - m_writtenBytes);
                 if (writtenCount <= 0)
                     break;
                 m_writtenBytes += static_cast<std::size_t>(writtenCount);
@@ -129,6 +133,8 @@
             ChangeMark mark(m_isChanging);
             m_buffer.erase(0, m_writtenBytes);
             m_writtenBytes = 0;
+            // An output that takes no bytes is not tried again for each line.
+            m_flushAt = m_buffer.size() + m_flushThreshold;
         }
 
         /// \brief Writes the buffered lines, then \p line.
@@ -156,6 +162,8 @@
 
     private:
         std::string m_buffer;
+        std::size_t m_flushThreshold { flushThresholdBytes };
+        std::size_t m_flushAt { flushThresholdBytes }; ///< Unwritten bytes at which the next line calls flush().
         std::size_t m_writtenBytes { 0 };
         std::uint64_t m_droppedLines { 0 };
         std::uint64_t m_reportedDroppedLines { 0 };
@@ -195,13 +203,6 @@
         line += '"';
     }
 
-    void replaceSink(const boost::shared_ptr<logging::sinks::sink>& sink)
-    {
-        logging::core::get()->remove_all_sinks();
-        logging::core::get()->add_sink(sink);
-        logging::core::get()->add_global_attribute("TimeStamp", logging::attributes::utc_clock());
-    }
-
     void formatRecord(const logging::record_view& record, logging::formatting_ostream& stream)
     {
         auto time = logging::extract<boost::posix_time::ptime>("TimeStamp", record);
@@ -213,30 +214,32 @@
         stream << record[logging::expressions::smessage];
     }
 
+    void startWriting(int descriptor, std::size_t flushThreshold, LogLevel level)
+    {
+        setLogLevel(level);
+        logDescriptor = descriptor;
+        lineBuffer().setFlushThreshold(flushThreshold);
+        auto sink = boost::make_shared<logging::sinks::synchronous_sink<BufferBackend>>();
+        sink->set_formatter(&formatRecord);
+        logging::core::get()->remove_all_sinks();
+        logging::core::get()->add_sink(sink);
+        logging::core::get()->add_global_attribute("TimeStamp", logging::attributes::utc_clock());
+    }
+
 }
 
 void startLogging(LogLevel level)
 {
-    setLogLevel(level);
-    logDescriptor = STDERR_FILENO;
-    auto backend = boost::make_shared<StreamBackend>();
-    backend->add_stream(boost::shared_ptr<std::ostream>(&std::clog, [](std::ostream*) {}));
-    backend->auto_flush(true);
-    auto sink = boost::make_shared<logging::sinks::synchronous_sink<StreamBackend>>(backend);
-    sink->set_formatter(&formatRecord);
-    replaceSink(sink);
+    constexpr std::size_t afterEachLine = 0;
+    startWriting(STDERR_FILENO, afterEachLine, level);
 }
 
 void startBufferedLogging(LogLevel level)
 {
-    setLogLevel(level);
-    logDescriptor = STDOUT_FILENO;
     int flags = fcntl(STDOUT_FILENO, F_GETFL);
     if (flags >= 0)
         fcntl(STDOUT_FILENO, F_SETFL, flags | O_NONBLOCK);
-    auto sink = boost::make_shared<logging::sinks::synchronous_sink<BufferBackend>>();
-    sink->set_formatter(&formatRecord);
-    replaceSink(sink);
+    startWriting(STDOUT_FILENO, flushThresholdBytes, level);
 }
 
 void flushLog() { lineBuffer().flush(); }
--- a/src/observe/Logging.h
+++ b/src/observe/Logging.h
@@ -40,7 +40,8 @@
     }
 };
 
-/// \brief Starts logging to standard error; call it before the first event. Ends logging to elsewhere.
+/// \brief Starts logging to standard error, line by line; call it before the first event. Lines that cannot be written
+/// are kept and dropped as by startBufferedLogging(). Ends logging to elsewhere.
 void startLogging(LogLevel);
 
 /// \brief Starts logging to standard output without blocking: lines are collected in a bounded buffer and written by
--- a/src/observe/ProcessEnd.cpp
+++ b/src/observe/ProcessEnd.cpp
@@ -47,6 +47,8 @@
         FatalSignal { SIGALRM, "SIGALRM" },
     };
 
+    constexpr std::array ignoredSignals { SIGPIPE, SIGXFSZ };
+
     constexpr std::size_t maxFrames = 32;
     constexpr std::size_t maxSymbolBytes = 160;
 
@@ -263,6 +265,8 @@
 
 void observeProcessEnd()
 {
+    for (int number : ignoredSignals)
+        (void)std::signal(number, SIG_IGN);
     std::set_terminate(onTerminate);
     event_set_log_callback(onEventLoopMessage);
     event_set_fatal_callback(onEventLoopError);
--- a/src/observe/ProcessEnd.h
+++ b/src/observe/ProcessEnd.h
@@ -12,7 +12,11 @@
 /// - `event_loop_error` for errors after which libevent cannot go on.
 ///
 /// Libevent's warnings become `event_loop_message` lines. With AddressSanitizer the signals keep its handlers, whose
-/// reports tell more. Call it once, after logging was started.
+/// reports tell more.
+///
+/// Signals that end a process by default although nothing is wrong with it are ignored: SIGPIPE and SIGXFSZ (the write
+/// fails instead), SIGUSR1 and SIGUSR2 (which have no meaning here, but tools for log rotation send them). Call it
+/// once, after logging was started.
 void observeProcessEnd();
 
 /// \brief Logs `process_exit` and writes the buffered lines.
--- a/tests/ProcessEndTests.cpp
+++ b/tests/ProcessEndTests.cpp
@@ -4,6 +4,8 @@
 #include <catch2/catch.hpp>
 #include <csignal>
 #include <event2/event.h>
+#include <fcntl.h>
+#include <fstream>
 #include <functional>
 #include <stdexcept>
 #include <string>
@@ -158,6 +160,44 @@
     CHECK(contains(end.output, "runInChild"));
 }
 
+// Guards against an output that takes no bytes and costs a system call for each line. (The sanitizers' own
+// calls of write() would be counted, too.)
+TEST_CASE("an output that takes no bytes is tried once for each 32 KiB", "[ends]")
+{
+    auto end = runInChild([] {
+        int pipeEnds[2];
+        (void)!pipe2(pipeEnds, O_NONBLOCK);
+        std::string filler(65'536, 'x');
+        (void)!write(pipeEnds[1], filler.data(), filler.size());
+        int output = dup(STDOUT_FILENO);
+        dup2(pipeEnds[1], STDOUT_FILENO);
+        auto callsOf = [] {
+            std::ifstream file("/proc/self/io");
+            for (std::string word; file >> word;) {
+                if (word == "syscw:") {
+                    int count = 0;
+                    file >> count;
+                    return count;
+                }
+            }
+            return -1;
+        };
+        int before = callsOf();
+        std::string text(1'000, 'x');
+        for (int i = 0; i < 500; ++i)
+            logEvent(LogLevel::Info, "flood", { { "text", text } });
+        std::string report = "calls=" + std::to_string(callsOf() - before) + (before < 0 ? " unknown" : "") + "\n";
+        (void)!write(output, report.data(), report.size());
+    });
+    std::size_t at = end.output.find("calls=");
+    REQUIRE(at != std::string::npos);
+    int calls = std::stoi(end.output.substr(at + 6));
+    CAPTURE(calls);
+    CHECK(!contains(end.output, "unknown"));
+    CHECK(calls >= 1);
+    CHECK(calls <= 500'000 / 32'768 + 2);
+}
+
 #endif
 
 // Guards against a chosen exit whose last lines stay in the buffer.
@@ -169,3 +209,22 @@
     CHECK(contains(
         end.output, "level=error event=process_exit code=3 reason=settings_invalid message=\"line 1: 'x'\"\n"));
 }
+
+// Guards against daemons whose later lines are lost after one write to standard error failed.
+TEST_CASE("lines that cannot be written are written later, in order", "[ends]")
+{
+    auto end = runInChild([] {
+        int output = dup(STDOUT_FILENO);
+        int full = open("/dev/full", O_WRONLY);
+        dup2(full, STDERR_FILENO);
+        startLogging(LogLevel::Info);
+        logEvent(LogLevel::Info, "unwritten", { { "n", 1 } });
+        dup2(output, STDERR_FILENO);
+        logEvent(LogLevel::Info, "written", { { "n", 2 } });
+        _exit(logExit(0, "stopped"));
+    });
+    CAPTURE(end.output);
+    CHECK(countOf(end.output, "event=unwritten n=1\n") == 1);
+    CHECK(end.output.find("event=unwritten n=1\n") < end.output.find("event=written n=2\n"));
+    CHECK(contains(end.output, "event=process_exit code=0 reason=stopped\n"));
+}
