observe: ignore SIGUSR1 and SIGUSR2

What operators may see: a router or daemon that ends with -10 or -12 after a tool for log rotation, which sends these signals to make processes reopen their log, or a mistyped kill.

Cause: both signals had their default action, which ends the process without a line.

Change: they are ignored. They have no meaning here, and the log goes to a descriptor that is never reopened. SIGQUIT, SIGALRM and SIGXCPU still end the process, since who sends them expects an end, and leave a fatal_signal line.

--- a/bench/lifecycle/test_ends.py
+++ b/bench/lifecycle/test_ends.py
@@ -180,7 +180,7 @@
     # Guards against signals without a meaning here that end the process.
     def test_ignored_signals(self):
         for role in ("router", "daemon"):
-            for number in (signal.SIGXFSZ, signal.SIGPIPE):
+            for number in (signal.SIGUSR1, signal.SIGUSR2, signal.SIGXFSZ, signal.SIGPIPE):
                 with self.subTest(role=role, signal=number.name):
                     process = self.started(role)
                     process.send(number)
--- a/src/observe/ProcessEnd.cpp
+++ b/src/observe/ProcessEnd.cpp
@@ -47,7 +47,7 @@
         FatalSignal { SIGALRM, "SIGALRM" },
     };
 
-    constexpr std::array ignoredSignals { SIGPIPE, SIGXFSZ };
+    constexpr std::array ignoredSignals { SIGPIPE, SIGXFSZ, SIGUSR1, SIGUSR2 };
 
     constexpr std::size_t maxFrames = 32;
     constexpr std::size_t maxSymbolBytes = 160;
