observe: log the first moment and the steps of a start

What operators saw: "the system didn't start", and no line from which to tell a process that was never run, one that ended while it read its settings or bound its addresses, and one that was slow.

Cause: the first line was `started`, after all of it.

Change: `starting` is written before the settings are read, with the process's number, the settings file, the limits that the system sets and the time since the process was created; `started` has the limits of the settings and the milliseconds that settings, construction and addresses took.

--- a/bench/lifecycle/test_ends.py
+++ b/bench/lifecycle/test_ends.py
@@ -4,6 +4,7 @@
 import os
 import pathlib
 import resource
+import shlex
 import signal
 import socket
 import subprocess
@@ -16,6 +17,7 @@
 BINARY = pathlib.Path(os.environ.get("JASMINESTACK_BINARY", ROOT / "build/release/jasminestack"))
 START_S = 10.0
 END_S = 10.0
+CLOCK_TICK_MS = 10
 LOG_LIMIT = 60  # Bytes, less than the line of the start.
 ENVIRONMENT = {**os.environ, "JASMINESTACK_OPERATOR_TOKEN": "test-token-0123456789abcdef",
                "JASMINESTACK_FLEET_KEY": "test-key-0123456789abcdef0123456789abcdef"}
@@ -49,6 +51,10 @@
             "shutdown": {"balancerGraceMs": 0, "drainMs": 1000}}
 
 
+def fields_of(line):
+    return dict(word.split("=", 1) for word in shlex.split(line))
+
+
 class Process:
     """A router or daemon whose output goes to a file."""
 
@@ -189,6 +195,34 @@
                     self.assertEqual(process.end(), 0)
                     self.assertIn("event=process_exit code=0", process.last_line())
 
+    # Guards against a start that ends before "started" without telling which process it was and how far it came.
+    def test_steps_of_a_start(self):
+        for role in ("router", "daemon"):
+            with self.subTest(role=role):
+                process = self.started(role)
+                lines = process.log().splitlines()
+                first = fields_of(lines[0])
+                self.assertEqual(first["event"], "starting")
+                self.assertEqual(int(first["pid"]), process.process.pid)
+                self.assertEqual(first["settings"], str(pathlib.Path(self.folder) / "settings.json"))
+                self.assertEqual(int(first["descriptor_limit"]), resource.getrlimit(resource.RLIMIT_NOFILE)[0])
+                self.assertLess(int(first["since_exec_ms"]), 1000 * START_S)
+                started = fields_of(next(line for line in lines if " event=started " in line))
+                steps = sum(int(started[key]) for key in ("settings_ms", "construction_ms", "addresses_ms"))
+                self.assertLessEqual(steps, int(started["since_exec_ms"]) + CLOCK_TICK_MS)
+                self.assertLessEqual(int(first["since_exec_ms"]), int(started["since_exec_ms"]))
+
+    # Guards against an address that is taken, whose line cannot be told from a process that was killed in its start.
+    def test_start_with_a_taken_address(self):
+        ports = free_ports(5)
+        with socket.socket() as taken:
+            taken.bind(("127.0.0.1", ports[0]))
+            taken.listen()
+            process = self.start(settings=router_settings(ports))
+            self.assertEqual(process.end(), 1)
+        self.assertIn(" event=starting ", process.log().splitlines()[0])
+        self.assertIn("event=process_exit code=1 reason=start_failed", process.last_line())
+
 
 if __name__ == "__main__":
     if not BINARY.exists():
--- a/src/cli/CheckCommand.cpp
+++ b/src/cli/CheckCommand.cpp
@@ -5,6 +5,7 @@
 #include "daemon/Daemon.h"
 #include "observe/Logging.h"
 #include "observe/ProcessEnd.h"
+#include "observe/ProcessStart.h"
 
 #include <absl/flags/flag.h>
 #include <fstream>
@@ -60,6 +61,7 @@
     }
     startLogging(LogLevel::Info);
     observeProcessEnd();
+    logStarting(path);
     const auto text = readFile(path);
     if (!text) {
         std::cerr << "jasminestack: cannot read " << path << "\n";
@@ -70,6 +72,7 @@
         std::cerr << settings.error().message << "\n";
         return logExit(exit_code::invalidInput, "settings_invalid", settings.error().message);
     }
+    endStartStep(StartStep::Settings);
     return runDaemon(settings.value());
 }
 
--- a/src/cli/RouterCommand.cpp
+++ b/src/cli/RouterCommand.cpp
@@ -3,6 +3,7 @@
 #include "config/RouterSettings.h"
 #include "observe/Logging.h"
 #include "observe/ProcessEnd.h"
+#include "observe/ProcessStart.h"
 #include "platform/PlatformAdapter.h"
 
 #include <absl/flags/flag.h>
@@ -19,6 +20,7 @@
     }
     startBufferedLogging(LogLevel::Info);
     observeProcessEnd();
+    logStarting(path);
     const auto text = readFile(path);
     if (!text) {
         std::cerr << "jasminestack: cannot read " << path << "\n";
@@ -29,6 +31,7 @@
         std::cerr << settings.error().message << "\n";
         return logExit(exit_code::invalidInput, "settings_invalid", settings.error().message);
     }
+    endStartStep(StartStep::Settings);
     return runRouter(settings.value(), platform::makePlatformAdapter(), path);
 }
 
--- a/src/daemon/Daemon.cpp
+++ b/src/daemon/Daemon.cpp
@@ -19,6 +19,7 @@
 #include "observe/Logging.h"
 #include "observe/Metrics.h"
 #include "observe/ProcessEnd.h"
+#include "observe/ProcessStart.h"
 #include "observe/Tracing.h"
 
 #include <array>
@@ -333,14 +334,15 @@
     std::signal(SIGPIPE, SIG_IGN);
     setLogLevel(parseLogLevel(settings.logging.level).value());
     Daemon daemon(settings);
+    endStartStep(StartStep::Construction);
     auto started = daemon.start();
     if (!started) {
         logEvent(LogLevel::Error, "start_failed", { { "message", started.error().message } });
         return logExit(1, "start_failed");
     }
+    endStartStep(StartStep::Addresses);
     daemon.watchSignals();
-    logEvent(
-        LogLevel::Info, "started", { { "daemon", settings.daemon.id.value }, { "callers", settings.callers.address } });
+    logStarted({ { "daemon", settings.daemon.id.value }, { "callers", settings.callers.address } });
     int code = daemon.run();
     return logExit(code, code == 0 ? "stopped" : "shutdown_forced");
 }
--- a/src/observe/Logging.cpp
+++ b/src/observe/Logging.cpp
@@ -265,6 +265,11 @@
 }
 
 std::string formatEvent(std::string_view event, std::initializer_list<LogField> fields)
+{
+    return formatEvent(event, std::span(fields.begin(), fields.size()));
+}
+
+std::string formatEvent(std::string_view event, std::span<const LogField> fields)
 {
     std::string line = "event=";
     appendValue(line, event);
@@ -278,6 +283,11 @@
 }
 
 void logEvent(LogLevel level, std::string_view event, std::initializer_list<LogField> fields)
+{
+    logEvent(level, event, std::span(fields.begin(), fields.size()));
+}
+
+void logEvent(LogLevel level, std::string_view event, std::span<const LogField> fields)
 {
     if (level < logLevel())
         return;
--- a/src/observe/Logging.h
+++ b/src/observe/Logging.h
@@ -5,6 +5,7 @@
 #include <concepts>
 #include <cstdint>
 #include <initializer_list>
+#include <span>
 #include <string>
 #include <string_view>
 
@@ -79,8 +80,10 @@
 /// logEvent(LogLevel::Warning, "endpoint_lost", { { "endpoint", id.value }, { "in_flight", 3 } });
 /// \endcode
 void logEvent(LogLevel, std::string_view event, std::initializer_list<LogField> fields = {});
+void logEvent(LogLevel, std::string_view event, std::span<const LogField> fields);
 
 /// \returns The line without time and level, as logEvent() writes it.
+[[nodiscard]] std::string formatEvent(std::string_view event, std::span<const LogField> fields);
 [[nodiscard]] std::string formatEvent(std::string_view event, std::initializer_list<LogField> fields);
 
 }
--- a/src/router/RouterDaemon.cpp
+++ b/src/router/RouterDaemon.cpp
@@ -10,6 +10,7 @@
 #include "observe/Logging.h"
 #include "observe/Metrics.h"
 #include "observe/ProcessEnd.h"
+#include "observe/ProcessStart.h"
 #include "router/DeploymentSource.h"
 #include "router/DocumentsRequest.h"
 #include "router/FleetSync.h"
@@ -579,14 +580,17 @@
     std::signal(SIGPIPE, SIG_IGN);
     setLogLevel(parseLogLevel(settings.logging.level).value());
     RouterDaemon daemon(settings, std::move(adapter));
+    endStartStep(StartStep::Construction);
     if (auto started = daemon.start(); !started) {
         logEvent(LogLevel::Error, "start_failed", { { "message", started.error().message } });
         return logExit(1, "start_failed");
     }
+    endStartStep(StartStep::Addresses);
     daemon.watchSignals(std::move(settingsPath));
-    logEvent(LogLevel::Info, "started",
-        { { "daemon", settings.daemon.id.value }, { "availability_zone", settings.daemon.availabilityZone },
-            { "callers", settings.callers.address }, { "store", settings.store.address } });
+    logStarted({ { "daemon", settings.daemon.id.value }, { "availability_zone", settings.daemon.availabilityZone },
+        { "callers", settings.callers.address }, { "store", settings.store.address },
+        { "processor_share", settings.daemon.cpuCores }, { "memory_mb", settings.daemon.memoryMb },
+        { "max_descriptors", settings.daemon.maxDescriptors } });
     daemon.run();
     return logExit(0, "stopped");
 }
