--- a/src/daemon/Daemon.cpp
+++ b/src/daemon/Daemon.cpp
@@ -21,6 +21,7 @@
 #include "observe/Logging.h"
 #include "observe/Metrics.h"
 #include "observe/ProcessEnd.h"
+#include "observe/ProcessStart.h"
 #include "observe/Tracing.h"
 
 #include <array>
@@ -358,6 +359,7 @@
     replaceDefaultSignalActions();
     setLogLevel(parseLogLevel(settings.logging.level).value());
     Daemon daemon(settings);
+    endStartStep(StartStep::Construction);
     daemon.watchSignals(std::move(settingsPath));
     unblockLifecycleSignals();
     auto started = daemon.start();
@@ -365,8 +367,8 @@
         logEvent(LogLevel::Error, "start_failed", { { "message", started.error().message } });
         return logExit(1, "start_failed");
     }
-    logEvent(
-        LogLevel::Info, "started", { { "daemon", settings.daemon.id.value }, { "callers", settings.callers.address } });
+    endStartStep(StartStep::Addresses);
+    logStarted({ { "daemon", settings.daemon.id.value }, { "callers", settings.callers.address } });
     int code = daemon.run();
     return logExit(code, code == 0 ? "stopped" : "shutdown_forced");
 }
--- a/src/observe/Logging.h
+++ b/src/observe/Logging.h
@@ -5,6 +5,7 @@
 #include <concepts>
 #include <cstdint>
 #include <initializer_list>
+#include <span>
 #include <string>
 #include <string_view>
 
@@ -40,7 +41,8 @@
     }
 };
 
-/// \brief Starts logging to standard error; call it before the first event. Ends logging to elsewhere.
+/// \brief Starts logging to standard error, line by line; call it before the first event. Lines that cannot be written
+/// are kept and dropped as by startBufferedLogging(). Ends logging to elsewhere.
 void startLogging(LogLevel);
 
 /// \brief Starts logging to standard output without blocking: lines are collected in a bounded buffer and written by
@@ -78,8 +80,10 @@
 /// logEvent(LogLevel::Warning, "endpoint_lost", { { "endpoint", id.value }, { "in_flight", 3 } });
 /// \endcode
 void logEvent(LogLevel, std::string_view event, std::initializer_list<LogField> fields = {});
+void logEvent(LogLevel, std::string_view event, std::span<const LogField> fields);
 
 /// \returns The line without time and level, as logEvent() writes it.
+[[nodiscard]] std::string formatEvent(std::string_view event, std::span<const LogField> fields);
 [[nodiscard]] std::string formatEvent(std::string_view event, std::initializer_list<LogField> fields);
 
 }
