Retry addresses that are taken while a process starts

Operators saw processes that did not start. Any address that was taken for a moment (by a predecessor in its grace time, or by a connection that has the port as its local port) ended the start with exit code 1, and the line named neither protocol nor reason. Where a harness restarts processes after a short delay on ports chosen beforehand, that is one lost process for each collision.

AddressBinder binds the addresses of router and daemon. EADDRINUSE and EADDRNOTAVAIL are retried in the event loop each 100 ms for at most 30 s, so signals are handled meanwhile; a stop during that time ends with code 0. Lines name protocol, address, errno and its text, at the first failure and then once a second, and when an address is bound later. Other errors end the start at once, and the time limit ends it with start_failed and code 1, as before. The metrics address of a router no longer is a condition for serving: it is retried without limit. An address that stands twice in the settings is bound once. start() still binds everything before it returns if all addresses are free.

--- a/bench/lifecycle/test_lifecycle.py
+++ b/bench/lifecycle/test_lifecycle.py
@@ -5,6 +5,7 @@
 import os
 import signal
 import socket
+import struct
 import subprocess
 import tempfile
 import time
@@ -136,6 +137,101 @@
             self.assertNotIn("event=shutdown_started", started.log())
 
 
+class TakenAddressTest(LifecycleTest):
+    """Addresses that another socket keeps, for as long as the test says."""
+
+    def take(self, protocol, port):
+        taken = socket.socket(socket.AF_INET, socket.SOCK_STREAM if protocol == "tcp" else socket.SOCK_DGRAM)
+        self.addCleanup(taken.close)
+        taken.bind((self.ip, port))
+        if protocol == "tcp":
+            taken.listen()
+        return taken
+
+    def assert_starts_after_release(self, command, taken, protocol, port):
+        with Service(command, self.folder, self.settings(command)) as started:
+            started.wait_for_event("address_unavailable")
+            self.assertIn(f"protocol={protocol} address={self.ip}:{port}", started.log())
+            self.assertIn(os.strerror(errno.EADDRINUSE), started.log())
+            self.assertNotIn("event=started", started.log())
+            taken.close()
+            started.wait_for_event("address_bound")
+            started.wait_for_event("started")
+            started.send(signal.SIGTERM)
+            self.assertEqual(started.exit_code(), 0, started.log())
+
+    def test_address_that_is_taken_for_a_moment_does_not_end_a_routers_start(self):
+        for name, (protocol, port) in service.ROUTER_ADDRESSES.items():
+            with self.subTest(name):
+                self.setUp()
+                self.assert_starts_after_release("router", self.take(protocol, port), protocol, port)
+
+    def test_address_that_is_taken_for_a_moment_does_not_end_a_daemons_start(self):
+        for name, port in service.DAEMON_ADDRESSES.items():
+            with self.subTest(name):
+                self.setUp()
+                self.assert_starts_after_release("daemon", self.take("tcp", port), "tcp", port)
+
+    def test_port_that_a_connection_of_a_client_holds_does_not_end_the_start(self):
+        with socket.create_server((self.ip, 0)) as server:
+            client = socket.socket()
+            client.bind((self.ip, 8783))
+            client.connect(server.getsockname())
+            # With a reset no TIME_WAIT keeps the port.
+            client.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+            self.assert_starts_after_release("router", client, "tcp", 8783)
+
+    def test_predecessor_in_its_grace_time_does_not_end_the_start(self):
+        with Service("router", self.folder, self.settings("router")) as predecessor:
+            predecessor.wait_for_event("started")
+            with tempfile.TemporaryDirectory() as folder:
+                with Service("router", folder, self.settings("router")) as successor:
+                    successor.wait_for_event("address_unavailable")
+                    predecessor.send(signal.SIGTERM)
+                    self.assertEqual(predecessor.exit_code(), 0, predecessor.log())
+                    successor.wait_for_event("started")
+
+    def test_taken_address_of_the_metrics_does_not_hold_up_the_router(self):
+        taken = self.take("tcp", service.METRICS_PORT)
+        with Service("router", self.folder, self.settings("router")) as started:
+            started.wait_for_event("started")
+            self.assertIn(f"address={self.ip}:{service.METRICS_PORT} required=0", started.log())
+            taken.close()
+            started.wait_for_event("address_bound")
+            with socket.create_connection((self.ip, service.METRICS_PORT), service.PATIENCE_S):
+                pass
+
+    def test_stop_signal_while_an_address_is_taken_ends_in_order(self):
+        for command, port in (("router", 8783), ("daemon", 8080)):
+            with self.subTest(command):
+                self.setUp()
+                self.take("tcp", port)
+                with Service(command, self.folder, self.settings(command)) as started:
+                    started.wait_for_event("address_unavailable")
+                    started.send(signal.SIGHUP)
+                    started.wait_for_event("settings_reloaded")
+                    started.send(signal.SIGTERM)
+                    self.assertEqual(started.exit_code(), 0, started.log())
+                    self.assertIn("event=shutdown_finished", started.log())
+                    self.assertNotIn("event=started", started.log())
+
+    def test_address_that_stays_taken_fails_the_start(self):
+        # Both at a time, since each waits for 30 s.
+        started = {}
+        for command, port in (("router", 8783), ("daemon", 8080)):
+            self.setUp()
+            self.take("tcp", port)
+            started[command] = Service(command, self.folder, self.settings(command))
+            self.addCleanup(started[command].__exit__)
+        for command, process in started.items():
+            with self.subTest(command):
+                self.assertEqual(process.process.wait(30 + service.PATIENCE_S), 1)
+                self.assertIn("event=start_failed", process.log())
+                self.assertIn(os.strerror(errno.EADDRINUSE), process.log())
+                # One line a second, of about 300 attempts.
+                self.assertLessEqual(process.log().count("event=address_unavailable"), 31)
+
+
 class ClientCommandTest(LifecycleTest):
     def test_sigterm_ends_a_command_that_waits_for_a_response(self):
         # The command waits for a server that accepts connections and never answers.
--- a/src/base/Error.h
+++ b/src/base/Error.h
@@ -89,6 +89,7 @@
     ErrorKind kind { ErrorKind::Internal };
     std::string message;
     SourcePosition position {};
+    int systemError { 0 }; ///< The errno of the system call that failed; 0: none did.
 };
 
 }
--- a/src/daemon/Daemon.cpp
+++ b/src/daemon/Daemon.cpp
@@ -13,6 +13,7 @@
 #include "daemon/ConfigurationService.h"
 #include "daemon/FleetServices.h"
 #include "daemon/RequestProxy.h"
+#include "net/AddressBinder.h"
 #include "net/CallerServer.h"
 #include "net/EndpointClient.h"
 #include "net/EventPriority.h"
@@ -45,11 +46,6 @@
     // keys.
     constexpr Millis claimFlushTimeout { 5'000 };
 
-    struct EventDeleter {
-        void operator()(event* pointer) const noexcept { event_free(pointer); }
-    };
-    using EventPointer = std::unique_ptr<event, EventDeleter>;
-
     RequestProxyOptions proxyOptions(const DaemonSettings& settings)
     {
         return { .maxBodyBytes = settings.callers.maxBodyBytes,
@@ -107,6 +103,7 @@
     CallerServer callerServer;
     std::unique_ptr<AdminServer> adminServer;
     FleetServices fleetServices;
+    AddressBinder addressBinder;
     EventPointer tickTimer;
     std::array<EventPointer, 3> signalEvents;
     std::string settingsPath;
@@ -116,7 +113,8 @@
     Millis lastTraceFlushAt {};
     Millis idleSince {}; ///< When a stopping daemon found that its last request had ended; 0 before.
     std::uint64_t appliedConfigurationVersion { 0 };
-    bool isShutdownForced { false };
+    int exitCode { 0 };
+    bool isServing { false }; ///< All addresses are bound.
 
     State(const DaemonSettings& theSettings, std::function<const Configuration&()> theConfiguration)
         : settings(theSettings)
@@ -168,6 +166,7 @@
               .metrics = metrics,
               .configuration = [this]() -> const Configuration& { return currentConfiguration(); },
               .onSlotsChanged = [this] { proxy.dispatchQueuedRequests(); } })
+        , addressBinder(*base, clock)
     {
         tickTimer.reset(event_new(base.get(), -1, EV_PERSIST, onTick, this));
         event_add(tickTimer.get(), &tickInterval);
@@ -247,8 +246,40 @@
         metrics.set(Gauge::Ready, {}, self.ready ? 1 : 0);
     }
 
+    [[nodiscard]] std::vector<AddressBinding> addressBindings()
+    {
+        return {
+            { .protocol = "tcp",
+                .address = settings.callers.address,
+                .bind = [this] { return callerServer.listen(); } },
+            { .protocol = "tcp", .address = settings.admin.address, .bind = [this] { return startAdmin(); } },
+            { .protocol = "tcp", .address = settings.peers.address, .bind = [this] { return fleetServices.start(); } }
+        };
+    }
+
+    void onAddressesBound(const Result<void>& result)
+    {
+        if (!result) {
+            logEvent(LogLevel::Error, "start_failed", { { "message", result.error().message } });
+            exitCode = 1;
+            event_base_loopbreak(base.get());
+            return;
+        }
+        isServing = true;
+        if (!configuration) {
+            configurationService.start();
+            claims.start();
+        }
+        applyCurrentConfiguration();
+        updateReadiness();
+        logEvent(LogLevel::Info, "started",
+            { { "daemon", settings.daemon.id.value }, { "callers", settings.callers.address } });
+    }
+
     void runTick()
     {
+        if (!isServing)
+            return;
         Millis now = clock.now();
         if (!configuration) {
             configurationService.tick();
@@ -270,7 +301,7 @@
     {
         if (phase != Phase::Running) {
             logEvent(LogLevel::Warning, "shutdown_forced", { { "in_progress", proxy.activeRequestCount() } });
-            isShutdownForced = true;
+            exitCode = 1;
             event_base_loopbreak(base.get());
             return;
         }
@@ -280,6 +311,10 @@
         updateReadiness();
         callerServer.disableKeepAlive();
         logEvent(LogLevel::Info, "shutdown_started", { { "in_progress", proxy.activeRequestCount() } });
+        if (isServing)
+            return;
+        logEvent(LogLevel::Info, "shutdown_finished", { { "took_ms", 0 } });
+        event_base_loopbreak(base.get());
     }
 
     void advanceShutdown(Millis now)
@@ -318,27 +353,16 @@
 
 Result<void> Daemon::start()
 {
-    auto listening = m_state->callerServer.listen();
-    if (!listening)
-        return listening.error();
-    if (auto started = m_state->startAdmin(); !started)
-        return started.error();
-    if (auto servicesStarted = m_state->fleetServices.start(); !servicesStarted)
-        return servicesStarted.error();
-    if (!m_state->configuration) {
-        m_state->configurationService.start();
-        m_state->claims.start();
-    }
-    m_state->applyCurrentConfiguration();
-    m_state->updateReadiness();
-    return ok();
+    State& state = *m_state;
+    return state.addressBinder.start(
+        state.addressBindings(), [&state](const Result<void>& result) { state.onAddressesBound(result); });
 }
 
 int Daemon::run()
 {
     event_base_dispatch(m_state->base.get());
     m_state->tracer.flush();
-    return m_state->isShutdownForced ? 1 : 0;
+    return m_state->exitCode;
 }
 
 void Daemon::watchSignals(std::string settingsPath)
@@ -364,8 +388,6 @@
         logEvent(LogLevel::Error, "start_failed", { { "message", started.error().message } });
         return 1;
     }
-    logEvent(
-        LogLevel::Info, "started", { { "daemon", settings.daemon.id.value }, { "callers", settings.callers.address } });
     return daemon.run();
 }
 
--- a/src/daemon/Daemon.h
+++ b/src/daemon/Daemon.h
@@ -21,12 +21,13 @@
     Daemon(const Daemon&) = delete;
     Daemon& operator=(const Daemon&) = delete;
 
-    /// \brief Binds the configured addresses and starts the services.
-    /// \returns An error if that fails: SettingsInvalid if an address cannot be bound.
+    /// \brief Binds the configured addresses and starts the services. If an address is taken, run() retries.
+    /// \returns An error if that fails: SettingsInvalid if an address cannot be bound for another reason.
     [[nodiscard]] Result<void> start();
 
     /// \brief Runs the event loop until the graceful shutdown has ended.
-    /// \returns The exit code: 0, or 1 if a second stop() ended the loop before the graceful shutdown was complete.
+    /// \returns The exit code: 0, or 1 if a second stop() ended the loop before the graceful shutdown was complete, or
+    /// if an address stayed taken for too long.
     [[nodiscard]] int run();
 
     /// \brief Installs handlers for SIGTERM and SIGINT, which call stop(), and for SIGHUP, which reads the log level
--- a/src/net/AdminServer.cpp
+++ b/src/net/AdminServer.cpp
@@ -2,9 +2,11 @@
 
 #include "base/Hash.h"
 #include "config/JsonDocument.h"
+#include "net/AddressBinder.h"
 #include "net/HttpClient.h"
 
 #include <arpa/inet.h>
+#include <cerrno>
 #include <event2/buffer.h>
 #include <event2/event.h>
 #include <event2/http.h>
@@ -281,10 +283,8 @@
     evhttp_set_gencb(state->server, State::onRequest, state.get());
     evhttp_bound_socket* listener
         = evhttp_bind_socket_with_handle(state->server, hostAndPort.first.c_str(), hostAndPort.second);
-    if (!listener) {
-        return Error { .kind = ErrorKind::SettingsInvalid,
-            .message = "cannot listen on admin address " + state->options.address };
-    }
+    if (!listener)
+        return bindError("tcp", state->options.address, errno);
     sockaddr_in boundAddress {};
     socklen_t length = sizeof boundAddress;
     getsockname(evhttp_bound_socket_get_fd(listener), reinterpret_cast<sockaddr*>(&boundAddress), &length);
--- a/src/net/CallerServer.cpp
+++ b/src/net/CallerServer.cpp
@@ -1,6 +1,7 @@
 #include "net/CallerServer.h"
 
 #include "net/AcceptPolicy.h"
+#include "net/AddressBinder.h"
 #include "net/EventPriority.h"
 #include "net/HttpClient.h"
 #include "net/HttpResponseHead.h"
@@ -901,7 +902,7 @@
         || setsockopt(socket.value(), SOL_SOCKET, SO_REUSEADDR, &reuseAddress, sizeof(reuseAddress)) != 0
         || ::bind(socket.value(), reinterpret_cast<const sockaddr*>(&localAddress), sizeof(localAddress)) != 0
         || ::listen(socket.value(), acceptPolicy.queueLength) != 0)
-        return Error { .kind = ErrorKind::SettingsInvalid, .message = "cannot listen on " + state.options.address };
+        return bindError("tcp", state.options.address, errno);
     state.listener = std::move(socket);
     state.acceptEvent.reset(
         event_new(&state.base, state.listener.value(), EV_READ | EV_PERSIST, State::onAccept, &state));
--- a/src/net/NngTransport.cpp
+++ b/src/net/NngTransport.cpp
@@ -1,9 +1,11 @@
 #include "net/NngTransport.h"
 
+#include "net/AddressBinder.h"
 #include "net/PeerCodec.h"
 
 #include <algorithm>
 #include <arpa/inet.h>
+#include <cerrno>
 #include <event2/event.h>
 #include <map>
 #include <nng/nng.h>
@@ -32,8 +34,23 @@
         std::thread([socket] { nng_close(socket); }).detach();
     }
 
+    // Of nng's codes only those that may pass have an errno.
+    int systemErrorOf(int errorCode)
+    {
+        switch (errorCode) {
+        case NNG_EADDRINUSE:
+            return EADDRINUSE;
+        case NNG_EADDRINVAL:
+            return EADDRNOTAVAIL;
+        default:
+            return 0;
+        }
+    }
+
     Error listenError(std::string_view address, int errorCode)
     {
+        if (int systemError = systemErrorOf(errorCode); systemError != 0)
+            return bindError("tcp", address, systemError);
         return { .kind = ErrorKind::SettingsInvalid,
             .message = "cannot listen for peers on " + std::string(address) + ": " + nng_strerror(errorCode) };
     }
--- a/src/net/UdpTransport.cpp
+++ b/src/net/UdpTransport.cpp
@@ -1,5 +1,6 @@
 #include "net/UdpTransport.h"
 
+#include "net/AddressBinder.h"
 #include "net/EventPriority.h"
 #include "net/HttpClient.h"
 
@@ -42,10 +43,12 @@
 Result<void> UdpTransport::bind(std::string_view address)
 {
     auto localAddress = parseAddress(address);
+    if (!localAddress)
+        return Error { .kind = ErrorKind::SettingsInvalid, .message = "invalid address " + std::string(address) };
     FileDescriptor socket(::socket(AF_INET, SOCK_DGRAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0));
-    if (!localAddress || socket.value() < 0
+    if (socket.value() < 0
         || ::bind(socket.value(), reinterpret_cast<const sockaddr*>(&*localAddress), sizeof(*localAddress)) != 0)
-        return Error { .kind = ErrorKind::SettingsInvalid, .message = "cannot bind " + std::string(address) };
+        return bindError("udp", address, errno);
     m_socket = std::move(socket);
     m_readEvent.reset(event_new(
         &m_base, m_socket.value(), EV_READ | EV_PERSIST,
--- a/src/router/RouterDaemon.cpp
+++ b/src/router/RouterDaemon.cpp
@@ -4,6 +4,7 @@
 #include "base/LifecycleSignals.h"
 #include "config/SettingsFile.h"
 #include "net/AcceptPolicy.h"
+#include "net/AddressBinder.h"
 #include "net/CallerServer.h"
 #include "net/EndpointClient.h"
 #include "net/EventPriority.h"
@@ -25,6 +26,7 @@
 #include <csignal>
 #include <event2/event.h>
 #include <malloc.h>
+#include <set>
 #include <sys/stat.h>
 #include <unistd.h>
 #include <utility>
@@ -148,10 +150,13 @@
     std::vector<std::unique_ptr<SimpleHttpServer>> statusServers; ///< One for each address.
     EventPointer tickTimer;
     LoopMonitor loopMonitor;
+    AddressBinder addressBinder;
     std::array<EventPointer, 3> signalEvents;
     std::string settingsPath;
     std::int64_t settingsModifiedNs { 0 }; ///< Modification time of the file in nanoseconds; 0: not read yet.
     Phase phase { Phase::Running };
+    bool isServing { false }; ///< All required addresses are bound.
+    int exitCode { 0 };
     bool hasRegistrations { false };
     bool wasReady { false };
     Millis stopRequestTime {};
@@ -224,6 +229,7 @@
                   .minDaemonsForCoordinators = settings.coordination.fromDaemons })
         , tickTimer(event_new(base.get(), -1, EV_PERSIST, onTick, this))
         , loopMonitor(*base, clock)
+        , addressBinder(*base, clock)
     {
         setEventPriority(*tickTimer, EventPriority::Control);
         timeval interval = toTimeval(tickInterval);
@@ -403,8 +409,50 @@
 
     static void onTick(evutil_socket_t, short, void* self) { static_cast<State*>(self)->tick(); }
 
+    [[nodiscard]] std::vector<AddressBinding> addressBindings()
+    {
+        const std::string& metricsAddress = settings.health.metricsAddress;
+        std::vector<AddressBinding> bindings { { .protocol = "udp", .address = settings.peers.address, .bind = [this] {
+                                                    return peerTransport.bind(settings.peers.address);
+                                                } } };
+        for (const std::string& address :
+            std::set<std::string> { settings.peers.address, settings.health.address, metricsAddress }) {
+            if (address.empty())
+                continue;
+            bool isRequired = address == settings.peers.address || address == settings.health.address;
+            bindings.push_back({ .protocol = "tcp",
+                .address = address,
+                .bind = [this, address] { return listenForStatus(address); },
+                .isRequired = isRequired });
+        }
+        bindings.push_back({ .protocol = "tcp", .address = settings.callers.address, .bind = [this] {
+                                return callerServer.listen();
+                            } });
+        return bindings;
+    }
+
+    void onAddressesBound(const Result<void>& result)
+    {
+        if (!result) {
+            logEvent(LogLevel::Error, "start_failed", { { "message", result.error().message } });
+            exitCode = 1;
+            end();
+            return;
+        }
+        isServing = true;
+        fleetSync.start();
+        source->start(*this);
+        logEvent(LogLevel::Info, "started",
+            { { "daemon", settings.daemon.id.value }, { "availability_zone", settings.daemon.availabilityZone },
+                { "callers", settings.callers.address }, { "store", settings.store.address } });
+    }
+
     void tick()
     {
+        if (!isServing) {
+            flushLog();
+            return;
+        }
         Millis now = clock.now();
         updateLag();
         updateConfigurationCurrent(now);
@@ -442,6 +490,16 @@
         logEvent(LogLevel::Info, "shutdown_started",
             { { "in_progress", router.activeCount() }, { "connections", callerServer.connectionCount() } });
         updateReadiness();
+        if (isServing)
+            return;
+        logEvent(LogLevel::Info, "shutdown_finished", { { "took_ms", 0 }, { "in_progress", router.activeCount() } });
+        end();
+    }
+
+    void end()
+    {
+        phase = Phase::Ended;
+        event_base_loopbreak(base.get());
     }
 
     void advanceShutdown(Millis now)
@@ -461,11 +519,10 @@
         bool isComplete = elapsed >= acceptanceTime && router.activeCount() == 0 && callerServer.connectionCount() == 0;
         if (!isComplete && elapsed < exitTime)
             return;
-        phase = Phase::Ended;
         fleetSync.announceLeave();
         logEvent(LogLevel::Info, "shutdown_finished",
             { { "took_ms", elapsed.count }, { "in_progress", router.activeCount() } });
-        event_base_loopbreak(base.get());
+        end();
     }
 
     // Reloads the settings after SIGHUP or a change of the file; the first call only records the file's modification
@@ -525,23 +582,11 @@
 {
     State& state = *m_state;
     mallopt(M_MMAP_THRESHOLD, largeBufferBytes);
-    if (auto bound = state.peerTransport.bind(state.settings.peers.address); !bound)
-        return bound.error();
-    for (const std::string& address :
-        { state.settings.peers.address, state.settings.health.address, state.settings.health.metricsAddress }) {
-        if (address.empty())
-            continue;
-        if (auto bound = state.listenForStatus(address); !bound)
-            return bound.error();
-    }
-    if (auto listening = state.callerServer.listen(); !listening)
-        return listening.error();
-    state.fleetSync.start();
-    state.source->start(state);
-    return ok();
+    return state.addressBinder.start(
+        state.addressBindings(), [&state](const Result<void>& result) { state.onAddressesBound(result); });
 }
 
-void RouterDaemon::run()
+int RouterDaemon::run()
 {
     State& state = *m_state;
     while (state.phase != State::Phase::Ended) {
@@ -552,6 +597,7 @@
             event_base_loop(state.base.get(), EVLOOP_ONCE);
     }
     flushLog();
+    return state.exitCode;
 }
 
 void RouterDaemon::watchSignals(std::string settingsPath)
@@ -577,11 +623,7 @@
         flushLog();
         return 1;
     }
-    logEvent(LogLevel::Info, "started",
-        { { "daemon", settings.daemon.id.value }, { "availability_zone", settings.daemon.availabilityZone },
-            { "callers", settings.callers.address }, { "store", settings.store.address } });
-    daemon.run();
-    return 0;
+    return daemon.run();
 }
 
 }
--- a/src/router/RouterDaemon.h
+++ b/src/router/RouterDaemon.h
@@ -31,12 +31,14 @@
     RouterDaemon(const RouterDaemon&) = delete;
     RouterDaemon& operator=(const RouterDaemon&) = delete;
 
-    /// \brief Binds all addresses and starts to follow the store.
-    /// \returns The error of the first address that cannot be bound.
+    /// \brief Binds all addresses and starts to follow the store. If an address is taken, run() retries, and the router
+    /// serves once all but the one for metrics are bound.
+    /// \returns The error of the first address that cannot be bound for another reason.
     [[nodiscard]] Result<void> start();
 
     /// \brief Runs the event loop until the shutdown is complete.
-    void run();
+    /// \returns The exit code: 0, or 1 if an address stayed taken for too long.
+    int run();
 
     /// \brief Installs handlers for SIGTERM and SIGINT (graceful shutdown) and SIGHUP (reload of the settings). From
     /// now on the settings are also reloaded when the file changes. Call it before start(), so that signals during the
