Wait 90 s for an address that is taken at a start

The system keeps such a connection for a minute after its end (TIME_WAIT), so that a limit of 30 s ends the start although the address becomes free. Evidence: on the kernel of this machine a listener gets EADDRINUSE for the local port of a client's connection that was opened without SO_REUSEADDR, while it is open and in TIME_WAIT (a probe with Python's sockets). Now the limit covers the minute; the unit test of the limit is unchanged, the test with real processes waits for the new one.

--- a/src/net/AddressBinder.h
+++ b/src/net/AddressBinder.h
@@ -24,9 +24,9 @@
 
 struct AddressBinderOptions {
     Millis retryInterval { 100 };
-    /// Bounds how long a start waits for required addresses. A predecessor in its grace time, or a connection that has
-    /// the port as its local port, is gone by then.
-    Millis timeLimit { 30'000 };
+    /// Bounds how long a start waits for required addresses. A predecessor in its grace time is gone by then, and so is
+    /// a connection that had the port as its local port, which the system keeps for a minute after its end.
+    Millis timeLimit { 90'000 };
     Millis logInterval { 1'000 }; ///< Between two lines about one required address.
     Millis optionalLogInterval { 30'000 }; ///< The same for an optional address, which is retried without limit.
 };
