observe: metrics and warnings of memory and descriptors

What operators saw: a process that was killed, and neither its log nor its metrics told whether for its memory.

Cause: memory, descriptors and processor time were no metrics, and what the router believes to hold was not visible outside of it.

Change: the metrics of the process have Prometheus' standard names; gauges show the bytes of requests, of unread responses, the open connections, and their limits. At 80% of the memory or of the descriptors a warning is logged and flushed at once, repeated every 10 s until the use is below 70%: memory_high with what the router believes to hold, and descriptors_high. A process that was killed for its memory thus ends with memory_high and without an end line, unless it grew within a second.

--- a/bench/lifecycle/test_ends.py
+++ b/bench/lifecycle/test_ends.py
@@ -1,5 +1,6 @@
 """Checks with real processes that each end of a router or daemon leaves a log line that tells its cause."""
 
+import contextlib
 import json
 import os
 import pathlib
@@ -12,6 +13,7 @@
 import tempfile
 import time
 import unittest
+import urllib.request
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent.parent
 BINARY = pathlib.Path(os.environ.get("JASMINESTACK_BINARY", ROOT / "build/release/jasminestack"))
@@ -223,6 +225,65 @@
         self.assertIn(" event=starting ", process.log().splitlines()[0])
         self.assertIn("event=process_exit code=1 reason=start_failed", process.last_line())
 
+    # Guards against a process that is killed for its memory and whose log says nothing of it.
+    def test_high_memory(self):
+        ports = free_ports(5)
+        process = self.start(settings=router_settings(ports, memoryMb=8))
+        self.assertTrue(process.wait_for("event=memory_high "), process.log())
+        process.send(signal.SIGKILL)
+        self.assertEqual(process.end(), -signal.SIGKILL)
+        line = fields_of(process.last_line())
+        self.assertEqual(line["event"], "memory_high")
+        self.assertEqual(int(line["limit_bytes"]), 8_000_000)
+        self.assertGreater(int(line["resident_bytes"]), 6_400_000)
+        for key in ("request_bytes", "unread_response_bytes", "connections"):
+            self.assertEqual(int(line[key]), 0)
+
+    # Guards against descriptors that run out without a line.
+    def test_high_descriptors(self):
+        ports = free_ports(5)
+        process = self.start(settings=router_settings(ports, maxDescriptors=256),
+                             preexec_fn=lambda: resource.setrlimit(resource.RLIMIT_NOFILE, (200, 200)))
+        self.assertTrue(process.wait_for("event=started "))
+        with contextlib.ExitStack() as connections:
+            for port, count in ((ports[0], 150), (ports[1], 10)):
+                for _ in range(count):
+                    connections.enter_context(socket.create_connection(("127.0.0.1", port)))
+            self.assertTrue(process.wait_for("event=descriptors_high "), process.log())
+        line = fields_of(next(line for line in process.log().splitlines() if " event=descriptors_high " in line))
+        self.assertEqual(int(line["limit"]), 200)
+        self.assertGreaterEqual(int(line["descriptors"]), 160)
+
+    # Guards against metrics of the process that are missing or in another unit.
+    def test_metrics(self):
+        for role in ("router", "daemon"):
+            with self.subTest(role=role):
+                ports = free_ports(5)
+                settings = router_settings(ports) if role == "router" else daemon_settings(ports)
+                process = self.start(role, settings)
+                self.assertTrue(process.wait_for("event=started "))
+                time.sleep(1.5)
+                port = ports[2] if role == "router" else ports[3]
+                with urllib.request.urlopen(f"http://127.0.0.1:{port}/metrics", timeout=5) as answer:
+                    lines = [line.split() for line in answer.read().decode().splitlines() if not line.startswith("#")]
+                metrics = {words[0]: float(words[1]) for words in lines if len(words) == 2}
+                resident = int(pathlib.Path(f"/proc/{process.process.pid}/statm").read_text().split()[1])
+                self.assertAlmostEqual(metrics["process_resident_memory_bytes"] / (resident * resource.getpagesize()), 1,
+                                       delta=0.2)
+                open_fds = len(os.listdir(f"/proc/{process.process.pid}/fd"))
+                self.assertAlmostEqual(metrics["process_open_fds"], open_fds, delta=3)
+                self.assertEqual(metrics["process_max_fds"], resource.getrlimit(resource.RLIMIT_NOFILE)[0])
+                self.assertAlmostEqual(metrics["process_start_time_seconds"], time.time() - 2, delta=2)
+                self.assertLess(metrics["process_cpu_seconds_total"], 2)
+                self.assertGreater(metrics["process_cpu_seconds_total"], 0)
+                self.assertEqual(metrics["jasminestack_request_bytes"], 0)
+                self.assertEqual(metrics["jasminestack_unread_response_bytes"], 0)
+                self.assertEqual(metrics["jasminestack_open_caller_connections"], 0)
+                if role == "router":
+                    self.assertEqual(metrics["jasminestack_memory_limit_bytes"], 260e6)
+                    self.assertEqual(metrics["jasminestack_descriptor_limit"], 1024)
+                    self.assertEqual(metrics["jasminestack_request_limit_bytes"], 130e6)
+
 
 if __name__ == "__main__":
     if not BINARY.exists():
--- a/src/daemon/Daemon.cpp
+++ b/src/daemon/Daemon.cpp
@@ -19,6 +19,7 @@
 #include "observe/Logging.h"
 #include "observe/Metrics.h"
 #include "observe/ProcessEnd.h"
+#include "observe/ProcessMonitor.h"
 #include "observe/ProcessStart.h"
 #include "observe/Tracing.h"
 
@@ -41,6 +42,8 @@
     // Finished spans are exported at least this often.
     constexpr Millis traceFlushInterval { 1'000 };
 
+    constexpr Millis processCheckInterval { 1'000 };
+
     // Longest time for which a stopping daemon waits until the log has stored the results of calls with idempotency
     // keys.
     constexpr Millis claimFlushTimeout { 5'000 };
@@ -100,6 +103,7 @@
     RetryBudget retryBudget;
     CrashGuardState crashGuard;
     Metrics metrics;
+    ProcessMonitor processMonitor { metrics, {} };
     Tracer tracer;
     EndpointClient transport;
     ClaimService claims;
@@ -113,6 +117,7 @@
     Millis stopRequestedAt {};
     Millis leftAt {};
     Millis lastTraceFlushAt {};
+    Millis lastProcessCheckAt {};
     Millis idleSince {}; ///< When a stopping daemon found that its last request had ended; 0 before.
     std::uint64_t appliedConfigurationVersion { 0 };
     bool isShutdownForced { false };
@@ -241,6 +246,10 @@
         proxy.tick();
         fleetServices.tick();
         metrics.set(Gauge::OpenStreams, {}, static_cast<double>(proxy.openStreamCount()));
+        if (now - lastProcessCheckAt >= processCheckInterval) {
+            lastProcessCheckAt = now;
+            processMonitor.update(now, callerServer.heldResources());
+        }
         if (now - lastTraceFlushAt >= traceFlushInterval) {
             lastTraceFlushAt = now;
             tracer.flush();
--- a/src/net/CallerServer.cpp
+++ b/src/net/CallerServer.cpp
@@ -926,6 +926,17 @@
 
 std::size_t CallerServer::connectionCount() const noexcept { return m_state->connections.size(); }
 
+HeldResources CallerServer::heldResources() const noexcept
+{
+    const CallerServerOptions& options = m_state->options;
+    return { .requestBytes = *m_state->totalRequestBytes,
+        .requestLimit = options.maxTotalBodyBytes,
+        .unreadResponseBytes = m_state->totalOutputBytes,
+        .unreadResponseLimit = options.maxTotalBodyBytes / outputShare,
+        .connections = m_state->connections.size(),
+        .connectionLimit = options.maxConnections };
+}
+
 CallerConnectionCounts CallerServer::takeConnectionCounts()
 {
     CallerConnectionCounts counts = std::exchange(m_state->counts, {});
--- a/src/net/CallerServer.h
+++ b/src/net/CallerServer.h
@@ -3,6 +3,7 @@
 #include "base/Clock.h"
 #include "base/Result.h"
 #include "net/EventPriority.h"
+#include "observe/ProcessMonitor.h"
 
 #include <cstddef>
 #include <cstdint>
@@ -167,6 +168,9 @@
     /// \returns Number of open connections.
     [[nodiscard]] std::size_t connectionCount() const noexcept;
 
+    /// \returns What the server believes to hold for its callers.
+    [[nodiscard]] HeldResources heldResources() const noexcept;
+
     /// \returns The counts since the last call.
     [[nodiscard]] CallerConnectionCounts takeConnectionCounts();
 
--- a/src/observe/Metrics.cpp
+++ b/src/observe/Metrics.cpp
@@ -41,6 +41,7 @@
         MetricRow { "jasminestack_caller_connections_total", "Connections of callers by outcome.", { "outcome" } },
         MetricRow { "jasminestack_pace_deferrals_total",
             "Placement decisions that left out an endpoint because of its pace after a start or recovery.", {} },
+        MetricRow { "process_cpu_seconds_total", "Processor time of the process in seconds.", {} },
     };
 
     constexpr std::array gaugeTable {
@@ -61,6 +62,21 @@
             { "phase" } },
         MetricRow { "jasminestack_accept_queue", "Connections of callers that wait to be accepted.", {} },
         MetricRow { "jasminestack_evacuated_zones", "Availability zones to whose endpoints nothing more is sent.", {} },
+        MetricRow { "process_resident_memory_bytes", "Resident memory of the process.", {} },
+        MetricRow { "process_virtual_memory_bytes", "Virtual memory of the process.", {} },
+        MetricRow { "process_open_fds", "Open file descriptors.", {} },
+        MetricRow { "process_max_fds", "Maximum number of open file descriptors that the system allows.", {} },
+        MetricRow { "process_start_time_seconds", "Start time of the process since the Unix epoch.", {} },
+        MetricRow { "jasminestack_memory_limit_bytes", "Memory that the process may use.", {} },
+        MetricRow { "jasminestack_descriptor_limit", "File descriptors that the process may have open.", {} },
+        MetricRow {
+            "jasminestack_request_bytes", "Bytes of callers' requests that are being received or handled.", {} },
+        MetricRow { "jasminestack_request_limit_bytes", "Bytes of requests above which requests are refused.", {} },
+        MetricRow { "jasminestack_unread_response_bytes", "Bytes of responses that callers have not read.", {} },
+        MetricRow { "jasminestack_unread_response_limit_bytes",
+            "Bytes of unread responses above which connections are closed.", {} },
+        MetricRow { "jasminestack_open_caller_connections", "Open connections of callers.", {} },
+        MetricRow { "jasminestack_caller_connection_limit", "Maximum number of callers' connections.", {} },
     };
 
     constexpr std::array histogramTable {
@@ -71,8 +87,8 @@
             "jasminestack_total_seconds", "Time from acceptance of a request to the end of the response.", { "pool" } },
     };
 
-    static_assert(counterTable.size() == static_cast<std::size_t>(Counter::PaceDeferrals) + 1);
-    static_assert(gaugeTable.size() == static_cast<std::size_t>(Gauge::EvacuatedZones) + 1);
+    static_assert(counterTable.size() == static_cast<std::size_t>(Counter::ProcessCpuSeconds) + 1);
+    static_assert(gaugeTable.size() == static_cast<std::size_t>(Gauge::CallerConnectionLimit) + 1);
     static_assert(histogramTable.size() == static_cast<std::size_t>(Histogram::TotalSeconds) + 1);
 
     // In seconds. The boundaries include the latency objectives: 2 ms added by the router, 53 ms between tokens, 1.2 s
--- a/src/observe/Metrics.h
+++ b/src/observe/Metrics.h
@@ -26,6 +26,7 @@
     MalformedAnswers, ///< Answers of endpoints that violate HTTP or the grammar of events. Labels: pool, part.
     CallerConnections, ///< Label: outcome ("accepted", "abandoned", "expired", "dropped").
     PaceDeferrals, ///< Placement decisions that left out an endpoint because of its pace. No labels.
+    ProcessCpuSeconds, ///< Processor time of the process, in seconds. No labels.
 };
 
 /// \brief Metrics whose values can increase and decrease.
@@ -43,6 +44,19 @@
     PacedEndpoints, ///< Endpoints that get fewer requests after a start or recovery. Label: phase ("cold", "ramp").
     AcceptQueue, ///< Callers' connections that wait in the system's queue to be accepted.
     EvacuatedZones, ///< Availability zones to whose endpoints nothing more is sent.
+    ProcessResidentMemory, ///< In bytes, like the next one.
+    ProcessVirtualMemory,
+    ProcessOpenDescriptors,
+    ProcessMaxDescriptors, ///< The system's limit.
+    ProcessStartTime, ///< In seconds since the Unix epoch.
+    MemoryLimit, ///< In bytes; of the settings, or the host's memory.
+    DescriptorLimit, ///< The lower one of the settings' and the system's limits.
+    RequestBytes, ///< Of callers' requests that are being received or handled, with their heads.
+    RequestLimit, ///< In bytes.
+    UnreadResponseBytes, ///< Of responses that callers have not read.
+    UnreadResponseLimit, ///< In bytes.
+    OpenCallerConnections,
+    CallerConnectionLimit,
 };
 
 /// \brief Histograms of durations in seconds.
--- a/src/observe/ProcessUsage.cpp
+++ b/src/observe/ProcessUsage.cpp
@@ -4,8 +4,11 @@
 #include <array>
 #include <charconv>
 #include <ctime>
+#include <dirent.h>
 #include <fcntl.h>
+#include <memory>
 #include <span>
+#include <sys/resource.h>
 #include <unistd.h>
 
 namespace jasminestack {
@@ -51,6 +54,62 @@
     return pages > 0 ? static_cast<std::size_t>(pages) * static_cast<std::size_t>(sysconf(_SC_PAGESIZE)) : 0;
 }
 
+std::optional<MemoryUsage> parseMemoryUsage(std::string_view statm, std::size_t pageBytes)
+{
+    auto virtualPages = parseNumber(takeWord(statm));
+    auto residentPages = parseNumber(takeWord(statm));
+    if (!virtualPages || !residentPages)
+        return std::nullopt;
+    return MemoryUsage { .virtualBytes = *virtualPages * pageBytes, .residentBytes = *residentPages * pageBytes };
+}
+
+MemoryReader::MemoryReader()
+    : m_file(open("/proc/self/statm", O_RDONLY | O_CLOEXEC))
+{
+}
+
+MemoryReader::~MemoryReader()
+{
+    if (m_file >= 0)
+        close(m_file);
+}
+
+std::optional<MemoryUsage> MemoryReader::read() const
+{
+    std::array<char, 256> buffer;
+    ssize_t count = m_file >= 0 ? pread(m_file, buffer.data(), buffer.size(), 0) : -1;
+    if (count <= 0)
+        return std::nullopt;
+    static const auto pageBytes = static_cast<std::size_t>(sysconf(_SC_PAGESIZE));
+    return parseMemoryUsage({ buffer.data(), static_cast<std::size_t>(count) }, pageBytes);
+}
+
+std::optional<std::size_t> countDescriptors()
+{
+    std::unique_ptr<DIR, int (*)(DIR*)> folder(opendir("/proc/self/fd"), &closedir);
+    if (!folder)
+        return std::nullopt;
+    std::size_t count = 0;
+    while (const dirent* entry = readdir(folder.get()))
+        count += entry->d_name[0] != '.' ? 1U : 0U;
+    return count == 0 ? std::nullopt : std::optional(count - 1); // The folder itself is open, too.
+}
+
+std::size_t systemDescriptorLimit()
+{
+    rlimit limit {};
+    bool isLimited = getrlimit(RLIMIT_NOFILE, &limit) == 0 && limit.rlim_cur != RLIM_INFINITY;
+    return isLimited ? limit.rlim_cur : 0;
+}
+
+double processorSeconds()
+{
+    timespec used {};
+    if (clock_gettime(CLOCK_PROCESS_CPUTIME_ID, &used) != 0)
+        return 0;
+    return static_cast<double>(used.tv_sec) + static_cast<double>(used.tv_nsec) / 1e9;
+}
+
 std::optional<std::uint64_t> parseStartTicks(std::string_view stat)
 {
     // The second field is the program's name in parentheses, which may contain spaces and parentheses.
--- a/src/router/RouterDaemon.cpp
+++ b/src/router/RouterDaemon.cpp
@@ -10,6 +10,7 @@
 #include "observe/Logging.h"
 #include "observe/Metrics.h"
 #include "observe/ProcessEnd.h"
+#include "observe/ProcessMonitor.h"
 #include "observe/ProcessStart.h"
 #include "router/DeploymentSource.h"
 #include "router/DocumentsRequest.h"
@@ -120,6 +121,12 @@
         return memoryBytes / 2;
     }
 
+    ProcessLimits processLimits(const RouterSettings& settings)
+    {
+        constexpr std::size_t bytesPerMb = 1'000'000;
+        return { .memoryBytes = settings.daemon.memoryMb * bytesPerMb, .descriptors = settings.daemon.maxDescriptors };
+    }
+
     // Buffers from this size on are mapped one by one, so that their memory goes back to the system at once. Otherwise
     // the allocator raises the size with the buffers that are freed, and gaps between large ones stay in memory.
     constexpr int largeBufferBytes = 128 << 10;
@@ -146,6 +153,7 @@
     HttpClient http;
     std::unique_ptr<DeploymentSource> source;
     Metrics metrics;
+    ProcessMonitor processMonitor;
     RouterBlackboard board;
     DaemonInstanceId instanceId; ///< Of this process.
     EndpointClient endpointClient;
@@ -176,6 +184,7 @@
         , base(makePrioritizedEventBase())
         , http(*base)
         , source(adapter.source(*base, http, clock, settings))
+        , processMonitor(metrics, processLimits(settings))
         , instanceId(hash64(settings.daemon.id.value, systemSeed()))
         , endpointClient(
               *base, clock, { .maxIdleTime = endpointIdleTimeout, .maxIdleConnectionsPerAddress = maxIdlePerEndpoint })
@@ -437,6 +446,7 @@
             metrics.set(Gauge::MembersAlive, {}, static_cast<double>(fleetSync.livePeerCount() + 1));
             metrics.set(Gauge::ConfigurationAge, {}, (now - source->configurationConfirmedAt()).seconds());
             reportCallerConnections();
+            processMonitor.update(now, callerServer.heldResources());
             reloadSettingsIfRequired(false);
         }
         advanceShutdown(now);
