soak: starts and ends of processes

Two processes of a small deployment "didn't start, or ended by themselves", and the soak could not see such ends: it sent a signal only once a process handled it, occupied no address, never rewrote the settings, and disturbed no process that started or was about to end.

lifecycle.py follows each process from start to end. Each start may meet signals from 0 to 50 ms after it and at its first socket, a held address (listener, local port of a connection, datagrams), settings that are cut off, a log that may not grow and a silent store; stops meet signals until the process is gone, and successors start beside their predecessor. Settings are rewritten in place, and odd bytes go to all addresses.

Each end without SIGKILL, SIGTERM or SIGINT is a violation, as is another code than 0 after a stop, a process that is there 2 s after its grace time (also of paused ones, whose pause isn't counted), and one that isn't ready 12 s after its start. The former condition `catches` is replaced: a signal goes out at any time, and only one that meets a process without a socket of its own, and which it doesn't block, catch or ignore, excuses an end (SIGTERM, SIGINT) or is left out (SIGHUP); both are counted and printed. Bounds are counted in ticks of the soak's loop instead of by the clock.

--- a/bench/soak/history.py
+++ b/bench/soak/history.py
@@ -1,11 +1,12 @@
 """What clients and engines saw, and the checks of it. Nothing here knows what a router does."""
 
 from dataclasses import dataclass, field
-from signal import SIGKILL, SIGTERM
+from signal import SIGINT, SIGKILL, SIGTERM
 
 from events import read_events
 
 REFUSALS = (408, 421, 429, 503)
+STOP_SIGNALS = {SIGTERM, SIGINT}
 
 
 @dataclass
@@ -110,11 +111,15 @@
         yield Violation("RECOVER", at, "", "", f"{good} of {asked} requests were served by all after the faults")
 
 
-def check_end(code, signals):
-    """Returns what is wrong with a process that ended; signals are those that it was sent, SIGCONT and SIGSTOP apart."""
-    if SIGKILL in signals and code == -SIGKILL or SIGTERM in signals and code == 0:
+def check_end(code, signals, excused=frozenset()):
+    """Returns what is wrong with a process that ended.
+
+    signals are those that it was sent, SIGCONT and SIGSTOP apart; excused are codes of a stop before it could handle signals.
+    """
+    if SIGKILL in signals and code == -SIGKILL or STOP_SIGNALS & signals and (code == 0 or code in excused):
         return None
-    return f"ended by itself with {code}" if not signals & {SIGKILL, SIGTERM} else f"ended with {code} after SIGTERM"
+    asked = signals & (STOP_SIGNALS | {SIGKILL})
+    return f"ended with {code} after {', '.join(sorted(item.name for item in asked))}" if asked else f"ended by itself with {code}"
 
 
 def check_success(request, runs):
--- a/bench/soak/soak.py
+++ b/bench/soak/soak.py
@@ -20,7 +20,8 @@
 import traceback
 
 from events import read_events
-from history import History, Request, Violation, check_end, check_recovery
+from history import History, Request, Violation, check_recovery
+from lifecycle import PORTS, Lifecycle, Process, Start
 from world import Engine, Relay, Store, abort, read_body, read_head
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent.parent
@@ -63,17 +64,20 @@
         self.soak = soak
         self.name = f"router-{number}"
         self.ip = f"{soak.network}.{1 + number}"
-        self.is_paused = False
-        self.signals = set()
-        self.child = None
         self.log = soak.folder / f"{self.name}.log"
-
-    def settings(self, seeds):
+        self.path = soak.folder / f"{self.name}.json"
+        self.process = None  # The newest; a predecessor may be in its grace time.
+        self.starts = 0
+        self.holds = 0
+        self.is_rewriting = False
+
+    def settings(self):
+        seeds = [f"{router.ip}:{PORTS['peers']}" for router in self.soak.routers[:3]]
         values = {"nodeName": self.name, "zone": "gebze", "limits.cpuQuota": "0.25", "limits.maxFds": "2000", "limits.memoryMb": "512",
-                  "listen.frontend": f"{self.ip}:20001", "listen.ready": f"{self.ip}:20002",
-                  "listen.controlPlane": f"{self.ip}:20003", "platform.address": self.soak.store_address,
+                  "listen.frontend": f"{self.ip}:{PORTS['callers']}",
+                  "listen.ready": f"{self.ip}:{PORTS['health']}", "listen.controlPlane": f"{self.ip}:{PORTS['peers']}", "platform.address": self.soak.store_address,
                   **{"bounds." + name: str(value) for name, value in BOUNDS.items()}}
-        text = (ROOT / "deploy/settings.json.template").read_text().replace("{{ip}}:9464", f"{self.ip}:20004")
+        text = (ROOT / "deploy/settings.json.template").read_text().replace("{{ip}}:9464", f"{self.ip}:{PORTS['metrics']}")
         text = re.sub(r"{{#seeds}}.*?{{/seeds}}", ",".join(f'"{seed}"' for seed in seeds), text)
         text = re.sub(r"{{([#^])(\S+?)}}(.*?){{/\2}}",
                       lambda section: section[3] if (section[2] in values) == (section[1] == "#") else "", text)
@@ -84,31 +88,15 @@
         return text
 
     def start(self):
-        path = self.soak.folder / f"{self.name}.json"
-        path.write_text(self.settings([f"{router.ip}:20003" for router in self.soak.routers[:3]]))
         with open(self.log, "ab") as log:
-            self.child = subprocess.Popen([str(self.soak.binary), "router", "--settings", str(path)], stdout=log,
-                                          stderr=log, stdin=subprocess.DEVNULL)
-        self.is_paused = False
-        self.signals = set()
+            child = subprocess.Popen([str(self.soak.binary), "router", "--settings", str(self.path)], stdout=log,
+                                     stderr=log, stdin=subprocess.DEVNULL)
+        self.process = Process(self, child, self.path)
+        self.soak.lifecycle.add(self.process)
+        return self.process
 
     def alive(self):
-        return self.child is not None and self.child.poll() is None
-
-    def catches(self, number):
-        """Whether the process has got so far in its start that it handles the signal."""
-        for line in pathlib.Path(f"/proc/{self.child.pid}/status").read_text().splitlines():
-            if line.startswith("SigCgt:"):
-                return bool(int(line.split()[1], 16) >> (number - 1) & 1)
-        return False
-
-    def send(self, number):
-        if self.alive():
-            self.signals.add(number)
-            self.child.send_signal(number)
-
-    def is_stopping(self):
-        return bool(self.signals & {signal.SIGTERM, signal.SIGKILL})
+        return self.process.alive()
 
     def tail(self, attempt, count=12):
         lines = self.log.read_text(errors="replace").splitlines() if self.log.exists() else []
@@ -127,6 +115,7 @@
         self.ip = f"{self.network}.250"
         self.history = History()
         self.store = Store()
+        self.lifecycle = Lifecycle(self, options.lifecycle, BOUNDS["graceS"])
         self.routers = []
         self.engines = []
         self.counts = collections.Counter()
@@ -172,11 +161,9 @@
             await self.play()
         finally:
             self.is_over = True
-            for router in self.routers:
-                if router.alive():
-                    router.child.kill()
-                if router.child is not None:
-                    router.child.wait()
+            for process in self.lifecycle.processes:
+                process.child.kill()
+                process.child.wait()
             for task in self.tasks:
                 task.cancel()
             await asyncio.gather(*self.tasks, return_exceptions=True)
@@ -192,13 +179,13 @@
                 await self.add_engine(service)
         self.routers = [Router(self, number) for number in range(self.options.routers)]
         for router in self.routers:
-            router.start()
+            self.lifecycle.start(router, Start(0.0))
         await self.wait_ready()
         self.note(f"all routers are ready; seed {self.seed}")
         for number in range(self.options.clients):
             self.spawn(self.client(number))
         self.spawn(self.heartbeats())
-        self.spawn(self.watch_processes())
+        self.spawn(self.lifecycle.watch())
         await asyncio.sleep(0.5)
         until = self.now() + self.options.seconds
         self.faults_on = True
@@ -214,6 +201,8 @@
         self.violations += check_recovery(self.judged, self.now())
         self.counts["judged after the faults"] = sum(asked for _, asked in self.judged.values())
         self.counts["served after the faults"] = sum(good for good, _ in self.judged.values())
+        while not self.lifecycle.all_ready():
+            await asyncio.sleep(0.1)
         self.is_over = True
         await asyncio.sleep(0.5)
         self.violations += self.history.violations()
@@ -234,7 +223,7 @@
     @staticmethod
     async def is_ready(router):
         try:
-            reader, writer = await asyncio.wait_for(asyncio.open_connection(router.ip, 20002), 1)
+            reader, writer = await asyncio.wait_for(asyncio.open_connection(router.ip, PORTS["health"]), 1)
             writer.write(b"GET /v1/readyz HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n")
             line = await asyncio.wait_for(reader.readline(), 1)
             writer.close()
@@ -249,24 +238,19 @@
                 if not engine.is_dead and engine.phase != "gone" and not self.store.is_silent():
                     engine.register()
 
-    async def watch_processes(self):
-        ended = set()
-        while not self.is_over:
-            for router in self.routers:
-                if router.child is not None and router.child not in ended and router.child.poll() is not None:
-                    ended.add(router.child)
-                    if problem := check_end(router.child.returncode, router.signals):
-                        self.violations.append(Violation("ENDED", self.now(), "", router.name, problem))
-            await asyncio.sleep(0.05)
+    def store_endpoint(self):
+        ip, port = self.store_address.rsplit(":", 1)
+        return ip, int(port)
 
     # Faults from outside.
 
     async def inject(self, until):
         chooser = random.Random(self.chooser.random())
-        kinds = [self.terminate, self.kill, self.pause, self.hang_up, self.silence_store, self.slow_store,
+        kinds = [self.lifecycle.stop, self.lifecycle.kill, self.pause, self.hang_up, self.silence_store, self.slow_store,
                  self.change_configuration, self.change_configuration]
         while self.now() < until:
-            fault = chooser.choice(kinds)
+            is_of_lifecycle = chooser.random() < self.options.lifecycle
+            fault = chooser.choice(self.lifecycle.faults if is_of_lifecycle else kinds)
             router = chooser.choice(self.routers)
             self.note(f"{fault.__name__} {router.name}")
             self.count(fault.__name__)
@@ -275,56 +259,19 @@
                 await task
             await asyncio.sleep(chooser.uniform(0.05, 0.6))
 
-    async def terminate(self, router, chooser):
-        if not router.alive() or not router.catches(signal.SIGTERM):
-            return
-        child = router.child
-        router.send(signal.SIGTERM)
-        if chooser.random() < 0.3:
-            await asyncio.sleep(chooser.uniform(0, BOUNDS["graceS"]))
-            if router.child is child:
-                router.send(signal.SIGTERM)
-        end = self.now() + BOUNDS["graceS"] + 2
-        while child.poll() is None and self.now() < end:
-            await asyncio.sleep(0.05)
-        if child.poll() is None:
-            self.count("killed after SIGTERM")
-            if signal.SIGSTOP not in router.signals:
-                self.violations.append(Violation("ENDED", self.now(), "", router.name,
-                                                 f"still there {BOUNDS['graceS'] + 2} s after SIGTERM"))
-            router.send(signal.SIGKILL)
-            child.wait()
-        await self.start_again(router, child)
-
-    async def start_again(self, router, child):
-        await asyncio.sleep(0.1)  # The end of the process is judged first.
-        if router.child is child:
-            router.start()
-
-    async def kill(self, router, chooser):
-        if not router.alive():
-            return
-        child = router.child
-        router.send(signal.SIGKILL)
-        child.wait()
-        await asyncio.sleep(chooser.uniform(0, 1))
-        await self.start_again(router, child)
-
     async def pause(self, router, chooser):
-        child = router.child
-        if not router.alive() or router.is_paused:
+        process = router.process
+        if not process.alive() or process.is_paused:
             return
-        router.is_paused = True
-        router.send(signal.SIGSTOP)
+        process.is_paused = True
+        process.send(signal.SIGSTOP)
         await asyncio.sleep(chooser.choice([0.1, 0.5, 1.5, 3.5]))
-        if child.poll() is None:
-            child.send_signal(signal.SIGCONT)
-        router.is_paused = False
+        process.send(signal.SIGCONT)
+        process.is_paused = False
 
     async def hang_up(self, router, chooser):
         for _ in range(chooser.randrange(1, 4)):
-            if router.alive() and router.catches(signal.SIGHUP):
-                router.send(signal.SIGHUP)
+            router.process.send(signal.SIGHUP)
             await asyncio.sleep(0.05)
 
     async def silence_store(self, _router, chooser):
@@ -395,18 +342,18 @@
         for engine in self.engines:
             engine.relay.mode = ""
         for router in self.routers:
-            if router.alive():
-                router.child.send_signal(signal.SIGCONT)
+            router.process.send(signal.SIGCONT)
         until = time.monotonic() + BOUNDS["graceS"] + 3
-        while time.monotonic() < until and not all(router.alive() and not router.is_stopping() for router in self.routers):
+        while time.monotonic() < until and not all(self.is_settled(router) for router in self.routers):
             await asyncio.sleep(0.1)
-        for router in self.routers:
-            if not router.alive():
-                router.start()
         self.has_extra_route = True
         self.keys = list(KEYS)
         self.put_configuration()
 
+    @staticmethod
+    def is_settled(router):
+        return router.alive() and not router.process.is_stopping() and router.holds == 0 and not router.is_rewriting
+
     # Clients.
 
     async def client(self, number):
@@ -414,7 +361,7 @@
         while not self.is_over:
             router = self.routers[number % len(self.routers)] if chooser.random() < 0.5 else chooser.choice(self.routers)
             try:
-                reader, writer = await asyncio.wait_for(asyncio.open_connection(router.ip, 20001), 1)
+                reader, writer = await asyncio.wait_for(asyncio.open_connection(router.ip, PORTS["callers"]), 1)
             except (OSError, asyncio.TimeoutError):
                 await asyncio.sleep(0.1)
                 continue
@@ -513,6 +460,8 @@
         text = ", ".join(f"{name}: {number}" for name, number in sorted(self.counts.items()))
         print(f"seed {self.seed}: {len(self.history.requests)} requests, "
               f"{sum(map(len, self.history.runs.values()))} runs, {len(self.violations)} violations", flush=True)
+        early = {name: number for name, number in sorted(self.counts.items()) if "excused" in name or "left out" in name}
+        print(f"  signals before a process handled them: {early or 'none'}")
         if print_counts:
             print("  " + text)
         logs = {router.name: router for router in self.routers}
@@ -533,6 +482,8 @@
     parser.add_argument("--routers", type=int, default=5)
     parser.add_argument("--clients", type=int, default=40)
     parser.add_argument("--spoilt", type=float, default=0.35, metavar="PART", help="the part of spoilt answers")
+    parser.add_argument("--lifecycle", type=float, default=0.5, metavar="PART",
+                        help="the part of faults, and of starts that meet faults, of the processes' starts and ends")
     parser.add_argument("--keep-logs", metavar="DIR", help="keeps the logs of runs with violations here")
     parser.add_argument("--binary", default=str(ROOT / "build/release/jasminestack"))
     parser.add_argument("--counts", action="store_true", help="prints what was injected and answered")
@@ -561,7 +512,7 @@
             except RuntimeError as problem:
                 soak.violations.append(Violation("START", soak.now(), "", "", str(problem)))
             soak.report(options.counts)
-            totals.update(violation.rule for violation in soak.violations)
+            totals.update(violation.text if violation.rule == "ENDED" else violation.rule for violation in soak.violations)
             if soak.violations:
                 failed.append(seed)
                 if options.keep_logs:
