soak: answers cut by planned stops, and streams that outlast a grace time

No check covered an answer that a planned stop cuts: all faults overlapped, so that a cut was always allowed. Planned work now comes first and alone: stops in series, some with SIGHUP until the process is gone, and rewritten settings. LOST is a request that an engine ran and whose connection ended without its whole answer.

One stream in 20 beside the faults takes up to 10 s, so that the routers also end with requests in progress; without these, no stop reached the end of its grace time.

--- a/bench/soak/history.py
+++ b/bench/soak/history.py
@@ -7,6 +7,7 @@
 
 REFUSALS = (408, 421, 429, 503)
 STOP_SIGNALS = {SIGTERM, SIGINT}
+LOST_WITHIN_S = 4.0  # An answer that takes longer may have been due in the last sixth of the grace time.
 
 
 @dataclass
@@ -35,6 +36,9 @@
     body: bytes = b""
     is_complete: bool = False
     is_malformed: bool = False
+    took_s: float = 0.0
+    is_cut: bool = False  # The connection ended within the answer or without one.
+    is_planned: bool = False  # There was only planned work, from before the request to its end.
     last_event_id: int = 0
     wanted: int = 0
     asked: tuple = ()  # Method, target and body, as the client sent them.
@@ -80,6 +84,8 @@
                 add("UNASKED", "an engine ran the request with another method, target or body")
             if request.is_malformed:
                 add("MIXED", "bytes that are no answer")
+            if request.is_planned and request.is_cut and runs and request.took_s < LOST_WITHIN_S:
+                add("LOST", f"cut after {request.took_s:.3f} s beside planned work alone, though it ran at {runs[0].engine}")
             if 200 <= request.status < 300:
                 for rule, text in check_success(request, runs):
                     add(rule, text)
--- a/bench/soak/lifecycle.py
+++ b/bench/soak/lifecycle.py
@@ -329,6 +329,31 @@
         except ProcessLookupError:
             pass
 
+    # Planned work.
+
+    async def planned_work(self, until):
+        """Stops routers one after the other, rewrites settings and sends SIGHUP, while nothing else is disturbed."""
+        chooser = random.Random(f"{self.soak.seed}/planned")
+        while self.soak.now() < until:
+            router = chooser.choice(self.soak.routers)
+            if chooser.random() < 0.4:
+                self.soak.count("settings rewritten, planned")
+                self.write_settings(router, 0.0, 0.0)
+                router.process.send(signal.SIGHUP)
+            elif self.may_stop(router):
+                self.soak.count("stopped, planned")
+                self.soak.note(f"planned stop of {router.name}")
+                router.process.send(signal.SIGTERM)
+                if chooser.random() < 0.5:
+                    self.soak.spawn(asyncio.to_thread(send_until_gone, router.process, [signal.SIGHUP], 0.01, self.grace_s + 3))
+            await asyncio.sleep(chooser.uniform(0.02, 0.4))
+        while not (self.all_ready() and all(self.soak.is_settled(router) for router in self.soak.routers)):
+            await asyncio.sleep(TICK_S)
+
+    def may_stop(self, router):
+        ready = [process for process in self.processes if process.is_ready and not process.is_stopping()]
+        return router.process in ready and 2 * (len(ready) - 1) >= len(self.soak.routers)
+
     # Faults.
 
     async def stop(self, router, chooser):
--- a/bench/soak/soak.py
+++ b/bench/soak/soak.py
@@ -32,6 +32,7 @@
 JUDGED_S = 3.0
 ROUTES = {"resumable": "/ba/", "stream": "/co/", "idempotent": "/du/", "non_idempotent": "/fe/"}
 EXTRA_PREFIX = "/gi/"
+SLOW_GAP_S = 0.4
 
 
 def configuration(version, has_extra_route, keys):
@@ -121,6 +122,7 @@
         self.counts = collections.Counter()
         self.violations = []
         self.faults_on = False
+        self.is_planned = False
         self.spoilt_part = options.spoilt
         self.version = 1
         self.has_extra_route = False
@@ -187,6 +189,10 @@
         self.spawn(self.heartbeats())
         self.spawn(self.lifecycle.watch())
         await asyncio.sleep(0.5)
+        self.is_planned = True
+        await self.lifecycle.planned_work(self.now() + self.options.seconds * self.options.lifecycle)
+        self.is_planned = False
+        self.note("planned work has ended")
         until = self.now() + self.options.seconds
         self.faults_on = True
         injectors = [self.spawn(self.inject(until)) for _ in range(2 + len(self.routers) // 10)]
@@ -400,6 +406,8 @@
         if kind in ("resumable", "stream"):
             request.wanted = resume[1] if resume else chooser.randrange(1, 25)
             wish.update(events=request.wanted, gap=chooser.choice([0, 0, 0.005, 0.03]))
+            if self.faults_on and chooser.random() < 0.05:  # Some are still in progress at the end of a grace time.
+                wish["gap"] = SLOW_GAP_S
             fields.update({"X-Jasminestack-Model-Id": "m", "X-Jasminestack-Token-Usage": f"100,{request.wanted}",
                            "X-Jasminestack-Prefix-Hash": f"5c1e07a2:60,{chooser.randrange(1 << 32):08x}:40"})
             if resume:
@@ -414,7 +422,8 @@
         self.history.add_request(request)
         self.count(f"requests {kind}")
         head = "\r\n".join([f"POST {prefix}x HTTP/1.1"] + [f"{name}: {value}" for name, value in fields.items()])
-        may_judge = prefix != EXTRA_PREFIX
+        may_judge = prefix != EXTRA_PREFIX and wish.get("gap") != SLOW_GAP_S
+        began_planned = self.is_planned
         is_open = False
         try:
             writer.write(head.encode() + b"\r\n\r\n" + body)
@@ -422,10 +431,15 @@
             may_judge = may_judge and limit > 1
             await asyncio.wait_for(self.read_answer(request, reader), limit)
             is_open = request.is_complete and request.headers.get("connection", "").lower() != "close"
-        except (asyncio.TimeoutError, ConnectionError, asyncio.IncompleteReadError):
+        except asyncio.TimeoutError:
             self.count("no proper end")
+        except (ConnectionError, asyncio.IncompleteReadError):
+            self.count("no proper end")
+            request.is_cut = True
         except (ValueError, IndexError, asyncio.LimitOverrunError):
             request.is_malformed = True
+        request.took_s = self.now() - request.at
+        request.is_planned = began_planned and self.is_planned
         self.count(f"status {request.status}")
         if may_judge:
             self.judged[router.name][1] += 1
--- a/bench/soak/test_soak.py
+++ b/bench/soak/test_soak.py
@@ -132,6 +132,17 @@
         self.assertEqual(rules(plain_history(status=502)), [])
         self.assertEqual(rules(plain_history("idempotent", 503)), [])
 
+    # An answer that a planned stop cuts passes, or one counts that a fault, a client or a late end may have cut.
+    def test_lost(self):
+        for fields, expected in (({}, ["LOST"]), ({"is_planned": False}, []), ({"is_cut": False}, []), ({"took_s": 4.5}, [])):
+            history = stream_history(stream_body(EVENTS)[:-20], is_complete=False)
+            vars(history.requests["a"]).update({"is_planned": True, "is_cut": True, "took_s": 0.4, **fields})
+            self.assertEqual(rules(history), expected)
+        del history.runs["a"]
+        history.requests["a"].status = 0
+        history.requests["a"].took_s = 0.4
+        self.assertEqual(rules(history), [])
+
     # An engine is asked to go on after an event that no run has made, or runs what no client sent.
     def test_engines(self):
         for value in ("4", "", "01", "x"):
