--- a/src/daemon/Daemon.cpp
+++ b/src/daemon/Daemon.cpp
@@ -21,6 +21,7 @@
 #include "net/HttpLogClient.h"
 #include "observe/Logging.h"
 #include "observe/Metrics.h"
+#include "observe/ProcessEnd.h"
 #include "observe/Tracing.h"
 
 #include <array>
@@ -299,6 +300,8 @@
 
     void stop()
     {
+        if (phase != Phase::Running && !isServing)
+            return; // The loop ends already.
         if (phase != Phase::Running) {
             logEvent(LogLevel::Warning, "shutdown_forced", { { "in_progress", proxy.activeRequestCount() } });
             exitCode = 1;
@@ -373,22 +376,27 @@
 
 void Daemon::stop() { m_state->stop(); }
 
+bool Daemon::isServing() const noexcept { return m_state->isServing; }
+
 std::uint16_t Daemon::callerPort() const noexcept { return m_state->callerServer.port(); }
 
 int runDaemon(const DaemonSettings& settings, std::string settingsPath)
 {
     std::signal(SIGPIPE, SIG_IGN);
     replaceDefaultSignalActions();
-    startLogging(parseLogLevel(settings.logging.level).value());
+    setLogLevel(parseLogLevel(settings.logging.level).value());
     Daemon daemon(settings);
     daemon.watchSignals(std::move(settingsPath));
     unblockLifecycleSignals();
     auto started = daemon.start();
     if (!started) {
         logEvent(LogLevel::Error, "start_failed", { { "message", started.error().message } });
-        return 1;
+        return logExit(1, "start_failed");
     }
-    return daemon.run();
+    int code = daemon.run();
+    if (code == 0)
+        return logExit(0, "stopped");
+    return logExit(code, daemon.isServing() ? "shutdown_forced" : "start_failed");
 }
 
 }
--- a/src/daemon/Daemon.h
+++ b/src/daemon/Daemon.h
@@ -38,6 +38,9 @@
     /// \brief Begins the graceful shutdown; a second call ends the loop at once. Call it only on the loop's thread.
     void stop();
 
+    /// \returns Whether all addresses are bound.
+    [[nodiscard]] bool isServing() const noexcept;
+
     /// \returns The port on which the daemon accepts callers' connections.
     [[nodiscard]] std::uint16_t callerPort() const noexcept;
 
@@ -46,7 +49,7 @@
     std::unique_ptr<State> m_state;
 };
 
-/// \brief Runs a daemon until SIGTERM or SIGINT.
+/// \brief Runs a daemon until SIGTERM or SIGINT; logging has been started.
 /// \param settingsPath The settings file, for reloads.
 /// \returns The process's exit code, as returned by Daemon::run(); 1 if the daemon cannot start.
 [[nodiscard]] int runDaemon(const DaemonSettings&, std::string settingsPath);
--- a/src/router/RouterDaemon.cpp
+++ b/src/router/RouterDaemon.cpp
@@ -12,6 +12,7 @@
 #include "net/UdpTransport.h"
 #include "observe/Logging.h"
 #include "observe/Metrics.h"
+#include "observe/ProcessEnd.h"
 #include "router/DeploymentSource.h"
 #include "router/DocumentsRequest.h"
 #include "router/FleetSync.h"
@@ -614,16 +615,16 @@
 {
     std::signal(SIGPIPE, SIG_IGN);
     replaceDefaultSignalActions();
-    startBufferedLogging(parseLogLevel(settings.logging.level).value());
+    setLogLevel(parseLogLevel(settings.logging.level).value());
     RouterDaemon daemon(settings, std::move(adapter));
     daemon.watchSignals(std::move(settingsPath));
     unblockLifecycleSignals();
     if (auto started = daemon.start(); !started) {
         logEvent(LogLevel::Error, "start_failed", { { "message", started.error().message } });
-        flushLog();
-        return 1;
+        return logExit(1, "start_failed");
     }
-    return daemon.run();
+    int code = daemon.run();
+    return logExit(code, code == 0 ? "stopped" : "start_failed");
 }
 
 }
