--- a/src/daemon/Daemon.h
+++ b/src/daemon/Daemon.h
@@ -21,12 +21,13 @@
     Daemon(const Daemon&) = delete;
     Daemon& operator=(const Daemon&) = delete;
 
-    /// \brief Binds the configured addresses and starts the services.
-    /// \returns An error if that fails: SettingsInvalid if an address cannot be bound.
+    /// \brief Binds the configured addresses and starts the services. If an address is taken, run() retries.
+    /// \returns An error if that fails: SettingsInvalid if an address cannot be bound for another reason.
     [[nodiscard]] Result<void> start();
 
     /// \brief Runs the event loop until the graceful shutdown has ended.
-    /// \returns The exit code: 0, or 1 if a second stop() ended the loop before the graceful shutdown was complete.
+    /// \returns The exit code: 0, or 1 if a second stop() ended the loop before the graceful shutdown was complete, or
+    /// if an address stayed taken for too long.
     [[nodiscard]] int run();
 
     /// \brief Installs handlers for SIGTERM and SIGINT, which call stop(), and for SIGHUP, which reads the log level
@@ -37,6 +38,9 @@
     /// \brief Begins the graceful shutdown; a second call ends the loop at once. Call it only on the loop's thread.
     void stop();
 
+    /// \returns Whether all addresses are bound.
+    [[nodiscard]] bool isServing() const noexcept;
+
     /// \returns The port on which the daemon accepts callers' connections.
     [[nodiscard]] std::uint16_t callerPort() const noexcept;
 
@@ -45,7 +49,7 @@
     std::unique_ptr<State> m_state;
 };
 
-/// \brief Runs a daemon until SIGTERM or SIGINT.
+/// \brief Runs a daemon until SIGTERM or SIGINT; logging has been started.
 /// \param settingsPath The settings file, for reloads.
 /// \returns The process's exit code, as returned by Daemon::run(); 1 if the daemon cannot start.
 [[nodiscard]] int runDaemon(const DaemonSettings&, std::string settingsPath);
