soak: many routers do not stop the soak's own loop

Signals and the ends of cut-off settings waited for one of 12 threads besides, so that they came late.

The connection is begun without waiting; its address is held from then on. The threads are as many as are needed.

--- a/bench/soak/lifecycle.py
+++ b/bench/soak/lifecycle.py
@@ -12,6 +12,7 @@
 import socket
 import struct
 import time
+from concurrent.futures import ThreadPoolExecutor
 from dataclasses import dataclass, field
 
 from history import STOP_SIGNALS, Violation, check_end
@@ -21,6 +22,7 @@
 RECOVER_S = 12.0  # bounds.recoverS of the deployments: a router serves again by then.
 STOP_SLACK_S = 2.0
 EARLY_S = 0.05
+MAX_THREADS = 512  # More than signals are sent to at a time: none waits for a thread.
 PORTS = {"callers": 20001, "health": 20002, "peers": 20003, "metrics": 20004}
 
 
@@ -133,7 +135,8 @@
         if how == "listener":
             holder.listen(16)
         elif how == "connection":
-            holder.connect(other)
+            holder.setblocking(False)  # The accept queue of the other end may be full.
+            holder.connect_ex(other)
             holder.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 0)  # Programs that connect don't set it.
             # The address is free at the close, not only a minute later (TIME_WAIT).
             holder.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
@@ -198,10 +201,13 @@
         self.share = share
         self.grace_s = grace_s
         self.processes = []
-        self.holders = []
         self.faults = [self.stop, self.stop, self.kill, self.herd_kill, self.overlap, self.rewrite_settings, self.rewrite_settings,
                        self.start_without_store, self.send_odd_bytes, self.send_odd_bytes]
 
+    @staticmethod
+    def use_threads():
+        asyncio.get_running_loop().set_default_executor(ThreadPoolExecutor(MAX_THREADS))
+
     def add(self, process):
         self.processes.append(process)
         self.soak.spawn(self.await_ready(process))
--- a/bench/soak/soak.py
+++ b/bench/soak/soak.py
@@ -172,6 +172,7 @@
         return self.violations
 
     async def play(self):
+        self.lifecycle.use_threads()
         store_server = await self.store.start(self.ip)
         self.store_relay = Relay(store_server, self.chooser)
         self.store_address = await self.store_relay.start(self.ip)
