--- a/src/daemon/Daemon.cpp
+++ b/src/daemon/Daemon.cpp
@@ -310,6 +310,8 @@
 
     void stop()
     {
+        if (phase != Phase::Running && !isServing)
+            return; // The loop ends already.
         if (phase != Phase::Running) {
             logEvent(LogLevel::Warning, "shutdown_forced", { { "in_progress", proxy.activeRequestCount() } });
             exitCode = 1;
@@ -376,8 +378,6 @@
     return m_state->exitCode;
 }
 
-bool Daemon::hasStarted() const noexcept { return m_state->isServing; }
-
 void Daemon::watchSignals(std::string settingsPath)
 {
     m_state->settingsPath = std::move(settingsPath);
@@ -386,6 +386,8 @@
 
 void Daemon::stop() { m_state->stop(); }
 
+bool Daemon::isServing() const noexcept { return m_state->isServing; }
+
 std::uint16_t Daemon::callerPort() const noexcept { return m_state->callerServer.port(); }
 
 int runDaemon(const DaemonSettings& settings, std::string settingsPath)
@@ -403,7 +405,9 @@
         return logExit(1, "start_failed");
     }
     int code = daemon.run();
-    return logExit(code, code == 0 ? "stopped" : daemon.hasStarted() ? "shutdown_forced" : "start_failed");
+    if (code == 0)
+        return logExit(0, "stopped");
+    return logExit(code, daemon.isServing() ? "shutdown_forced" : "start_failed");
 }
 
 }
--- a/src/daemon/Daemon.h
+++ b/src/daemon/Daemon.h
@@ -30,9 +30,6 @@
     /// if an address stayed taken for too long.
     [[nodiscard]] int run();
 
-    /// \returns Whether all addresses were bound.
-    [[nodiscard]] bool hasStarted() const noexcept;
-
     /// \brief Installs handlers for SIGTERM and SIGINT, which call stop(), and for SIGHUP, which reads the log level
     /// and the times of the shutdown from the settings again. Call it before start(), so that signals during the start
     /// are handled when run() is called. \param settingsPath The settings file; empty: settings are not reloaded.
@@ -41,6 +38,9 @@
     /// \brief Begins the graceful shutdown; a second call ends the loop at once. Call it only on the loop's thread.
     void stop();
 
+    /// \returns Whether all addresses are bound.
+    [[nodiscard]] bool isServing() const noexcept;
+
     /// \returns The port on which the daemon accepts callers' connections.
     [[nodiscard]] std::uint16_t callerPort() const noexcept;
 
