Read a settings file again that is being written at the start

Operators saw processes that did not start. The platform writes the settings at every start; a file that was missing, empty or cut off when the process read it ended the start at once with exit code 1 or 3, although it was whole some milliseconds later.

Router and daemon read such a file again every 50 ms for at most 2 s, with one line on standard error, then fail with the exit codes and the message as before. A file that is overwritten in place can have its error anywhere, so each document that does not parse is awaited; one that parses is judged at once. A pending SIGTERM or SIGINT ends the wait with exit code 0 and the line process_exit.

--- a/bench/lifecycle/test_lifecycle.py
+++ b/bench/lifecycle/test_lifecycle.py
@@ -137,6 +137,62 @@
             self.assertNotIn("event=shutdown_started", started.log())
 
 
+class SettingsFileTest(LifecycleTest):
+    """Settings that are missing or not whole when the process reads them first."""
+
+    CONTENTS = {"missing": None, "empty": "", "cut off": 0.5}
+
+    def write(self, text, content):
+        path = os.path.join(self.folder, "settings.json")
+        if content is not None:
+            with open(path, "w") as file:
+                file.write(text[:int(len(text) * content)] if content else "")
+
+    def start_with(self, command, content):
+        self.write(json.dumps(self.settings(command)), content)
+        started = Service(command, self.folder)
+        self.addCleanup(started.__exit__)
+        started.wait_for(lambda: "trying again" in started.log(), "second reading of the settings")
+        return started
+
+    def test_settings_that_are_being_written_do_not_end_the_start(self):
+        for command in ("router", "daemon"):
+            for name, content in self.CONTENTS.items():
+                with self.subTest(command, content=name):
+                    self.setUp()
+                    started = self.start_with(command, content)
+                    started.settings_path.write_text(json.dumps(self.settings(command)))
+                    started.wait_for_event("started")
+                    self.assertEqual(started.log().count("trying again"), 1)
+
+    def test_settings_that_stay_unreadable_fail_with_their_exit_code(self):
+        for command in ("router", "daemon"):
+            for name, content in self.CONTENTS.items():
+                with self.subTest(command, content=name):
+                    self.setUp()
+                    started = self.start_with(command, content)
+                    self.assertEqual(started.exit_code(), 1 if content is None else 3, started.log())
+
+    def test_sigterm_while_the_settings_are_awaited_ends_in_order(self):
+        for command in ("router", "daemon"):
+            with self.subTest(command):
+                self.setUp()
+                started = self.start_with(command, None)
+                started.send(signal.SIGTERM)
+                self.assertEqual(started.exit_code(), 0, started.log())
+
+    def test_settings_with_a_wrong_value_fail_without_waiting(self):
+        for command in ("router", "daemon"):
+            with self.subTest(command):
+                self.setUp()
+                settings = self.settings(command)
+                settings["callers"]["address"] = "callers:8080"
+                with Service(command, self.folder, settings) as started:
+                    self.assertEqual(started.exit_code(), 3, started.log())
+                    self.assertIn("callers.address", started.log())
+                    self.assertNotIn("trying again", started.log())
+
+
 class TakenAddressTest(LifecycleTest):
     """Addresses that another socket keeps, for as long as the test says."""
 
--- a/src/base/LifecycleSignals.cpp
+++ b/src/base/LifecycleSignals.cpp
@@ -47,6 +47,12 @@
         sigaction(signalNumber, &action, nullptr);
 }
 
+bool isStopSignalPending() noexcept
+{
+    sigset_t pending;
+    return sigpending(&pending) == 0 && (sigismember(&pending, SIGTERM) == 1 || sigismember(&pending, SIGINT) == 1);
+}
+
 void unblockLifecycleSignals() noexcept
 {
     sigset_t unblocked = lifecycleSignalSet();
--- a/src/base/LifecycleSignals.h
+++ b/src/base/LifecycleSignals.h
@@ -20,6 +20,9 @@
 /// it does not discard pending signals.
 void replaceDefaultSignalActions() noexcept;
 
+/// \returns Whether SIGTERM or SIGINT has arrived while blocked.
+[[nodiscard]] bool isStopSignalPending() noexcept;
+
 /// \brief Unblocks the lifecycle signals; pending ones are delivered to the handlers registered by now.
 void unblockLifecycleSignals() noexcept;
 
--- a/src/cli/CheckCommand.cpp
+++ b/src/cli/CheckCommand.cpp
@@ -47,12 +47,14 @@
     }
     startLogging(LogLevel::Info);
     observeProcessEnd();
-    const auto text = readFile(path);
-    if (!text) {
+    const SettingsText file = awaitSettingsText(path, std::cerr);
+    if (file.isStopRequested)
+        return logExit(exit_code::success, "stopped");
+    if (!file.text) {
         std::cerr << "jasminestack: cannot read " << path << "\n";
         return logExit(exit_code::failure, "settings_unreadable", path);
     }
-    const auto settings = parseDaemonSettings(*text, path);
+    const auto settings = parseDaemonSettings(*file.text, path);
     if (!settings) {
         std::cerr << settings.error().message << "\n";
         return logExit(exit_code::invalidInput, "settings_invalid", settings.error().message);
--- a/src/cli/RouterCommand.cpp
+++ b/src/cli/RouterCommand.cpp
@@ -20,12 +20,14 @@
     }
     startBufferedLogging(LogLevel::Info);
     observeProcessEnd();
-    const auto text = readFile(path);
-    if (!text) {
+    const SettingsText file = awaitSettingsText(path, std::cerr);
+    if (file.isStopRequested)
+        return logExit(exit_code::success, "stopped");
+    if (!file.text) {
         std::cerr << "jasminestack: cannot read " << path << "\n";
         return logExit(exit_code::failure, "settings_unreadable", path);
     }
-    const auto settings = parseRouterSettings(*text, path);
+    const auto settings = parseRouterSettings(*file.text, path);
     if (!settings) {
         std::cerr << settings.error().message << "\n";
         return logExit(exit_code::invalidInput, "settings_invalid", settings.error().message);
