--- a/src/daemon/Daemon.cpp
+++ b/src/daemon/Daemon.cpp
@@ -13,6 +13,7 @@
 #include "daemon/RequestProxy.h"
 #include "net/CallerServer.h"
 #include "net/EndpointClient.h"
+#include "net/EventCallback.h"
 #include "net/EventPriority.h"
 #include "net/HttpClient.h"
 #include "net/HttpLogClient.h"
@@ -209,7 +210,13 @@
 
     static void onSignal(evutil_socket_t, short, void* argument) { static_cast<State*>(argument)->stop(); }
 
-    static void onTick(evutil_socket_t, short, void* argument) { static_cast<State*>(argument)->runTick(); }
+    // A step of the tick that fails must not keep a planned stop from ending.
+    static void onTick(evutil_socket_t, short, void* argument)
+    {
+        auto& state = *static_cast<State*>(argument);
+        runGuarded("tick", [&] { state.runTick(); });
+        runGuarded("tick_shutdown", [&] { state.advanceShutdown(state.clock.now()); });
+    }
 
     void applyCurrentConfiguration()
     {
@@ -243,7 +250,7 @@
             lastTraceFlushAt = now;
             tracer.flush();
         }
-        advanceShutdown(now);
+        metrics.add(Counter::CallbackFailures, {}, static_cast<double>(takeCallbackFailures()));
     }
 
     void stop()
--- a/src/daemon/ProxiedRequest.cpp
+++ b/src/daemon/ProxiedRequest.cpp
@@ -361,6 +361,11 @@
     AttemptResult attempt { .isComplete = exchangeResult.isComplete,
         .requestMayHaveBeenSent = exchangeResult.requestMayHaveBeenSent || m_isResuming,
         .httpStatus = m_responseHead.status };
+    if (!exchangeResult.isComplete && exchangeResult.error == ErrorKind::Internal) {
+        m_hasSentRequest = m_hasSentRequest || exchangeResult.requestMayHaveBeenSent;
+        endAfterException();
+        return;
+    }
     if (m_relayMode == RelayMode::Events) {
         // A model stream is complete only with its end marker, even if the HTTP framing is complete.
         if (m_sseScanner.isDone()) {
@@ -393,6 +398,16 @@
     sendBufferedResponse();
 }
 
+void ProxiedRequest::endAfterException()
+{
+    if (m_stage == Stage::Ended)
+        return;
+    cancelExchange();
+    recordAttempt(m_attemptHistory, { .requestMayHaveBeenSent = m_hasSentRequest });
+    endWithError(
+        { .kind = ErrorKind::Internal, .message = "a callback of the request failed" }, runStatus(m_attemptHistory));
+}
+
 void ProxiedRequest::sendBufferedResponse()
 {
     updateEndpointHealth(EndpointAttemptOutcome::Completed);
@@ -403,8 +418,10 @@
     context.metrics.observe(Histogram::FirstByteSeconds, { m_resolved.pool.value }, elapsed.seconds());
     releaseSlot(true);
     m_finalRunStatus = RunStatus::Ran;
-    if (m_caller)
-        std::exchange(m_caller, nullptr)->sendResponse(callerHead(), m_bufferedBody);
+    if (m_caller) {
+        CallerResponseHead head = callerHead();
+        std::exchange(m_caller, nullptr)->sendResponse(head, m_bufferedBody);
+    }
     finish("ok");
 }
 
@@ -427,15 +444,17 @@
     m_requestSpan.failed = true;
     m_finalRunStatus = status;
     releaseSlot(false);
-    if (CallerExchange* caller = std::exchange(m_caller, nullptr)) {
+    if (m_caller) {
         CallerError callerError { .error = std::move(error), .runStatus = status, .id = m_id };
         if (!hasResponseBegun()) {
-            caller->sendResponse(errorHead(callerError), errorBody(callerError));
+            CallerResponseHead head = errorHead(callerError);
+            std::string body = errorBody(callerError);
+            std::exchange(m_caller, nullptr)->sendResponse(head, body);
         } else if (m_relayMode == RelayMode::Events) {
-            caller->sendChunk(errorEvent(callerError));
-            caller->endStream();
+            m_caller->sendChunk(errorEvent(callerError));
+            std::exchange(m_caller, nullptr)->endStream();
         } else {
-            caller->abort();
+            std::exchange(m_caller, nullptr)->abort();
         }
     }
     finish(outcome);
--- a/src/daemon/ProxiedRequest.h
+++ b/src/daemon/ProxiedRequest.h
@@ -70,6 +70,10 @@
     /// \brief Ends the request with \p error; it must not have an attempt in progress.
     void refuse(Error error);
 
+    /// \brief Ends the request without another attempt, since a callback has thrown and events may have been read that
+    /// were not relayed. Does nothing if it has ended.
+    void endAfterException();
+
     /// \returns Whether the request waits for the decision about its claim of the idempotency key.
     [[nodiscard]] bool isClaiming() const noexcept { return m_stage == Stage::Claiming; }
 
--- a/src/daemon/RequestProxy.cpp
+++ b/src/daemon/RequestProxy.cpp
@@ -5,6 +5,7 @@
 #include "daemon/ErrorResponses.h"
 #include "daemon/ProxiedRequest.h"
 #include "daemon/RequestResolution.h"
+#include "net/EventCallback.h"
 #include "observe/Logging.h"
 
 #include <list>
@@ -133,21 +134,31 @@
         if (isDispatching)
             return;
         isDispatching = true;
-        while (std::exchange(isDispatchNeeded, false)) {
-            Millis now = proxyContext.clock.now();
-            for (const RequestAssignment& assignment : dispatch(proxyContext.scheduling, schedulingView(), now)) {
-                auto request = requests.find(assignment.request);
-                auto endpoint = proxyContext.endpoints.endpoints.find(assignment.endpoint);
-                // If the request or the endpoint no longer exists, the slot is released again.
-                if (request == requests.end() || endpoint == proxyContext.endpoints.endpoints.end())
-                    recordFinish(proxyContext.scheduling, schedulingView(), assignment.request, 0, false, now);
-                else
-                    request->second->onAssigned(endpoint->second);
+        runGuarded("dispatch", [this] {
+            while (std::exchange(isDispatchNeeded, false)) {
+                for (const RequestAssignment& assignment :
+                    dispatch(proxyContext.scheduling, schedulingView(), proxyContext.clock.now()))
+                    startAssigned(assignment);
             }
-        }
+        });
         isDispatching = false;
     }
 
+    void startAssigned(const RequestAssignment& assignment)
+    {
+        auto request = requests.find(assignment.request);
+        auto endpoint = proxyContext.endpoints.endpoints.find(assignment.endpoint);
+        // If the request or the endpoint no longer exists, the slot is released again.
+        if (request == requests.end() || endpoint == proxyContext.endpoints.endpoints.end()) {
+            recordFinish(
+                proxyContext.scheduling, schedulingView(), assignment.request, 0, false, proxyContext.clock.now());
+            return;
+        }
+        ProxiedRequest& assigned = *request->second;
+        runGuarded(
+            "request_assigned", [&] { assigned.onAssigned(endpoint->second); }, [&] { assigned.endAfterException(); });
+    }
+
     // Must not be called from inside a member function of a request or cancellation, because it destroys them.
     void destroyFinished()
     {
--- a/src/net/AdminServer.cpp
+++ b/src/net/AdminServer.cpp
@@ -2,8 +2,10 @@
 
 #include "base/Hash.h"
 #include "config/JsonDocument.h"
+#include "net/EventCallback.h"
 #include "net/HttpClient.h"
 
+#include <algorithm>
 #include <arpa/inet.h>
 #include <event2/buffer.h>
 #include <event2/event.h>
@@ -228,18 +230,35 @@
         return std::nullopt;
     }
 
+    [[nodiscard]] bool isPending(const evhttp_request* request) const
+    {
+        return std::any_of(pendingResponses.begin(), pendingResponses.end(),
+            [&](const auto& pendingResponse) { return pendingResponse->request == request; });
+    }
+
     static void onRequest(evhttp_request* request, void* argument)
     {
         auto& state = *static_cast<State*>(argument);
+        // A change whose response is pending may still be made; its operator's connection ends with its timeout.
+        runGuarded(
+            "admin_request", [&] { state.handleRequest(request); },
+            [&] {
+                if (!state.isPending(request))
+                    evhttp_send_error(request, errorResponseFor(ErrorKind::Internal).httpStatus, nullptr);
+            });
+    }
+
+    void handleRequest(evhttp_request* request)
+    {
         const char* rawPath = evhttp_uri_get_path(evhttp_request_get_evhttp_uri(request));
         const std::string_view path = rawPath ? rawPath : "";
         const bool isChangeRoute = path == "/admin/config/publish" || path == "/admin/log-level";
         const auto method = evhttp_request_get_command(request);
         if (isChangeRoute && method == EVHTTP_REQ_POST) {
-            state.handlePost(request, path);
+            handlePost(request, path);
             return;
         }
-        auto response = method == EVHTTP_REQ_GET && !isChangeRoute ? state.handleGet(request, path) : std::nullopt;
+        auto response = method == EVHTTP_REQ_GET && !isChangeRoute ? handleGet(request, path) : std::nullopt;
         const std::string quotedPath = "'" + std::string(path) + "'";
         if (!response && (isChangeRoute || method != EVHTTP_REQ_GET))
             response = adminErrorResponse(ErrorKind::MethodNotAllowed, "the method is not allowed for " + quotedPath);
--- a/src/net/CallerServer.cpp
+++ b/src/net/CallerServer.cpp
@@ -1,6 +1,7 @@
 #include "net/CallerServer.h"
 
 #include "net/AcceptPolicy.h"
+#include "net/EventCallback.h"
 #include "net/EventPriority.h"
 #include "net/HttpClient.h"
 #include "net/HttpResponseHead.h"
@@ -117,7 +118,8 @@
     std::size_t totalOutputBytes { 0 }; ///< Of responses that callers have not taken yet.
     Millis lastSlowReaderLogAt {};
     std::unordered_map<Connection*, std::unique_ptr<Connection>> connections;
-    /// Destroyed by an event, because a connection may be closed inside one of its methods.
+    /// Destroyed by an event, because a connection may be closed inside one of its methods. It has room for all that
+    /// are open, so that closing one does not throw.
     std::vector<std::unique_ptr<Connection>> closedConnections;
     EventPointer destroyClosedEvent;
     std::vector<char> readBuffer;
@@ -148,7 +150,13 @@
         static_cast<State*>(argument)->closedConnections.clear();
     }
     static void onAccept(evutil_socket_t, short, void* argument);
-    static void onReadNew(evutil_socket_t, short, void* argument) { static_cast<State*>(argument)->readNewest(); }
+    static void onReadNew(evutil_socket_t, short, void* argument)
+    {
+        auto& state = *static_cast<State*>(argument);
+        runGuarded(
+            "caller_read_new", [&] { state.readNewest(); },
+            [&] { event_active(state.readNewEvent.get(), EV_TIMEOUT, 0); });
+    }
 };
 
 class CallerServer::State::Connection final : public CallerExchange {
@@ -196,51 +204,30 @@
 
     void setListener(CallerListener& listener) override { m_listener = &listener; }
 
+    // A response that there is no memory for is not completed: the caller detects that it is truncated.
     void sendResponse(const CallerResponseHead& head, std::string_view body) override
     {
-        std::string text = formatHead(head);
-        if (!statusHasNoBody(head.status))
-            text.append("Content-Length: ").append(std::to_string(body.size())).append("\r\n");
-        text.append("\r\n");
-        if (!m_isHeadRequest && !statusHasNoBody(head.status))
-            text.append(body);
-        enqueue(text);
+        runGuarded(
+            "caller_response", [&] { enqueueResponse(head, body); }, [this] { failWrite(); });
         finishResponse();
     }
 
     void startStream(const CallerResponseHead& head) override
     {
-        std::string text = formatHead(head);
-        if (m_isHttp10) {
-            m_keepAlive = false; // HTTP/1.0 has no chunked encoding; the body ends where the connection is closed.
-            setResetOnClose(m_socket.value(), true);
-        } else
-            text.append("Transfer-Encoding: chunked\r\n");
-        text.append("\r\n");
-        m_pendingHead = std::move(text);
+        runGuarded(
+            "caller_stream_head", [&] { prepareStream(head); }, [this] { failWrite(); });
     }
 
     void sendChunk(std::string_view bytes) override
     {
-        if (bytes.empty() || m_isHeadRequest)
-            return;
-        std::string text = std::exchange(m_pendingHead, {});
-        if (m_isHttp10) {
-            enqueue(text.append(bytes));
-            return;
-        }
-        std::array<char, 2 * sizeof(std::size_t)> hexSize {};
-        char* end = std::to_chars(hexSize.data(), hexSize.data() + hexSize.size(), bytes.size(), 16).ptr;
-        text.append(hexSize.data(), end).append("\r\n").append(bytes).append("\r\n");
-        enqueue(text);
+        runGuarded(
+            "caller_chunk", [&] { enqueueChunk(bytes); }, [this] { failWrite(); });
     }
 
     void endStream() override
     {
-        std::string text = std::exchange(m_pendingHead, {});
-        if (!m_isHttp10 && !m_isHeadRequest)
-            text.append("0\r\n\r\n");
-        enqueue(text);
+        runGuarded(
+            "caller_stream_end", [&] { enqueueLastChunk(); }, [this] { failWrite(); });
         finishResponse();
     }
 
@@ -280,6 +267,52 @@
         evtimer_add(m_timer.get(), &interval);
     }
 
+    void enqueueResponse(const CallerResponseHead& head, std::string_view body)
+    {
+        std::string text = formatHead(head);
+        if (!statusHasNoBody(head.status))
+            text.append("Content-Length: ").append(std::to_string(body.size())).append("\r\n");
+        text.append("\r\n");
+        if (!m_isHeadRequest && !statusHasNoBody(head.status))
+            text.append(body);
+        enqueue(text);
+    }
+
+    void prepareStream(const CallerResponseHead& head)
+    {
+        std::string text = formatHead(head);
+        if (m_isHttp10) {
+            m_keepAlive = false; // HTTP/1.0 has no chunked encoding; the body ends where the connection is closed.
+            setResetOnClose(m_socket.value(), true);
+        } else
+            text.append("Transfer-Encoding: chunked\r\n");
+        text.append("\r\n");
+        m_pendingHead = std::move(text);
+    }
+
+    void enqueueChunk(std::string_view bytes)
+    {
+        if (bytes.empty() || m_isHeadRequest)
+            return;
+        std::string text = std::exchange(m_pendingHead, {});
+        if (m_isHttp10) {
+            enqueue(text.append(bytes));
+            return;
+        }
+        std::array<char, 2 * sizeof(std::size_t)> hexSize {};
+        char* end = std::to_chars(hexSize.data(), hexSize.data() + hexSize.size(), bytes.size(), 16).ptr;
+        text.append(hexSize.data(), end).append("\r\n").append(bytes).append("\r\n");
+        enqueue(text);
+    }
+
+    void enqueueLastChunk()
+    {
+        std::string text = std::exchange(m_pendingHead, {});
+        if (!m_isHttp10 && !m_isHeadRequest)
+            text.append("0\r\n\r\n");
+        enqueue(text);
+    }
+
     std::string formatHead(const CallerResponseHead& head)
     {
         if (m_owner.closeAfterResponse)
@@ -393,13 +426,26 @@
         sendResponse(head, m_owner.handler.onInvalidRequest(kind, message));
     }
 
+    // Calls one of the callbacks below. If it throws, the connection is closed; what the caller sent may be half read.
+    template <typename Body> void runCallback(std::string_view name, const Body& body)
+    {
+        runGuarded(name, body, [this] {
+            if (isOpen())
+                handleDisconnect();
+        });
+    }
+
+    [[nodiscard]] bool isOpen() { return m_owner.connections.contains(this); }
+
     static void onReadable(evutil_socket_t, short events, void* argument)
     {
         auto& connection = *static_cast<Connection*>(argument);
-        if (events & EV_READ)
-            connection.readOrPause();
-        if (connection.m_owner.connections.contains(&connection))
-            connection.parse();
+        connection.runCallback("caller_read", [&] {
+            if (events & EV_READ)
+                connection.readOrPause();
+            if (connection.isOpen())
+                connection.parse();
+        });
     }
 
     // Requests that the caller sends before it has read its answers wait in its own buffers.
@@ -511,7 +557,24 @@
         m_isHttp10 = m_parser.http_minor == 0;
         m_keepAlive = !m_isHttp10 && http_should_keep_alive(&m_parser) != 0;
         m_reservation.reset();
-        m_owner.handler.onRequest(std::move(m_request), *this);
+        runGuarded(
+            "caller_request", [this] { m_owner.handler.onRequest(std::move(m_request), *this); },
+            [this] { endFailedRequest(); });
+    }
+
+    // Nothing is known of a request whose handler has thrown, so its answer does not say whether it has run.
+    void endFailedRequest()
+    {
+        if (!isOpen() || m_phase != Phase::Responding)
+            return;
+        if (m_listener) {
+            handleDisconnect();
+            return;
+        }
+        m_keepAlive = false;
+        const ErrorResponse& error = errorResponseFor(ErrorKind::Internal);
+        sendResponse({ .status = error.httpStatus, .headers = { { "Content-Type", "application/json" } } },
+            R"({"error":{"kind":")" + std::string(error.name) + "\"}}\n");
     }
 
     int setRequestError(ErrorKind kind, std::string message)
@@ -638,28 +701,50 @@
 
     static Connection& self(http_parser* parser) { return *static_cast<Connection*>(parser->data); }
 
+    // Calls a callback of the parser. It throws if there is no memory for a part of the request, which is then refused.
+    template <typename Body> static int parsePart(http_parser* parser, const Body& body) noexcept
+    {
+        Connection& connection = self(parser);
+        int result = -1;
+        runGuarded(
+            "caller_parse", [&] { result = body(connection); },
+            [&] {
+                connection.m_requestError = ErrorKind::RouterOverloaded;
+                connection.m_requestErrorMessage.clear();
+            });
+        return result;
+    }
+
     static const http_parser_settings& parserSettings()
     {
         static const http_parser_settings settings = [] {
             http_parser_settings callbacks;
             http_parser_settings_init(&callbacks);
             callbacks.on_url = [](http_parser* parser, const char* at, std::size_t length) {
-                self(parser).m_request.target.append(at, length);
-                return self(parser).countHeadBytes(length);
+                return parsePart(parser, [&](Connection& connection) {
+                    connection.m_request.target.append(at, length);
+                    return connection.countHeadBytes(length);
+                });
             };
             callbacks.on_header_field = [](http_parser* parser, const char* at, std::size_t length) {
                 if (self(parser).m_headComplete)
                     return 0; // Trailer fields are dropped.
-                return self(parser).addFieldName({ at, length });
+                return parsePart(parser, [&](Connection& connection) {
+                    return connection.addFieldName({ at, length });
+                });
             };
             callbacks.on_header_value = [](http_parser* parser, const char* at, std::size_t length) {
                 if (self(parser).m_headComplete)
                     return 0;
-                return self(parser).addFieldValue({ at, length });
+                return parsePart(parser, [&](Connection& connection) {
+                    return connection.addFieldValue({ at, length });
+                });
+            };
+            callbacks.on_headers_complete = [](http_parser* parser) {
+                return parsePart(parser, [](Connection& connection) { return connection.checkHead(); });
             };
-            callbacks.on_headers_complete = [](http_parser* parser) { return self(parser).checkHead(); };
             callbacks.on_body = [](http_parser* parser, const char* at, std::size_t length) {
-                return self(parser).addBody({ at, length });
+                return parsePart(parser, [&](Connection& connection) { return connection.addBody({ at, length }); });
             };
             callbacks.on_message_complete = [](http_parser* parser) {
                 self(parser).m_requestComplete = true;
@@ -674,39 +759,49 @@
     static void onWritable(evutil_socket_t, short, void* argument)
     {
         auto& connection = *static_cast<Connection*>(argument);
-        std::string_view unwritten = std::string_view(connection.m_output).substr(connection.m_writtenBytes);
-        ssize_t sent = send(connection.m_socket.value(), unwritten.data(), unwritten.size(), MSG_NOSIGNAL);
+        connection.runCallback("caller_write", [&] { connection.write(); });
+    }
+
+    void write()
+    {
+        std::string_view unwritten = std::string_view(m_output).substr(m_writtenBytes);
+        ssize_t sent = send(m_socket.value(), unwritten.data(), unwritten.size(), MSG_NOSIGNAL);
         if (sent < 0 && errno != EAGAIN && errno != EINTR) {
-            connection.handleDisconnect();
+            handleDisconnect();
             return;
         }
-        connection.m_writtenBytes += static_cast<std::size_t>(std::max<ssize_t>(sent, 0));
-        if (connection.bufferedBytes() != 0) {
+        m_writtenBytes += static_cast<std::size_t>(std::max<ssize_t>(sent, 0));
+        if (bufferedBytes() != 0) {
             if (sent > 0)
-                connection.startTimer(connection.m_owner.options.writeTimeout);
+                startTimer(m_owner.options.writeTimeout);
             return;
         }
-        connection.discardOutput();
-        if (connection.m_phase == Phase::Idle) {
-            connection.onResponseWritten();
+        discardOutput();
+        if (m_phase == Phase::Idle) {
+            onResponseWritten();
             return;
         }
-        if (connection.m_phase == Phase::Receiving) {
-            connection.onContinueWritten();
+        if (m_phase == Phase::Receiving) {
+            onContinueWritten();
             return;
         }
-        evtimer_del(connection.m_timer.get());
-        if (connection.m_listener)
-            connection.m_listener->onSendBufferEmpty();
+        evtimer_del(m_timer.get());
+        if (m_listener)
+            m_listener->onSendBufferEmpty();
     }
 
     static void onTimer(evutil_socket_t, short, void* argument)
     {
         auto& connection = *static_cast<Connection*>(argument);
-        if (connection.m_phase == Phase::Receiving && connection.bufferedBytes() == 0)
-            connection.rejectRequest(ErrorKind::RequestTimeout, "the request was not received in time");
+        connection.runCallback("caller_timer", [&] { connection.handleTimeout(); });
+    }
+
+    void handleTimeout()
+    {
+        if (m_phase == Phase::Receiving && bufferedBytes() == 0)
+            rejectRequest(ErrorKind::RequestTimeout, "the request was not received in time");
         else
-            connection.handleDisconnect();
+            handleDisconnect();
     }
 
     State& m_owner;
@@ -766,7 +861,7 @@
 
 void CallerServer::State::onAccept(evutil_socket_t, short, void* argument)
 {
-    static_cast<State*>(argument)->accept(acceptPolicy.acceptsPerTurn);
+    runGuarded("caller_accept", [argument] { static_cast<State*>(argument)->accept(acceptPolicy.acceptsPerTurn); });
 }
 
 void CallerServer::State::accept(int count)
@@ -785,6 +880,7 @@
             continue;
         }
         ++counts.accepted;
+        ensureCapacity(closedConnections, closedConnections.size() + connections.size() + 1);
         auto connection = std::make_unique<Connection>(*this, std::move(socket), ++lastNumber);
         Connection* connectionKey = connection.get();
         connections.emplace(connectionKey, std::move(connection));
@@ -792,8 +888,13 @@
             connectionKey->start();
             continue;
         }
-        addUnread(unread, lastNumber, clock.now());
-        unreadByNumber.emplace(lastNumber, connectionKey);
+        runGuarded(
+            "caller_accept",
+            [&] {
+                addUnread(unread, lastNumber, clock.now());
+                unreadByNumber.emplace(lastNumber, connectionKey);
+            },
+            [&] { close(connectionKey); });
         event_active(readNewEvent.get(), EV_TIMEOUT, 0);
     }
 }
--- a/src/net/EndpointClient.cpp
+++ b/src/net/EndpointClient.cpp
@@ -1,5 +1,6 @@
 #include "net/EndpointClient.h"
 
+#include "net/EventCallback.h"
 #include "net/HttpClient.h"
 #include "net/HttpResponseParser.h"
 #include "net/Socket.h"
@@ -292,10 +293,23 @@
         }
         exchanges.erase(exchange.id);
         if (reusableSocket.value() >= 0)
-            addIdleConnection(std::move(reusableSocket), address, idleTimeout);
+            runGuarded("endpoint_keep_connection",
+                [&] { addIdleConnection(std::move(reusableSocket), address, idleTimeout); });
         listener.onEnd(result);
     }
 
+    // Calls \p body for an event of the exchange. If it throws, the exchange ends with ErrorKind::Internal: bytes of
+    // the response may be lost.
+    template <typename Body> static void runCallback(std::string_view name, Exchange& exchange, const Body& body)
+    {
+        State& state = *exchange.owner;
+        ExchangeId id = exchange.id;
+        runGuarded(name, body, [&] {
+            if (auto found = state.exchanges.find(id); found != state.exchanges.end())
+                state.finish(*found->second, ErrorKind::Internal);
+        });
+    }
+
     // Parses received bytes and drops responses to earlier requests on this connection.
     void receive(Exchange& exchange, std::span<char> data)
     {
@@ -361,16 +375,20 @@
     static void onReadable(evutil_socket_t descriptor, short, void* argument)
     {
         auto& exchange = *static_cast<Exchange*>(argument);
-        State& state = *exchange.owner;
-        ssize_t length = recv(descriptor, state.readBuffer.data(), state.readBuffer.size(), 0);
+        runCallback("endpoint_read", exchange, [&] { exchange.owner->read(exchange, descriptor); });
+    }
+
+    void read(Exchange& exchange, evutil_socket_t descriptor)
+    {
+        ssize_t length = recv(descriptor, readBuffer.data(), readBuffer.size(), 0);
         if (length > 0) {
-            exchange.lastActivity = state.clock.now();
+            exchange.lastActivity = clock.now();
             if (exchange.phase == Phase::AwaitingResponse) {
                 exchange.phase = Phase::ReceivingResponse;
                 timeval timeout = toTimeval(exchange.request.responseIdleTimeout);
                 evtimer_add(exchange.timer.get(), &timeout);
             }
-            state.receive(exchange, { state.readBuffer.data(), static_cast<std::size_t>(length) });
+            receive(exchange, { readBuffer.data(), static_cast<std::size_t>(length) });
             return;
         }
         if (length < 0 && (errno == EAGAIN || errno == EINTR))
@@ -379,39 +397,47 @@
         if (length == 0 && isRequestReceived(exchange)) {
             exchange.parser.endOfInput();
             if (exchange.parser.complete()) {
-                state.finish(exchange, ErrorKind::Internal, true);
+                finish(exchange, ErrorKind::Internal, true);
                 return;
             }
         }
-        state.finish(exchange, exchange.headDelivered ? ErrorKind::AnswerTruncated : ErrorKind::EndpointLost);
+        finish(exchange, exchange.headDelivered ? ErrorKind::AnswerTruncated : ErrorKind::EndpointLost);
     }
 
     static void onWritable(evutil_socket_t descriptor, short, void* argument)
     {
         auto& exchange = *static_cast<Exchange*>(argument);
-        State& state = *exchange.owner;
+        runCallback("endpoint_write", exchange, [&] { exchange.owner->connectOrWrite(exchange, descriptor); });
+    }
+
+    void connectOrWrite(Exchange& exchange, evutil_socket_t descriptor)
+    {
         if (exchange.phase != Phase::Connecting) {
-            state.write(exchange);
+            write(exchange);
             return;
         }
         int error = 0;
         socklen_t length = sizeof(error);
         if (getsockopt(descriptor, SOL_SOCKET, SO_ERROR, &error, &length) != 0 || error != 0)
-            state.finish(exchange, ErrorKind::EndpointUnavailable);
+            finish(exchange, ErrorKind::EndpointUnavailable);
         else
-            state.sendRequest(exchange);
+            sendRequest(exchange);
     }
 
     static void onTimer(evutil_socket_t, short, void* argument)
     {
         auto& exchange = *static_cast<Exchange*>(argument);
-        State& state = *exchange.owner;
+        runCallback("endpoint_timer", exchange, [&] { exchange.owner->startOrCheckTimeout(exchange); });
+    }
+
+    void startOrCheckTimeout(Exchange& exchange)
+    {
         switch (exchange.phase) {
         case Phase::NotStarted:
-            state.startExchange(exchange);
+            startExchange(exchange);
             return;
         case Phase::Connecting:
-            state.finish(exchange, ErrorKind::EndpointUnavailable);
+            finish(exchange, ErrorKind::EndpointUnavailable);
             return;
         case Phase::AwaitingResponse:
         case Phase::ReceivingResponse:
@@ -421,9 +447,9 @@
         // expires.
         Millis timeout = exchange.phase == Phase::AwaitingResponse ? exchange.request.firstByteTimeout
                                                                    : exchange.request.responseIdleTimeout;
-        Millis idleTime = exchange.paused ? Millis {} : state.clock.now() - exchange.lastActivity;
+        Millis idleTime = exchange.paused ? Millis {} : clock.now() - exchange.lastActivity;
         if (idleTime >= timeout) {
-            state.finish(exchange, ErrorKind::EndpointTimeout);
+            finish(exchange, ErrorKind::EndpointTimeout);
             return;
         }
         timeval remaining = toTimeval(timeout - idleTime);
--- a/src/net/HttpClient.cpp
+++ b/src/net/HttpClient.cpp
@@ -1,5 +1,6 @@
 #include "net/HttpClient.h"
 
+#include "net/EventCallback.h"
 #include "net/Socket.h"
 
 #include <charconv>
@@ -88,12 +89,19 @@
         auto callback = std::move(exchange.callback);
         auto result = std::move(exchange.result);
         owner.removeExchange(exchange);
-        callback(std::move(result));
+        runGuarded("http_response", [&] { callback(std::move(result)); });
     }
 
     static void onResponse(evhttp_request* request, void* argument)
     {
         auto& exchange = *static_cast<Exchange*>(argument);
+        // A response that there is no memory for leaves the result of a timeout.
+        runGuarded("http_result", [&] { takeResult(exchange, request); });
+        event_active(exchange.timer, EV_TIMEOUT, 0);
+    }
+
+    static void takeResult(Exchange& exchange, evhttp_request* request)
+    {
         if (request && evhttp_request_get_response_code(request) != 0) {
             exchange.result = HttpResponse { .status = evhttp_request_get_response_code(request),
                 .body = takeBody(request),
@@ -105,7 +113,6 @@
             exchange.result
                 = Error { .kind = ErrorKind::EndpointLost, .message = "connection lost before the response" };
         }
-        event_active(exchange.timer, EV_TIMEOUT, 0);
     }
 };
 
--- a/src/net/Interfaces.h
+++ b/src/net/Interfaces.h
@@ -121,7 +121,7 @@
 };
 
 /// \brief Receives the events of one exchange. onEnd() is the last call; it is always made unless the exchange is
-/// cancelled.
+/// cancelled. If a call throws, the exchange ends with ErrorKind::Internal.
 class EndpointListener {
 public:
     virtual ~EndpointListener() = default;
--- a/src/net/NngTransport.cpp
+++ b/src/net/NngTransport.cpp
@@ -1,5 +1,6 @@
 #include "net/NngTransport.h"
 
+#include "net/EventCallback.h"
 #include "net/PeerCodec.h"
 
 #include <algorithm>
@@ -89,7 +90,7 @@
             ++counters.messagesReceived;
             counters.bytesReceived += bytes.size() + framingBytes;
             if (handler)
-                handler(bytes);
+                runGuarded("peer_message", [&] { handler(bytes); });
             nng_msg_free(message);
         }
     }
@@ -156,7 +157,9 @@
     std::unique_ptr<NngTransport> transport(new NngTransport(std::move(state)));
     transport->m_state->cleanupTimer = event_new(
         &base, -1, EV_PERSIST,
-        [](evutil_socket_t, short, void* argument) { static_cast<NngTransport*>(argument)->closeUnusedConnections(); },
+        [](evutil_socket_t, short, void* argument) {
+            runGuarded("peer_cleanup", [argument] { static_cast<NngTransport*>(argument)->closeUnusedConnections(); });
+        },
         transport.get());
     timeval interval { .tv_sec = 1, .tv_usec = 0 };
     event_add(transport->m_state->cleanupTimer, &interval);
--- a/src/net/UdpTransport.cpp
+++ b/src/net/UdpTransport.cpp
@@ -1,5 +1,6 @@
 #include "net/UdpTransport.h"
 
+#include "net/EventCallback.h"
 #include "net/EventPriority.h"
 #include "net/HttpClient.h"
 
@@ -74,7 +75,9 @@
         if (length < 0)
             return;
         if (m_handler)
-            m_handler({ m_receiveBuffer.data(), static_cast<std::size_t>(length) });
+            runGuarded("peer_message", [&] {
+                m_handler({ m_receiveBuffer.data(), static_cast<std::size_t>(length) });
+            });
     }
 }
 
--- a/src/observe/Metrics.cpp
+++ b/src/observe/Metrics.cpp
@@ -41,6 +41,8 @@
         MetricRow { "jasminestack_caller_connections_total", "Connections of callers by outcome.", { "outcome" } },
         MetricRow { "jasminestack_pace_deferrals_total",
             "Placement decisions that left out an endpoint because of its pace after a start or recovery.", {} },
+        MetricRow {
+            "jasminestack_callback_failures_total", "Callbacks of the event loop that ended with an exception.", {} },
     };
 
     constexpr std::array gaugeTable {
@@ -71,7 +73,7 @@
             "jasminestack_total_seconds", "Time from acceptance of a request to the end of the response.", { "pool" } },
     };
 
-    static_assert(counterTable.size() == static_cast<std::size_t>(Counter::PaceDeferrals) + 1);
+    static_assert(counterTable.size() == static_cast<std::size_t>(Counter::CallbackFailures) + 1);
     static_assert(gaugeTable.size() == static_cast<std::size_t>(Gauge::EvacuatedZones) + 1);
     static_assert(histogramTable.size() == static_cast<std::size_t>(Histogram::TotalSeconds) + 1);
 
--- a/src/observe/Metrics.h
+++ b/src/observe/Metrics.h
@@ -26,6 +26,7 @@
     MalformedAnswers, ///< Answers of endpoints that violate HTTP or the grammar of events. Labels: pool, part.
     CallerConnections, ///< Label: outcome ("accepted", "abandoned", "expired", "dropped").
     PaceDeferrals, ///< Placement decisions that left out an endpoint because of its pace. No labels.
+    CallbackFailures, ///< Callbacks of the event loop that ended with an exception. No labels.
 };
 
 /// \brief Metrics whose values can increase and decrease.
--- a/src/router/FleetSync.cpp
+++ b/src/router/FleetSync.cpp
@@ -1,6 +1,7 @@
 #include "router/FleetSync.h"
 
 #include "base/Hash.h"
+#include "net/EventCallback.h"
 #include "net/EventPriority.h"
 #include "observe/Logging.h"
 #include "router/DocumentsRequest.h"
@@ -122,7 +123,7 @@
           [](int, short, void* self) {
               auto& sync = *static_cast<FleetSync*>(self);
               sync.m_isFlushScheduled = false;
-              sync.sendUpdates(false);
+              runGuarded("fleet_update", [&] { sync.sendUpdates(false); });
           },
           this))
 {
@@ -820,7 +821,6 @@
     if (!best)
         return;
     std::string address = *best;
-    m_isFetchingDocuments = true;
     m_documentsRequestedAt = now;
     m_peers.at(address).documentsRequestedAt = now;
     HttpRequest request {
@@ -828,6 +828,7 @@
     };
     m_context.http.send(std::move(request),
         [this, address](const Result<HttpResponse>& response) { handleDocuments(address, response); });
+    m_isFetchingDocuments = true;
 }
 
 // While changes follow each other, peers always have newer documents; only a daemon that imports none lags.
--- a/src/router/PlacementClient.cpp
+++ b/src/router/PlacementClient.cpp
@@ -1,5 +1,6 @@
 #include "router/PlacementClient.h"
 
+#include "net/EventCallback.h"
 #include "net/EventPriority.h"
 #include "observe/Logging.h"
 #include "router/PlacementCodec.h"
@@ -28,7 +29,13 @@
 PlacementClient::PlacementClient(Context context)
     : m_context(std::move(context))
     , m_timer(evtimer_new(
-          &m_context.base, [](int, short, void* self) { static_cast<PlacementClient*>(self)->onTimer(); }, this))
+          &m_context.base,
+          [](int, short, void* self) {
+              auto& client = *static_cast<PlacementClient*>(self);
+              runGuarded(
+                  "placement_timer", [&] { client.onTimer(); }, [&] { client.armTimer(); });
+          },
+          this))
 {
     setEventPriority(*m_timer, EventPriority::Control);
 }
@@ -119,8 +126,9 @@
     PlacementRequest cancellation {
         .requester = m_context.instanceId, .id = id, .shard = found->second.request.shard, .isCancellation = true
     };
-    m_context.transport.send(found->second.coordinator, encodePlacementRequest(cancellation, m_context.clock.now()));
-    m_pending.erase(found);
+    std::string coordinator = std::move(found->second.coordinator);
+    m_pending.erase(found); // Before the message is encoded, which may throw: the listener ends after this call.
+    m_context.transport.send(coordinator, encodePlacementRequest(cancellation, m_context.clock.now()));
 }
 
 void PlacementClient::onReply(const PlacementReply& reply)
--- a/src/router/PlacementQueue.cpp
+++ b/src/router/PlacementQueue.cpp
@@ -1,5 +1,6 @@
 #include "router/PlacementQueue.h"
 
+#include "net/EventCallback.h"
 #include "net/EventPriority.h"
 
 #include <algorithm>
@@ -21,7 +22,13 @@
 
 PlacementQueue::PlacementQueue(event_base& base)
     : m_timer(evtimer_new(
-        &base, [](int, short, void* self) { static_cast<PlacementQueue*>(self)->retryWaiting(); }, this))
+        &base,
+        [](int, short, void* self) {
+            auto& queue = *static_cast<PlacementQueue*>(self);
+            runGuarded(
+                "placement_queue", [&] { queue.retryWaiting(); }, [&] { queue.armTimer(pollInterval); });
+        },
+        this))
 {
     setEventPriority(*m_timer, EventPriority::Control);
 }
@@ -60,7 +67,7 @@
     for (const auto& [order, request] : sorted) {
         // Placing one request may have removed others from the queue.
         if (std::find(m_waiting.begin(), m_waiting.end(), request) != m_waiting.end())
-            request->tryPlacement();
+            runGuarded("waiting_placement", [waiting = request] { waiting->tryPlacement(); });
     }
     if (!m_waiting.empty() && !evtimer_pending(m_timer.get(), nullptr))
         armTimer(pollInterval);
--- a/src/router/RequestRouter.cpp
+++ b/src/router/RequestRouter.cpp
@@ -1,5 +1,6 @@
 #include "router/RequestRouter.h"
 
+#include "net/EventCallback.h"
 #include "net/Socket.h"
 #include "observe/LogLimit.h"
 #include "observe/Logging.h"
@@ -57,7 +58,8 @@
     RequestRouterOptions routerOptions;
     FleetRetryBudget fleetRetryBudget;
     std::unordered_map<RoutedRequest*, std::unique_ptr<RoutedRequest>> requests;
-    std::vector<std::unique_ptr<RoutedRequest>> endedRequests; ///< Destroyed by the reaper's event.
+    /// Destroyed by the reaper's event. It has room for all requests, so that ending one does not throw.
+    std::vector<std::unique_ptr<RoutedRequest>> endedRequests;
     EventPointer reaper;
     EventPointer noticeEvent; ///< Moves unsent requests after an endpoint's notice, outside of a request's callbacks.
     bool hasEndpointNotice { false };
@@ -75,7 +77,7 @@
               [](int, short, void* self) {
                   auto& state = *static_cast<State*>(self);
                   state.hasEndpointNotice = false;
-                  state.forEachRequest(&RoutedRequest::onEndpointsChanged);
+                  runGuarded("endpoint_notice", [&] { state.forEachRequest(&RoutedRequest::onEndpointsChanged); });
               },
               this))
     {
@@ -237,7 +239,9 @@
             .workspace = std::move(workspace) },
         exchange);
     RoutedRequest& startedRequest = *routedRequest;
+    ensureCapacity(state.endedRequests, state.endedRequests.size() + state.requests.size() + 1);
     state.requests.emplace(&startedRequest, std::move(routedRequest));
+    exchange.setListener(startedRequest); // The request is owned now; an exception above would have destroyed it.
     startedRequest.beginPlacement();
 }
 
--- a/src/router/RoutedRequest.cpp
+++ b/src/router/RoutedRequest.cpp
@@ -49,7 +49,12 @@
     , m_pool(choosePool())
     , m_caller(&caller)
     , m_timer(evtimer_new(
-          &owner.context().base, [](int, short, void* self) { static_cast<RoutedRequest*>(self)->onTimer(); }, this))
+          &owner.context().base,
+          [](int, short, void* self) {
+              auto& request = *static_cast<RoutedRequest*>(self);
+              request.guard("request_timer", [&] { request.handleTimer(); });
+          },
+          this))
     , m_deadline(m_request.arrivedAt + m_route.timeout)
     , m_splitter(owner.context().protocol.eventRules(),
           m_route.kind == RequestKind::Stream ? m_metadata.lastEventId.value_or(0) : 0)
@@ -70,7 +75,6 @@
     if (owner.options().usesCoordinators)
         m_shard = shardForRequest(
             owner.context().board.fleetView, m_pool, localityKey(m_query.prompt, hash64(m_metadata.id)));
-    caller.setListener(*this);
 }
 
 RoutedRequest::~RoutedRequest() = default;
@@ -113,7 +117,7 @@
         .deadline = m_deadline };
 }
 
-void RoutedRequest::beginPlacement()
+void RoutedRequest::startPlacement()
 {
     RequestRouterContext& context = m_owner.context();
     m_owner.retryBudget().recordRequest(m_pool, m_owner.options().retries, now());
@@ -125,7 +129,7 @@
         return;
     if (m_metadata.promptTokens != 0)
         recordDemand(context.board.shares, m_query.workspace, chargedTokens(m_query), now());
-    tryPlacement();
+    place();
 }
 
 bool RoutedRequest::requestFromCoordinator()
@@ -158,7 +162,7 @@
     return choice.endpoint || m_shard == 0 ? choice : bestEndpoint(placementInputs(0), m_query, now());
 }
 
-void RoutedRequest::tryPlacement()
+void RoutedRequest::place()
 {
     RequestRouterContext& context = m_owner.context();
     if (timeLeft() < minAttemptTime) {
@@ -193,7 +197,7 @@
     return jasminestack::waitingOrder(m_query, m_owner.context().board.shares, m_isPredictedLate);
 }
 
-void RoutedRequest::onPlacementReply(const PlacementReply& reply, std::string_view coordinator)
+void RoutedRequest::handlePlacementReply(const PlacementReply& reply, std::string_view coordinator)
 {
     m_placementRequest.reset();
     m_placedBy = coordinator;
@@ -217,7 +221,7 @@
         // Either the endpoint has begun to drain or asked for a pause, and the coordinator does not know, or the
         // endpoint is new and this daemon has not received its registration yet. This daemon then places the request
         // itself.
-        onCoordinatorsUnresponsive();
+        placeWithoutCoordinator();
         return;
     }
     // The coordinator counted the request where it granted it, so it must not be sent in a later second.
@@ -225,7 +229,7 @@
         // A daemon that reads all replies late would otherwise use up the endpoint's allowance.
         bool hasAskedBefore = std::exchange(m_hasAskedAnew, true);
         if (hasAskedBefore || !requestFromCoordinator())
-            onCoordinatorsUnresponsive();
+            placeWithoutCoordinator();
         return;
     }
     m_isGranted = true;
@@ -237,12 +241,12 @@
         .backlogTokens = static_cast<double>(reply.backlogTokens) });
 }
 
-void RoutedRequest::onCoordinatorsUnresponsive()
+void RoutedRequest::placeWithoutCoordinator()
 {
     m_placementRequest.reset();
     m_placedBy = "self";
     m_stage = Stage::Waiting;
-    tryPlacement();
+    place();
 }
 
 void RoutedRequest::cancelPlacement()
@@ -331,7 +335,7 @@
     return std::max(predictedTimeout, minStallTimeout);
 }
 
-void RoutedRequest::onTimer()
+void RoutedRequest::handleTimer()
 {
     if (m_stage == Stage::Ended)
         return;
@@ -451,7 +455,7 @@
     sendToEndpoint(choice);
 }
 
-void RoutedRequest::onEndpointsChanged()
+void RoutedRequest::leaveUnusableEndpoint()
 {
     if (m_stage != Stage::InFlight || m_isConnected || m_exchange == 0)
         return;
@@ -468,10 +472,29 @@
     retryAtOtherEndpoint(isUsable ? "endpoint_cold" : "endpoint_left");
 }
 
-void RoutedRequest::onShutdown()
+void RoutedRequest::endAfterException()
 {
-    if (m_stage != Stage::Ended)
-        giveUp("shutdown");
+    m_mayHaveRun = m_mayHaveRun || m_isConnected;
+    runGuarded("request_end", [this] {
+        if (m_stage == Stage::Ended)
+            return;
+        cancelExchange();
+        cancelPlacement();
+        recordAttemptEnd(AttemptOutcome::Cancelled);
+        endWithError({ .kind = ErrorKind::Internal, .cause = "callback_failed", .retryAfter = retryAfterFault });
+    });
+    drop();
+}
+
+void RoutedRequest::drop()
+{
+    cancelExchange();
+    runGuarded("request_drop", [this] { cancelPlacement(); });
+    m_stage = Stage::Ended;
+    evtimer_del(m_timer.get());
+    if (CallerExchange* caller = std::exchange(m_caller, nullptr))
+        caller->abort();
+    m_owner.removeRequest(*this);
 }
 
 void RoutedRequest::giveUp(std::string_view cause)
--- a/src/router/RoutedRequest.h
+++ b/src/router/RoutedRequest.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "net/CallerServer.h"
+#include "net/EventCallback.h"
 #include "net/Interfaces.h"
 #include "net/Socket.h"
 #include "router/PlacementClient.h"
@@ -43,6 +44,9 @@
 };
 
 /// \brief State machine of one request: placement, attempts at endpoints, relay of the response to the caller.
+///
+/// An exception in one of its callbacks ends the request without another attempt, since events may have been read that
+/// were not relayed.
 class RoutedRequest final : public CallerListener,
                             public EndpointListener,
                             public PlacementListener,
@@ -62,29 +66,68 @@
     RoutedRequest& operator=(const RoutedRequest&) = delete;
 
     /// \brief Sends the request to an endpoint, queues it, requests its placement from a coordinator, or refuses it.
-    void beginPlacement();
+    void beginPlacement()
+    {
+        guard("request_placement", [this] { startPlacement(); });
+    }
 
     [[nodiscard]] WaitingOrder waitingOrder() const override;
-    void tryPlacement() override;
+    void tryPlacement() override
+    {
+        guard("request_placement", [this] { place(); });
+    }
 
     /// \brief If the request is not sent yet and its endpoint has left or begun to drain, selects another one.
-    void onEndpointsChanged();
+    void onEndpointsChanged()
+    {
+        guard("request_endpoints_changed", [this] { leaveUnusableEndpoint(); });
+    }
 
     /// \brief If the request has a quarantined trait and no part of a response was received, ends it.
-    void onQuarantinesChanged();
+    void onQuarantinesChanged()
+    {
+        guard("request_quarantine", [this] { applyQuarantines(); });
+    }
 
     /// \brief Ends the request with its final answer, since the process is about to end.
-    void onShutdown();
+    void onShutdown()
+    {
+        guard("request_shutdown", [this] {
+            if (m_stage != Stage::Ended)
+                giveUp("shutdown");
+        });
+    }
 
-    void onPlacementReply(const PlacementReply&, std::string_view coordinator) override;
-    void onCoordinatorsUnresponsive() override;
+    void onPlacementReply(const PlacementReply& reply, std::string_view coordinator) override
+    {
+        guard("request_placement", [&] { handlePlacementReply(reply, coordinator); });
+    }
+    void onCoordinatorsUnresponsive() override
+    {
+        guard("request_placement", [this] { placeWithoutCoordinator(); });
+    }
 
-    void onCallerDisconnected() override;
-    void onSendBufferEmpty() override;
+    void onCallerDisconnected() override
+    {
+        guard("request_caller", [this] { handleCallerDisconnect(); });
+    }
+    void onSendBufferEmpty() override
+    {
+        guard("request_caller", [this] { resumeEndpoint(); });
+    }
     void onConnected() override { m_isConnected = true; }
-    void onHead(const HttpResponseHead&) override;
-    void onBody(std::string_view chunk) override;
-    void onEnd(const EndpointExchangeResult&) override;
+    void onHead(const HttpResponseHead& head) override
+    {
+        guard("request_head", [&] { handleHead(head); });
+    }
+    void onBody(std::string_view chunk) override
+    {
+        guard("request_body", [&] { handleBody(chunk); });
+    }
+    void onEnd(const EndpointExchangeResult& result) override
+    {
+        guard("request_exchange_end", [&] { handleEnd(result); });
+    }
 
 private:
     enum class Stage : std::uint8_t {
@@ -108,6 +151,26 @@
         Millis retryAfter {};
     };
 
+    /// \brief Calls \p body; if it throws, the request ends.
+    template <typename Body> void guard(std::string_view callback, const Body& body)
+    {
+        runGuarded(callback, body, [this] { endAfterException(); });
+    }
+    void endAfterException();
+    /// \brief Ends a request that is in any state, without a response if none was sent. Does not throw.
+    void drop();
+
+    void startPlacement();
+    void place();
+    void leaveUnusableEndpoint();
+    void applyQuarantines();
+    void handlePlacementReply(const PlacementReply&, std::string_view coordinator);
+    void placeWithoutCoordinator();
+    void handleCallerDisconnect();
+    void resumeEndpoint();
+    void handleHead(const HttpResponseHead&);
+    void handleBody(std::string_view chunk);
+    void handleEnd(const EndpointExchangeResult&);
     [[nodiscard]] Millis now() const;
     [[nodiscard]] Millis timeLeft() const { return m_deadline - now(); }
     [[nodiscard]] PlacementQuery makePlacementQuery() const;
@@ -129,7 +192,7 @@
     void handleRefusal();
     void retryAtOtherEndpoint(std::string_view cause);
     void giveUp(std::string_view cause);
-    void onTimer();
+    void handleTimer();
     void armTimer();
     void checkStall(Millis currentTime);
     [[nodiscard]] Millis stallTimeout() const;
--- a/src/router/RoutedRequestQuarantine.cpp
+++ b/src/router/RoutedRequestQuarantine.cpp
@@ -66,7 +66,7 @@
         .retryAfter = retryAfter });
 }
 
-void RoutedRequest::onQuarantinesChanged()
+void RoutedRequest::applyQuarantines()
 {
     bool isRunningOnce = m_stage == Stage::InFlight && m_route.kind == RequestKind::NonIdempotent;
     if (m_stage == Stage::Ended || m_hasResponseBegun || isRunningOnce || m_isTrial
--- a/src/router/RoutedRequestResponse.cpp
+++ b/src/router/RoutedRequestResponse.cpp
@@ -37,7 +37,7 @@
 
 }
 
-void RoutedRequest::onHead(const HttpResponseHead& head)
+void RoutedRequest::handleHead(const HttpResponseHead& head)
 {
     m_lastProgress = now();
     ResponseMetadata responseMetadata = m_owner.context().protocol.decodeResponse(head);
@@ -106,7 +106,7 @@
     context.queue.onCapacityChanged();
 }
 
-void RoutedRequest::onBody(std::string_view chunk)
+void RoutedRequest::handleBody(std::string_view chunk)
 {
     if (m_relayMode != RelayMode::Events && m_relayMode != RelayMode::Refusal)
         m_lastProgress = now();
@@ -202,7 +202,7 @@
     }
 }
 
-void RoutedRequest::onSendBufferEmpty()
+void RoutedRequest::resumeEndpoint()
 {
     if (!std::exchange(m_isEndpointPaused, false))
         return;
@@ -210,7 +210,7 @@
     m_owner.context().transport.setPaused(m_exchange, false);
 }
 
-void RoutedRequest::onCallerDisconnected()
+void RoutedRequest::handleCallerDisconnect()
 {
     m_caller = nullptr;
     if (m_stage == Stage::Ended)
@@ -219,7 +219,7 @@
     // A non-idempotent request continues, since closing its connection would leave its outcome unknown. Its response is
     // read to the end, also if reading was paused for the caller's full send buffer.
     if (wasSent && m_route.kind == RequestKind::NonIdempotent) {
-        onSendBufferEmpty();
+        resumeEndpoint();
         return;
     }
     cancelExchange();
@@ -227,7 +227,7 @@
     finish("caller_gone");
 }
 
-void RoutedRequest::onEnd(const EndpointExchangeResult& result)
+void RoutedRequest::handleEnd(const EndpointExchangeResult& result)
 {
     m_exchange = 0;
     if (m_relayMode == RelayMode::Refusal) {
@@ -316,9 +316,10 @@
     m_firstByteAt = now();
     m_status = m_responseHead.status;
     bool isError = isServerError(m_status);
-    if (m_caller)
-        std::exchange(m_caller, nullptr)
-            ->sendResponse(headForCaller(m_responseHead), isError ? m_errorBody : m_responseBody);
+    if (m_caller) {
+        CallerResponseHead head = headForCaller(m_responseHead);
+        std::exchange(m_caller, nullptr)->sendResponse(head, isError ? m_errorBody : m_responseBody);
+    }
     finish(isError ? "endpoint_error" : "ok");
 }
 
@@ -337,18 +338,16 @@
             { "pressure", fairShareRatio(m_owner.context().board.shares, m_query.workspace) },
             { "returning", m_wasRefusedBefore ? 1 : 0 }, { "events", m_splitter.eventCount() },
             { "configuration", m_table->version }, { "retry_after_ms", failure.retryAfter.count } });
-    if (CallerExchange* caller = std::exchange(m_caller, nullptr)) {
-        if (m_hasResponseBegun) {
-            caller->abort();
-        } else {
-            CallerResponseHead head { .status = m_status, .headers = { { "Content-Type", "application/json" } } };
-            if (!m_mayHaveRun)
-                head.headers.emplace_back("Retry-After", formatSeconds(failure.retryAfter));
-            caller->sendResponse(head,
-                R"({"error":{"kind":")" + std::string(errorResponseFor(failure.kind).name) + R"(","cause":")"
-                    + std::string(failure.cause) + R"(","run_status":")"
-                    + std::string(toString(m_mayHaveRun ? RunStatus::Unknown : RunStatus::NotRun)) + "\"}}\n");
-        }
+    if (m_caller && m_hasResponseBegun) {
+        std::exchange(m_caller, nullptr)->abort();
+    } else if (m_caller) {
+        CallerResponseHead head { .status = m_status, .headers = { { "Content-Type", "application/json" } } };
+        if (!m_mayHaveRun)
+            head.headers.emplace_back("Retry-After", formatSeconds(failure.retryAfter));
+        std::string body = R"({"error":{"kind":")" + std::string(errorResponseFor(failure.kind).name) + R"(","cause":")"
+            + std::string(failure.cause) + R"(","run_status":")"
+            + std::string(toString(m_mayHaveRun ? RunStatus::Unknown : RunStatus::NotRun)) + "\"}}\n";
+        std::exchange(m_caller, nullptr)->sendResponse(head, body);
     }
     finish(failure.cause);
 }
--- a/src/router/RouterDaemon.cpp
+++ b/src/router/RouterDaemon.cpp
@@ -4,6 +4,7 @@
 #include "net/AcceptPolicy.h"
 #include "net/CallerServer.h"
 #include "net/EndpointClient.h"
+#include "net/EventCallback.h"
 #include "net/EventPriority.h"
 #include "net/SimpleHttpServer.h"
 #include "net/UdpTransport.h"
@@ -410,7 +411,13 @@
                 { "longest_unread_ms", counts.longestUnread.count }, { "lag_ms", loopMonitor.lag().count } });
     }
 
-    static void onTick(evutil_socket_t, short, void* self) { static_cast<State*>(self)->tick(); }
+    // A step of the tick that fails must not keep a planned stop from ending.
+    static void onTick(evutil_socket_t, short, void* self)
+    {
+        auto& state = *static_cast<State*>(self);
+        runGuarded("tick", [&] { state.tick(); });
+        runGuarded("tick_shutdown", [&] { state.advanceShutdown(state.clock.now()); });
+    }
 
     void tick()
     {
@@ -435,9 +442,9 @@
             metrics.set(Gauge::MembersAlive, {}, static_cast<double>(fleetSync.livePeerCount() + 1));
             metrics.set(Gauge::ConfigurationAge, {}, (now - source->configurationConfirmedAt()).seconds());
             reportCallerConnections();
+            metrics.add(Counter::CallbackFailures, {}, static_cast<double>(takeCallbackFailures()));
             reloadSettingsIfRequired(false);
         }
-        advanceShutdown(now);
     }
 
     void stop()
--- a/tests/RequestRouterTests.cpp
+++ b/tests/RequestRouterTests.cpp
@@ -29,12 +29,19 @@
         body = responseBody;
     }
     void startStream(const CallerResponseHead& responseHead) override { head = responseHead; }
-    void sendChunk(std::string_view bytes) override { body += bytes; }
+    void sendChunk(std::string_view bytes) override
+    {
+        if (throwsAtChunk)
+            throw std::bad_alloc();
+        body += bytes;
+    }
     void endStream() override { }
-    void abort() override { }
+    void abort() override { isAborted = true; }
     [[nodiscard]] std::size_t bufferedBytes() const override { return unsentBytes; }
 
     std::size_t unsentBytes { 0 };
+    bool throwsAtChunk { false };
+    bool isAborted { false };
 };
 
 struct RecordingEndpointTransport final : EndpointTransport {
@@ -43,9 +50,12 @@
     std::vector<ExchangeId> cancelled;
     std::vector<ExchangeId> paused;
     std::vector<std::string> lastEventIds; ///< Of the requests, in the same order.
+    bool throwsAtStart { false };
 
     [[nodiscard]] ExchangeId start(const EndpointRequest& request, EndpointListener& listener) override
     {
+        if (throwsAtStart)
+            throw std::bad_alloc();
         lastEventIds.emplace_back(findHeader(request.headers, "Last-Event-Id"));
         sentTo.push_back(request.address);
         listeners.push_back(&listener);
@@ -574,3 +584,57 @@
     REQUIRE(fixture.endpointTransport.lastEventIds.size() == 1);
     CHECK(fixture.endpointTransport.lastEventIds.front() == value);
 }
+
+// Guards against an exception that ends the process, and against a request that stays in progress after one.
+TEST_CASE("a request that can't be sent for lack of memory is refused as not run", "[router][callbacks]")
+{
+    Fixture fixture;
+    fixture.endpointTransport.throwsAtStart = true;
+    RecordingCaller& caller = fixture.request("/quote/1", "id-1");
+    REQUIRE(caller.head);
+    CHECK(caller.head->status == 503);
+    CHECK(caller.body.find(R"("run_status":"not_run")") != std::string::npos);
+    CHECK(fixture.router.activeCount() == 0);
+    for (const auto& [id, view] : fixture.board.fleetView.endpoints)
+        CHECK(view.load().inFlight == 0);
+    fixture.endpointTransport.throwsAtStart = false;
+    CHECK_FALSE(fixture.request("/quote/1", "id-2").head);
+    CHECK(fixture.endpointTransport.sentTo.size() == 1);
+}
+
+// Guards against a stream that goes on at another endpoint although an event of the first one was read and not relayed.
+TEST_CASE("a stream whose relay throws is broken off and not sent again", "[router][callbacks]")
+{
+    Fixture fixture;
+    RecordingCaller& caller = fixture.request("/quote/1", "id-1");
+    REQUIRE(fixture.endpointTransport.listeners.size() == 1);
+    EndpointListener& listener = *fixture.endpointTransport.listeners[0];
+    listener.onConnected();
+    listener.onHead({ .status = 200,
+        .headers = { { "Content-Type", "text/event-stream" }, { "Transfer-Encoding", "chunked" },
+            { "X-Jasminestack-Attempt-Id", "id-1" }, { "X-Jasminestack-Server-Signature", "sig-id-1" } } });
+    listener.onBody("id: 1\ndata: a\n\n");
+    CHECK(caller.body == "id: 1\ndata: a\n\n");
+    caller.throwsAtChunk = true;
+    listener.onBody("id: 2\ndata: b\n\n");
+    CHECK(caller.isAborted);
+    CHECK(fixture.endpointTransport.cancelled.size() == 1);
+    CHECK(fixture.endpointTransport.sentTo.size() == 1);
+    CHECK(fixture.router.activeCount() == 0);
+}
+
+// Guards against an answer from which the caller concludes that its request has not run.
+TEST_CASE("a request that fails after it was sent is not reported as not run", "[router][callbacks]")
+{
+    Fixture fixture;
+    RecordingCaller& caller = fixture.request("/book/1", "id-1");
+    REQUIRE(fixture.endpointTransport.listeners.size() == 1);
+    EndpointListener& listener = *fixture.endpointTransport.listeners[0];
+    listener.onConnected();
+    // What the endpoint client reports when its own handling of the answer throws.
+    listener.onEnd({ .requestMayHaveBeenSent = true, .responseStarted = true, .error = ErrorKind::Internal });
+    REQUIRE(caller.head);
+    CHECK(caller.head->status == 502);
+    CHECK(caller.body.find(R"("run_status":"unknown")") != std::string::npos);
+    CHECK(fixture.router.activeCount() == 0);
+}
