--- a/src/observe/Metrics.h
+++ b/src/observe/Metrics.h
@@ -27,6 +27,7 @@
     CallerConnections, ///< Label: outcome ("accepted", "abandoned", "expired", "dropped").
     PaceDeferrals, ///< Placement decisions that left out an endpoint because of its pace. No labels.
     ProcessCpuSeconds, ///< Processor time of the process, in seconds. No labels.
+    CallbackFailures, ///< Callbacks of the event loop that ended with an exception. No labels.
 };
 
 /// \brief Metrics whose values can increase and decrease.
--- a/src/router/RouterDaemon.cpp
+++ b/src/router/RouterDaemon.cpp
@@ -7,6 +7,7 @@
 #include "net/AddressBinder.h"
 #include "net/CallerServer.h"
 #include "net/EndpointClient.h"
+#include "net/EventCallback.h"
 #include "net/EventPriority.h"
 #include "net/SimpleHttpServer.h"
 #include "net/UdpTransport.h"
@@ -418,7 +419,13 @@
                 { "longest_unread_ms", counts.longestUnread.count }, { "lag_ms", loopMonitor.lag().count } });
     }
 
-    static void onTick(evutil_socket_t, short, void* self) { static_cast<State*>(self)->tick(); }
+    // A step of the tick that fails must not keep a planned stop from ending.
+    static void onTick(evutil_socket_t, short, void* self)
+    {
+        auto& state = *static_cast<State*>(self);
+        runGuarded("tick", [&] { state.tick(); });
+        runGuarded("tick_shutdown", [&] { state.advanceShutdown(state.clock.now()); });
+    }
 
     [[nodiscard]] std::vector<AddressBinding> addressBindings()
     {
@@ -488,9 +495,9 @@
             metrics.set(Gauge::ConfigurationAge, {}, (now - source->configurationConfirmedAt()).seconds());
             reportCallerConnections();
             processMonitor.update(now, callerServer.heldResources());
+            metrics.add(Counter::CallbackFailures, {}, static_cast<double>(takeCallbackFailures()));
             reloadSettingsIfRequired(false);
         }
-        advanceShutdown(now);
     }
 
     void stop()
