Keep a status server only once it is bound

What operators would have seen: memory that grows while the metrics address is taken, which is retried without limit since addresses are retried: each attempt left a server object behind. The server is now kept only if it listens; the tests of starts cover the retry.

--- a/src/router/RouterDaemon.cpp
+++ b/src/router/RouterDaemon.cpp
@@ -267,10 +267,13 @@
             .hasDocuments = address == settings.peers.address,
         };
         auto respond = [this, content](std::string_view target) { return statusResponse(content, target); };
-        statusServers.push_back(std::make_unique<SimpleHttpServer>(*base, respond,
+        auto server = std::make_unique<SimpleHttpServer>(*base, respond,
             SimpleHttpServerOptions {
-                .maxConnections = maxStatusConnections(settings), .maxTotalBytes = maxTotalBodyBytes(settings) / 4 }));
-        return statusServers.back()->listen(address);
+                .maxConnections = maxStatusConnections(settings), .maxTotalBytes = maxTotalBodyBytes(settings) / 4 });
+        auto listening = server->listen(address);
+        if (listening)
+            statusServers.push_back(std::move(server));
+        return listening;
     }
 
     SimpleHttpResponse statusResponse(const StatusContent& content, std::string_view target)
