--- a/tests/LoadTests.cpp
+++ b/tests/LoadTests.cpp
@@ -1,4 +1,5 @@
 #include "LoadGenerator.h"
+#include "LoopbackHarness.h"
 #include "ResponseChecker.h"
 #include "StandinFleet.h"
 
@@ -28,7 +29,7 @@
 json runScenario(const json& standin, const json& group)
 {
     std::unique_ptr<event_base, LoopDeleter> base(event_base_new());
-    StandinFleet fleet(*base, { { "control", "127.0.0.1:24910" }, { "standins", json::array({ standin }) } });
+    StandinFleet fleet(*base, { { "control", test::freeAddress() }, { "standins", json::array({ standin }) } });
     REQUIRE(fleet.check());
     auto scenario = parseScenario({ { "seconds", 0.2 }, { "drainSeconds", 5 }, { "groups", json::array({ group }) } });
     REQUIRE(scenario);
@@ -67,8 +68,9 @@
 // Guards against completions that are not counted, and against costs that differ from the endpoint's.
 TEST_CASE("the load generator completes every request that it sends and counts its cost", "[load]")
 {
-    json engine = { { "kind", "engine" }, { "name", "e" }, { "address", "127.0.0.1:24911" }, { "fast", true } };
-    json group = { { "workspace", "w" }, { "targets", { "127.0.0.1:24911" } }, { "connections", 4 }, { "tokens", 3 },
+    const std::string address = test::freeAddress();
+    json engine = { { "kind", "engine" }, { "name", "e" }, { "address", address }, { "fast", true } };
+    json group = { { "workspace", "w" }, { "targets", { address } }, { "connections", 4 }, { "tokens", 3 },
         { "promptTokens", 8 }, { "streamPart", 0.5 } };
     json result = runScenario(engine, group)["groups"]["w"];
     REQUIRE(result["completed"] == result["sent"]);
@@ -81,12 +83,14 @@
 // Guards against refusals that are counted as completions or without their error kind.
 TEST_CASE("the load generator counts refusals and refused connections by kind", "[load]")
 {
-    json engine = { { "kind", "engine" }, { "name", "e" }, { "address", "127.0.0.1:24911" }, { "leaving", true } };
-    json group = { { "workspace", "w" }, { "targets", { "127.0.0.1:24911", "127.0.0.1:24912" } } };
+    const std::string address = test::freeAddress();
+    const std::string closedAddress = test::freeAddress();
+    json engine = { { "kind", "engine" }, { "name", "e" }, { "address", address }, { "leaving", true } };
+    json group = { { "workspace", "w" }, { "targets", { address, closedAddress } } };
     json result = runScenario(engine, group)["groups"]["w"];
     REQUIRE(result["completed"] == 0);
     REQUIRE(result["errors"]["http_503/none"] > 0);
-    group["targets"] = { "127.0.0.1:24912" };
+    group["targets"] = { closedAddress };
     result = runScenario(engine, group)["groups"]["w"];
     REQUIRE(result["errors"]["not_connected/none"] > 0);
 }
@@ -94,9 +98,10 @@
 // Guards against duplicates of a booking that are sent under another booking id: duplicate runs are found by the id.
 TEST_CASE("both copies of a duplicated booking have the same id", "[load]")
 {
-    json service = { { "kind", "service" }, { "name", "d" }, { "address", "127.0.0.1:24911" }, { "delayMs", 1 } };
+    const std::string address = test::freeAddress();
+    json service = { { "kind", "service" }, { "name", "d" }, { "address", address }, { "delayMs", 1 } };
     json group = { { "workspace", "w" }, { "kind", "booking" }, { "path", "/booking/x" }, { "duplicatePart", 1.0 },
-        { "targets", { "127.0.0.1:24911" } } };
+        { "targets", { address } } };
     json result = runScenario(service, group);
     std::map<std::string, int> attemptsByBooking;
     for (const json& attempt : result["bookings"]) {
