--- a/tests/ProcessUsageTests.cpp
+++ b/tests/ProcessUsageTests.cpp
@@ -3,6 +3,8 @@
 #include "observe/Watermark.h"
 
 #include <catch2/catch.hpp>
+#include <cstring>
+#include <sys/mman.h>
 #include <unistd.h>
 #include <vector>
 
@@ -50,11 +52,16 @@
 {
     MemoryReader reader;
     auto before = reader.read();
-    std::vector<char> bytes(50'000'000, 'x');
+    // Memory of the heap may be resident already.
+    constexpr std::size_t mappedBytes = 50'000'000;
+    void* mapped = mmap(nullptr, mappedBytes, PROT_READ | PROT_WRITE, MAP_PRIVATE | MAP_ANONYMOUS, -1, 0);
+    REQUIRE(mapped != MAP_FAILED);
+    std::memset(mapped, 1, mappedBytes);
     auto after = reader.read();
+    munmap(mapped, mappedBytes);
     REQUIRE(before);
     REQUIRE(after);
-    CHECK(after->residentBytes >= before->residentBytes + bytes.size() / 2);
+    CHECK(after->residentBytes >= before->residentBytes + mappedBytes / 2);
     auto count = countDescriptors();
     REQUIRE(count);
     int ends[2];
