Accept sound settings in every form that a platform may write them

Operators saw processes that did not start. Settings that make sense were refused with exit code 3: a whole number with a decimal point (260.0, 3000.0), fractions for memory, grace time and retry window, a retry ratio above 1, one bad seed of several although seeds may be stale, and a contact time below the minimum. A value that the platform does not give made the rendered template invalid JSON.

Whole numbers are read in either form, of routers and daemons. memoryMb, contactMs, graceSeconds, windowSeconds and ratio of a router may be fractions; times are at least 0.1 s, the ratio at most 100. A bad seed of a router is ignored and a short contactMs raised to the minimum, each with the line settings_adjusted, which names the place. The retry budget needs no change: its slices are at least 1 ms long. The configuration of the fleet is read as strictly as before, since all daemons have to validate it alike.

--- a/bench/lifecycle/test_lifecycle.py
+++ b/bench/lifecycle/test_lifecycle.py
@@ -3,6 +3,7 @@
 import errno
 import json
 import os
+import re
 import signal
 import socket
 import struct
@@ -193,6 +194,48 @@
                     self.assertNotIn("trying again", started.log())
 
 
+class OddSettingsTest(LifecycleTest):
+    """Settings that other programs write in another way, or that are stale."""
+
+    def test_sound_values_in_an_unusual_form_do_not_end_the_start(self):
+        changes = {
+            "whole numbers with a decimal point": {"router": {"memoryMb": 260.0, "maxDescriptors": 4100.0},
+                                                   "store": {"contactMs": 3000.0}},
+            "fractions": {"router": {"memoryMb": 260.5}, "shutdown": {"graceSeconds": 0.5},
+                          "retries": {"ratio": 2.0, "windowSeconds": 0.5}},
+            "a seed with a host name": {"peers": {"seeds": [f"{self.ip}:8785", "host-a:8785"]}},
+            "a short contact time": {"store": {"contactMs": 100}},
+        }
+        for name, sections in changes.items():
+            with self.subTest(name):
+                self.setUp()
+                settings = self.settings("router")
+                for section, values in sections.items():
+                    settings.setdefault(section, {}).update(values)
+                with Service("router", self.folder, settings) as started:
+                    started.wait_for_event("started")
+                    adjusted = name.startswith("a ")
+                    self.assertEqual("event=settings_adjusted" in started.log(), adjusted, started.log())
+                    started.send(signal.SIGTERM)
+                    self.assertEqual(started.exit_code(), 0, started.log())
+
+    def test_template_without_optional_values_is_valid(self):
+        # The platform renders a missing value as nothing.
+        template = (service.ROOT / "deploy/settings.json.template").read_text()
+        values = {"nodeName": "edge-1", "zone": "gebze", "ip": self.ip, "listen.frontend": f"{self.ip}:8783",
+                  "listen.ready": f"{self.ip}:8780", "listen.controlPlane": f"{self.ip}:8785",
+                  "platform.address": f"{self.ip}:8781"}
+        text = re.sub(r"{{([#^])(\S+?)}}(.*?){{/\2}}",
+                      lambda section: section[3] if (section[2] in values) == (section[1] == "#") else "", template)
+        text = re.sub(r"{{(\S+?)}}", lambda placeholder: values.get(placeholder[1], ""), text)
+        path = os.path.join(self.folder, "settings.json")
+        with open(path, "w") as file:
+            file.write(text)
+        check = subprocess.run([service.BINARY, "check", path], capture_output=True, text=True)
+        self.assertEqual(check.returncode, 0, check.stdout + check.stderr)
+        self.assertIn("valid router settings", check.stdout)
+
+
 class TakenAddressTest(LifecycleTest):
     """Addresses that another socket keeps, for as long as the test says."""
 
--- a/src/config/DaemonSettings.cpp
+++ b/src/config/DaemonSettings.cpp
@@ -86,7 +86,8 @@
 DaemonSettings readDaemonSettings(const JsonNode& root, JsonProblems& problems)
 {
     DaemonSettings settings;
-    JsonObjectReader reader(&root, "", problems);
+    const JsonNode normalized = withWholeNumbers(root);
+    JsonObjectReader reader(&normalized, "", problems);
     {
         JsonObjectReader daemon = reader.object("daemon", FieldPresence::Required);
         daemon.identifier("id", settings.daemon.id.value, FieldPresence::Required);
--- a/src/config/JsonDocument.cpp
+++ b/src/config/JsonDocument.cpp
@@ -1,6 +1,7 @@
 #include "config/JsonDocument.h"
 
 #include <algorithm>
+#include <cmath>
 #include <cstddef>
 #include <iterator>
 #include <nlohmann/json.hpp>
@@ -294,6 +295,21 @@
     return std::move(builder.root);
 }
 
+JsonNode withWholeNumbers(JsonNode root)
+{
+    // Up to here a double represents each whole number exactly.
+    constexpr double maxWhole = 9'007'199'254'740'992.0;
+    if (root.type == JsonType::Float && std::trunc(root.number) == root.number && std::abs(root.number) <= maxWhole) {
+        root.type = JsonType::Integer;
+        root.integer = static_cast<std::int64_t>(root.number);
+    }
+    for (JsonNode& item : root.items)
+        item = withWholeNumbers(std::move(item));
+    for (JsonMember& member : root.members)
+        member.value = withWholeNumbers(std::move(member.value));
+    return root;
+}
+
 std::string formatProblems(JsonProblems problems, std::string_view file)
 {
     std::stable_sort(problems.begin(), problems.end(), [](const JsonProblem& left, const JsonProblem& right) {
--- a/src/config/JsonDocument.h
+++ b/src/config/JsonDocument.h
@@ -54,6 +54,10 @@
 /// \returns The document; after a syntax error the part before the error.
 [[nodiscard]] JsonNode parseJson(std::string_view text, JsonProblems& problems);
 
+/// \brief For settings, which other programs may write with a decimal point ("3000.0").
+/// \returns A copy in which each Float with a whole value that fits is an Integer.
+[[nodiscard]] JsonNode withWholeNumbers(JsonNode root);
+
 /// \returns \p problems sorted by line and column, each formatted as a line "FILE:LINE:COLUMN: PATH: message".
 [[nodiscard]] std::string formatProblems(JsonProblems problems, std::string_view file);
 
--- a/src/config/RouterSettings.cpp
+++ b/src/config/RouterSettings.cpp
@@ -12,7 +12,23 @@
     // Shorter times would need more calls to the store than it serves a fleet.
     constexpr std::int64_t minContactTime = oneSecond;
 
-    void readAddresses(JsonObjectReader& root, RouterSettings& settings, JsonProblems& problems)
+    // Two turns of the tick in which a shutdown advances.
+    constexpr double minSeconds = 0.1;
+
+    void readContactTime(JsonObjectReader& store, RouterSettings& settings)
+    {
+        auto contactMs = static_cast<double>(settings.store.contactTime.count);
+        store.number("contactMs", contactMs, 1.0, static_cast<double>(oneMinute));
+        settings.store.contactTime = { static_cast<std::int64_t>(contactMs) };
+        if (settings.store.contactTime.count >= minContactTime)
+            return;
+        settings.store.contactTime = { minContactTime };
+        const JsonNode& value = *store.field("contactMs");
+        settings.notices.push_back({ value.line, value.column, joinPath(store.path(), "contactMs"),
+            "below the minimum, " + std::to_string(minContactTime) + " is used" });
+    }
+
+    void readAddresses(JsonObjectReader& root, RouterSettings& settings)
     {
         {
             JsonObjectReader callers = root.object("callers", FieldPresence::Required);
@@ -32,19 +48,19 @@
                 if (isAddress(node.text))
                     settings.peers.seeds.push_back(node.text);
                 else
-                    problems.push_back(
-                        { node.line, node.column, path, "'" + node.text + "' is not of the form IP:PORT" });
+                    settings.notices.push_back(
+                        { node.line, node.column, path, "ignored, '" + node.text + "' is not of the form IP:PORT" });
             });
         }
         JsonObjectReader store = root.object("store", FieldPresence::Required);
         store.address("address", settings.store.address, FieldPresence::Required);
-        store.millis("contactMs", settings.store.contactTime, minContactTime, oneMinute);
+        readContactTime(store, settings);
     }
 
     void readSeconds(JsonObjectReader& reader, std::string_view name, Millis& destination)
     {
         double seconds = destination.seconds();
-        reader.number(name, seconds, 1.0, 3'600.0);
+        reader.number(name, seconds, minSeconds, 3'600.0);
         destination = { static_cast<std::int64_t>(seconds * oneSecond) };
     }
 
@@ -52,7 +68,7 @@
     {
         {
             JsonObjectReader retries = root.object("retries");
-            retries.number("ratio", settings.retries.ratio, 0.0, 1.0);
+            retries.number("ratio", settings.retries.ratio, 0.0, 100.0);
             retries.number("slack", settings.retries.slack, 0.0, 1e6);
             readSeconds(retries, "windowSeconds", settings.retries.window);
         }
@@ -81,16 +97,17 @@
 RouterSettings readRouterSettings(const JsonNode& root, JsonProblems& problems)
 {
     RouterSettings settings;
-    JsonObjectReader reader(&root, "", problems);
+    const JsonNode normalized = withWholeNumbers(root);
+    JsonObjectReader reader(&normalized, "", problems);
     {
         JsonObjectReader daemon = reader.object("router", FieldPresence::Required);
         daemon.identifier("id", settings.daemon.id.value, FieldPresence::Required);
         daemon.identifier("availabilityZone", settings.daemon.availabilityZone, FieldPresence::Required);
         daemon.integer("maxDescriptors", settings.daemon.maxDescriptors, 256U, 10'000'000U);
-        daemon.integer("memoryMb", settings.daemon.memoryMb, 0U, 1'000'000U);
+        daemon.number("memoryMb", settings.daemon.memoryMb, 0.0, 1'000'000.0);
         daemon.number("processorShare", settings.daemon.cpuCores, 0.01, 1'024.0);
     }
-    readAddresses(reader, settings, problems);
+    readAddresses(reader, settings);
     readOptionalSections(reader, settings);
     return settings;
 }
--- a/src/config/RouterSettings.h
+++ b/src/config/RouterSettings.h
@@ -19,7 +19,7 @@
         DaemonId id;
         std::string availabilityZone;
         unsigned maxDescriptors { 1'024 }; ///< Files and sockets that the process may have open.
-        unsigned memoryMb { 0 }; ///< Memory that the process may use; 0: all that the system reports.
+        double memoryMb { 0 }; ///< Memory that the process may use; 0: all that the system reports.
         double cpuCores { 1.0 }; ///< Cores that the process may use; daemons with more coordinate more shards.
     } daemon;
 
@@ -74,6 +74,8 @@
     struct Logging {
         std::string level { "info" };
     } logging;
+
+    JsonProblems notices; ///< Values that were ignored or replaced; the settings are valid nevertheless.
 };
 
 /// \brief Reads settings from JSON with comments.
--- a/src/router/RouterDaemon.cpp
+++ b/src/router/RouterDaemon.cpp
@@ -21,6 +21,7 @@
 #include "router/PlacementCoordinator.h"
 #include "router/PlacementQueue.h"
 #include "router/RequestRouter.h"
+#include "router/ShutdownTimes.h"
 
 #include <algorithm>
 #include <array>
@@ -49,20 +50,6 @@
     // one long-poll read (DeploymentSource::confirmationInterval()) plus this tolerance.
     constexpr Millis confirmationTolerance { 2'000 };
 
-    // The load balancer probes once a second and removes a daemon after two failed probes, so new connections arrive
-    // until then. Requests that arrive later are refused, since they could not end within the grace time.
-    constexpr Millis balancerRemovalTime { 2'500 };
-
-    // The process ends this long before the end of the grace time, when the platform kills it.
-    constexpr Millis exitMargin { 300 };
-
-    // Requests that are still in progress get their final answers this long before the process ends, so that the
-    // answers are written.
-    constexpr Millis finalAnswerMargin { 200 };
-
-    // Requests are taken for at most this part of the grace time.
-    constexpr std::int64_t acceptanceDivisor = 2;
-
     // Maximum number of idle connections kept to one endpoint: many times the number of requests that a daemon sends to
     // one endpoint in a tenth of a second.
     constexpr std::size_t maxIdlePerEndpoint = 48;
@@ -113,14 +100,20 @@
     // The other half is for the process without requests, answers, and bytes in the kernel's buffers.
     std::size_t maxTotalBodyBytes(const RouterSettings& settings)
     {
-        constexpr std::size_t bytesPerMb = 1'000'000;
-        std::size_t memoryBytes = settings.daemon.memoryMb * bytesPerMb;
+        constexpr double bytesPerMb = 1'000'000;
+        auto memoryBytes = static_cast<std::size_t>(settings.daemon.memoryMb * bytesPerMb);
         long pages = sysconf(_SC_PHYS_PAGES);
         if (memoryBytes == 0 && pages > 0)
             memoryBytes = static_cast<std::size_t>(pages) * static_cast<std::size_t>(sysconf(_SC_PAGESIZE));
         return memoryBytes / 2;
     }
 
+    void logNotices(const RouterSettings& settings, std::string_view path)
+    {
+        for (const JsonProblem& notice : settings.notices)
+            logEvent(LogLevel::Warning, "settings_adjusted", { { "message", formatProblems({ notice }, path) } });
+    }
+
     // Buffers from this size on are mapped one by one, so that their memory goes back to the system at once. Otherwise
     // the allocator raises the size with the buffers that are freed, and gaps between large ones stay in memory.
     constexpr int largeBufferBytes = 128 << 10;
@@ -508,17 +501,16 @@
         if (phase != Phase::Stopping)
             return;
         Millis elapsed = now - stopRequestTime;
-        Millis exitTime = settings.shutdown.grace - exitMargin;
-        Millis acceptanceTime = std::min(balancerRemovalTime, Millis { exitTime.count / acceptanceDivisor });
-        if (elapsed >= acceptanceTime) {
+        ShutdownTimes times = shutdownTimes(settings.shutdown.grace);
+        if (elapsed >= times.refusal) {
             board.refusesRequests = true;
             callerServer.stopListening();
             callerServer.closeIdleConnections();
         }
-        if (elapsed >= exitTime - finalAnswerMargin)
+        if (elapsed >= times.finalAnswers)
             router.endAllRequests();
-        bool isComplete = elapsed >= acceptanceTime && router.activeCount() == 0 && callerServer.connectionCount() == 0;
-        if (!isComplete && elapsed < exitTime)
+        bool isComplete = elapsed >= times.refusal && router.activeCount() == 0 && callerServer.connectionCount() == 0;
+        if (!isComplete && elapsed < times.exit)
             return;
         fleetSync.announceLeave();
         logEvent(LogLevel::Info, "shutdown_finished",
@@ -548,6 +540,7 @@
             logEvent(LogLevel::Error, "reload_failed", { { "message", parsed.error().message } });
             return;
         }
+        logNotices(parsed.value(), settingsPath);
         settings.retries = parsed.value().retries;
         settings.placement = parsed.value().placement;
         settings.shutdown = parsed.value().shutdown;
@@ -616,6 +609,7 @@
     std::signal(SIGPIPE, SIG_IGN);
     replaceDefaultSignalActions();
     setLogLevel(parseLogLevel(settings.logging.level).value());
+    logNotices(settings, settingsPath);
     RouterDaemon daemon(settings, std::move(adapter));
     daemon.watchSignals(std::move(settingsPath));
     unblockLifecycleSignals();
