Bound the memory of prompt parts

Modelled prefix caches were bounded by tokens only, use counts evicted nothing that was new, and a request had as many parts as its head holds.

All caches and use counts together get a twelfth of router.memoryMb: the parts of all caches are counted after insertions of a 32nd of the limit, and the least recently used ones of the largest caches are evicted, so that prompts to one engine don't displace those of others. Use counts are kept in two generations. Both cost constant time on average. An update to peers carries at most 2,000 parts, since loads in a message that is too long for a datagram would be lost.

--- a/src/router/FleetSync.cpp
+++ b/src/router/FleetSync.cpp
@@ -55,6 +55,17 @@
     // Prompt parts in one message of a shard's handover: about 900 bytes, which fit into one packet.
     constexpr std::size_t partsPerHandoverMessage = 60;
 
+    // Prompt parts in one update: with at most 14 bytes each, they and the loads fit into one datagram. Prompts beyond
+    // it are not reported, which costs less than the loads that would be lost with a longer message.
+    constexpr std::size_t maxPartsPerUpdate = 2'000;
+
+    void limitParts(std::vector<SentPrompt>& prompts)
+    {
+        std::size_t parts = 0;
+        auto isBeyondLimit = [&](const SentPrompt& sent) { return (parts += sent.prompt.size()) > maxPartsPerUpdate; };
+        prompts.erase(std::find_if(prompts.begin(), prompts.end(), isBeyondLimit), prompts.end());
+    }
+
     // A peer that has fewer daemon addresses is sent the list of live peers, at most once in this time.
     constexpr Millis peerListInterval { 400 };
 
@@ -508,6 +519,7 @@
     Millis now = m_context.clock.now();
     m_lastSent = now;
     collectCrashEvidence();
+    limitParts(board.sentPrompts);
     if (usesCoordinators())
         sendToCoordinators(asSnapshot);
     else
--- a/src/router/RouterDaemon.cpp
+++ b/src/router/RouterDaemon.cpp
@@ -107,17 +107,23 @@
         return static_cast<std::size_t>(statusDescriptorFraction * settings.daemon.maxDescriptors);
     }
 
-    // The other half is for the process without requests, answers, and bytes in the kernel's buffers.
-    std::size_t maxTotalBodyBytes(const RouterSettings& settings)
+    // Returns the memory that the process may use, in bytes.
+    std::size_t memoryBytes(const RouterSettings& settings)
     {
         constexpr std::size_t bytesPerMb = 1'000'000;
-        std::size_t memoryBytes = settings.daemon.memoryMb * bytesPerMb;
+        std::size_t bytes = settings.daemon.memoryMb * bytesPerMb;
         long pages = sysconf(_SC_PHYS_PAGES);
-        if (memoryBytes == 0 && pages > 0)
-            memoryBytes = static_cast<std::size_t>(pages) * static_cast<std::size_t>(sysconf(_SC_PAGESIZE));
-        return memoryBytes / 2;
+        if (bytes == 0 && pages > 0)
+            bytes = static_cast<std::size_t>(pages) * static_cast<std::size_t>(sysconf(_SC_PAGESIZE));
+        return bytes;
     }
 
+    // The other half is for the process without requests, answers, prompt parts, and bytes in the kernel's buffers.
+    std::size_t maxTotalBodyBytes(const RouterSettings& settings) { return memoryBytes(settings) / 2; }
+
+    // Modelled prefix caches may take this part of the memory, one in so many.
+    constexpr std::size_t promptMemoryShare = 12;
+
     // Buffers from this size on are mapped one by one, so that their memory goes back to the system at once. Otherwise
     // the allocator raises the size with the buffers that are freed, and gaps between large ones stay in memory.
     constexpr int largeBufferBytes = 128 << 10;
@@ -234,6 +240,7 @@
         , tickTimer(event_new(base.get(), -1, EV_PERSIST, onTick, this))
         , loopMonitor(*base, clock)
     {
+        setPromptMemory(board.fleetView, memoryBytes(settings) / promptMemoryShare);
         setEventPriority(*tickTimer, EventPriority::Control);
         timeval interval = toTimeval(tickInterval);
         event_add(tickTimer.get(), &interval);
--- a/src/routing/FleetView.cpp
+++ b/src/routing/FleetView.cpp
@@ -79,32 +79,23 @@
         return std::max(1U, view.registration.slots != 0 ? view.registration.slots : spec.slots);
     }
 
-    // Time constant of the decaying use counts: about as long as an engine keeps an unused part cached.
-    constexpr Millis usageTimeConstant { 10'000 };
-
     // Lower bound on the use count in recomputeCostFactor(); limits the charge for rarely used parts.
     constexpr double minimumUses = 0.5;
 
-    // With more entries than this in FleetView::promptPartUsage, the entries with fewer uses than the threshold are
-    // evicted.
-    constexpr std::size_t maxTrackedPromptParts = 20'000;
-    constexpr double usageEvictionThreshold = 0.2;
+    // Memory of a part in PromptCache and of a count in PromptUsage: its nodes as the allocator rounds them up, and
+    // its slots in a hash table that has just doubled.
+    constexpr std::size_t cachedPartBytes = 48 + 32 + 16;
+    constexpr std::size_t trackedPartBytes = 48 + 16;
 
-    double decayedUses(const PromptPartUsage& usage, Millis now)
-    {
-        return usage.count * std::exp(-(now - usage.updatedAt).seconds() / usageTimeConstant.seconds());
-    }
+    // More parts than the engines of a large fleet hold.
+    constexpr std::size_t maxCachedParts = 1'000'000;
 
-    void recordPromptPartUses(FleetView& fleetView, std::span<const PromptPart> prompt, Millis now)
-    {
-        for (const PromptPart& part : prompt) {
-            PromptPartUsage& usage = fleetView.promptPartUsage[part.key];
-            usage = { .count = decayedUses(usage, now) + 1.0, .updatedAt = now };
-        }
-        if (fleetView.promptPartUsage.size() > maxTrackedPromptParts)
-            std::erase_if(fleetView.promptPartUsage,
-                [&](const auto& entry) { return decayedUses(entry.second, now) < usageEvictionThreshold; });
-    }
+    // Use counts take at most one in so many of the bytes for prompt parts.
+    constexpr std::size_t usageShare = 4;
+
+    // The parts of all caches are counted, and evicted, after insertions of this part of their limit, one in so many,
+    // so that an insertion takes constant time on average.
+    constexpr std::size_t partCountDivisor = 32;
 
     // Factor on the time for recomputing the first \p tokens of the prompt at an endpoint that has not cached them. It
     // falls with the recent uses per endpoint that has cached them, since each later use of the new copy saves time.
@@ -115,8 +106,8 @@
         double uses = 0;
         for (const PromptPart& part : prompt) {
             coveredTokens += part.tokens;
-            if (auto found = fleetView.promptPartUsage.find(part.key); found != fleetView.promptPartUsage.end())
-                uses = decayedUses(found->second, now);
+            if (auto partUses = recentUses(fleetView.promptUsage, part.key, now))
+                uses = *partUses;
             if (coveredTokens >= tokens)
                 break;
         }
@@ -161,11 +152,34 @@
         return excess > failureRateTolerance ? excess : 0.0;
     }
 
-    void insertIntoPromptCache(EndpointView& view, std::span<const PromptPart> prompt)
+    // Evicts from the largest caches, so that prompts of many parts to one endpoint cost the others nothing.
+    void limitPromptCaches(FleetView& fleetView)
     {
+        PromptCacheBudget& budget = fleetView.promptCacheBudget;
+        std::size_t step = budget.maxParts / partCountDivisor + 1;
+        if (budget.insertedParts < step)
+            return;
+        budget.insertedParts = 0;
+        auto isSmaller
+            = [](const auto& a, const auto& b) { return a.second.promptCache.size() < b.second.promptCache.size(); };
+        for (std::size_t parts = cachedPromptParts(fleetView); parts + step > budget.maxParts;) {
+            auto largest = std::max_element(fleetView.endpoints.begin(), fleetView.endpoints.end(), isSmaller);
+            std::size_t evicted = std::min(step, largest->second.promptCache.size());
+            if (evicted == 0)
+                return;
+            largest->second.promptCache.evict(evicted);
+            parts -= evicted;
+        }
+    }
+
+    void insertIntoPromptCache(FleetView& fleetView, EndpointView& view, std::span<const PromptPart> prompt)
+    {
+        std::size_t previousParts = view.promptCache.size();
         view.promptCache.insert(prompt);
+        fleetView.promptCacheBudget.insertedParts += view.promptCache.size() - previousParts;
         std::uint64_t memory = view.memoryTokens != 0 ? view.memoryTokens : defaultMemoryTokens;
         view.promptCache.shrink(static_cast<std::uint64_t>(usableMemoryFraction * static_cast<double>(memory)));
+        limitPromptCaches(fleetView);
     }
 
     void updateAverage(double& value, double sample, double sampleWeight) noexcept
@@ -351,6 +365,23 @@
     return hash64(registration.id.value, static_cast<std::uint64_t>(registration.startedAtUnixMs));
 }
 
+void setPromptMemory(FleetView& fleetView, std::size_t bytes)
+{
+    std::size_t defaultGeneration = PromptUsage {}.generationSize;
+    std::size_t generation = std::min(defaultGeneration, bytes / usageShare / trackedPartBytes / 2);
+    fleetView.promptUsage.generationSize = std::max<std::size_t>(generation, maxPromptParts);
+    std::size_t usageBytes = std::min(bytes, 2 * generation * trackedPartBytes);
+    fleetView.promptCacheBudget.maxParts = std::min(maxCachedParts, (bytes - usageBytes) / cachedPartBytes);
+}
+
+std::size_t cachedPromptParts(const FleetView& fleetView) noexcept
+{
+    std::size_t parts = 0;
+    for (const auto& [id, view] : fleetView.endpoints)
+        parts += view.promptCache.size();
+    return parts;
+}
+
 void setRegistrations(FleetView& fleetView, std::span<const Registration> registrations)
 {
     std::map<EndpointId, EndpointView> updatedEndpoints;
@@ -530,8 +561,8 @@
     view.ownLoadChanged = true;
     startProbe(view, now);
     recordPacedRequest(view.pace, now);
-    insertIntoPromptCache(view, workload.prompt);
-    recordPromptPartUses(fleetView, workload.prompt, now);
+    insertIntoPromptCache(fleetView, view, workload.prompt);
+    recordUses(fleetView.promptUsage, workload.prompt, now);
     return placement;
 }
 
@@ -549,8 +580,8 @@
     view.pendingGrants.push_back(grant);
     startProbe(view, now);
     recordPacedRequest(view.pace, now);
-    insertIntoPromptCache(view, workload.prompt);
-    recordPromptPartUses(fleetView, workload.prompt, now);
+    insertIntoPromptCache(fleetView, view, workload.prompt);
+    recordUses(fleetView.promptUsage, workload.prompt, now);
 }
 
 void confirmGrants(FleetView& fleetView, DaemonInstanceId peer, std::uint64_t lastGrantNumber)
@@ -678,10 +709,10 @@
 
 void recordPeerPrompt(FleetView& fleetView, EndpointInstanceId endpoint, std::span<const PromptPart> prompt, Millis now)
 {
-    recordPromptPartUses(fleetView, prompt, now);
+    recordUses(fleetView.promptUsage, prompt, now);
     auto found = fleetView.endpointsByInstance.find(endpoint);
     if (found != fleetView.endpointsByInstance.end())
-        insertIntoPromptCache(*found->second, prompt);
+        insertIntoPromptCache(fleetView, *found->second, prompt);
 }
 
 void clearPeerLoad(FleetView& fleetView, DaemonInstanceId daemon)
--- a/src/routing/FleetView.h
+++ b/src/routing/FleetView.h
@@ -6,6 +6,7 @@
 #include "routing/LatencyAdmission.h"
 #include "routing/LatencyModel.h"
 #include "routing/PromptCache.h"
+#include "routing/PromptUsage.h"
 #include "routing/RoutingTable.h"
 #include "routing/StreamDuration.h"
 
@@ -105,16 +106,16 @@
     double failureRate { 0 }; ///< Moving average: fraction of attempts that did not succeed.
 };
 
-/// \brief Exponentially decaying count of sent prompts that contain a prompt part; see usageTimeConstant in
-/// FleetView.cpp.
-struct PromptPartUsage {
-    double count { 0 };
-    Millis updatedAt {};
+/// \brief Bound on the parts of all modelled prefix caches together.
+struct PromptCacheBudget {
+    std::size_t maxParts { 1'000'000 };
+    std::size_t insertedParts { 0 }; ///< Since the caches were last counted.
 };
 
 /// \brief One daemon's data about all endpoints.
 struct FleetView {
-    std::unordered_map<std::uint64_t, PromptPartUsage> promptPartUsage; ///< By part key; counts all daemons' prompts.
+    PromptUsage promptUsage; ///< Counts all daemons' prompts.
+    PromptCacheBudget promptCacheBudget;
     std::map<EndpointId, EndpointView> endpoints;
     std::unordered_map<PoolId, std::vector<EndpointView*>> endpointsByPool;
     std::unordered_map<ShardId, std::vector<EndpointView*>> endpointsByShard;
@@ -123,6 +124,12 @@
     std::set<std::string> evacuatedZones; ///< Nothing more may be sent to the endpoints of these availability zones.
 };
 
+/// \brief Lets the modelled prefix caches and the use counts of prompt parts take at most \p bytes of memory together.
+void setPromptMemory(FleetView&, std::size_t bytes);
+
+/// \returns Parts of all modelled prefix caches.
+[[nodiscard]] std::size_t cachedPromptParts(const FleetView&) noexcept;
+
 /// \brief Replaces the set of endpoints. An endpoint that keeps its id, start time and address keeps its state;
 /// endpoints without a registration are removed at once.
 void setRegistrations(FleetView&, std::span<const Registration>);
