--- a/src/router/RouterDaemon.cpp
+++ b/src/router/RouterDaemon.cpp
@@ -100,21 +100,26 @@
         return static_cast<std::size_t>(statusDescriptorFraction * settings.daemon.maxDescriptors);
     }
 
-    // The other half is for the process without requests, answers, and bytes in the kernel's buffers.
-    std::size_t maxTotalBodyBytes(const RouterSettings& settings)
+    // Returns the memory that the process may use, in bytes.
+    std::size_t memoryBytes(const RouterSettings& settings)
     {
         constexpr double bytesPerMb = 1'000'000;
-        auto memoryBytes = static_cast<std::size_t>(settings.daemon.memoryMb * bytesPerMb);
+        auto bytes = static_cast<std::size_t>(settings.daemon.memoryMb * bytesPerMb);
         long pages = sysconf(_SC_PHYS_PAGES);
-        if (memoryBytes == 0 && pages > 0)
-            memoryBytes = static_cast<std::size_t>(pages) * static_cast<std::size_t>(sysconf(_SC_PAGESIZE));
-        return memoryBytes / 2;
+        if (bytes == 0 && pages > 0)
+            bytes = static_cast<std::size_t>(pages) * static_cast<std::size_t>(sysconf(_SC_PAGESIZE));
+        return bytes;
     }
 
+    // The other half is for the process without requests, answers, prompt parts, and bytes in the kernel's buffers.
+    std::size_t maxTotalBodyBytes(const RouterSettings& settings) { return memoryBytes(settings) / 2; }
+
+    // Modelled prefix caches may take this part of the memory, one in so many.
+    constexpr std::size_t promptMemoryShare = 12;
+
     ProcessLimits processLimits(const RouterSettings& settings)
     {
-        constexpr std::size_t bytesPerMb = 1'000'000;
-        return { .memoryBytes = settings.daemon.memoryMb * bytesPerMb, .descriptors = settings.daemon.maxDescriptors };
+        return { .memoryBytes = memoryBytes(settings), .descriptors = settings.daemon.maxDescriptors };
     }
 
     void logNotices(const RouterSettings& settings, std::string_view path)
@@ -236,6 +241,7 @@
         , loopMonitor(*base, clock)
         , addressBinder(*base, clock)
     {
+        setPromptMemory(board.fleetView, memoryBytes(settings) / promptMemoryShare);
         setEventPriority(*tickTimer, EventPriority::Control);
         timeval interval = toTimeval(tickInterval);
         event_add(tickTimer.get(), &interval);
