tests: a router with less memory than it was told refuses bodies and goes on

A router runs in a child process whose address space may grow by 20 MB (RLIMIT_AS); a hundred callers announce bodies of 4 MB. Those without room are refused with 503, and the next request is served. On the code before the callback boundary the child ends ("terminate called after throwing an instance of 'std::bad_alloc'"), and the test fails with "the peer does not read". It isn't built with AddressSanitizer, which needs more address space than a limit leaves.

--- a/tests/CallbackFailureTests.cpp
+++ b/tests/CallbackFailureTests.cpp
@@ -1,4 +1,5 @@
 #include "LoopbackHarness.h"
+#include "RouterHarness.h"
 #include "StoreSourceHarness.h"
 #include "net/CallerServer.h"
 #include "net/EndpointClient.h"
@@ -10,9 +11,13 @@
 
 #include <catch2/catch.hpp>
 #include <event2/event.h>
+#include <fcntl.h>
+#include <fstream>
 #include <functional>
 #include <memory>
 #include <new>
+#include <sys/resource.h>
+#include <sys/wait.h>
 #include <vector>
 
 /// \file
@@ -413,3 +418,100 @@
     CHECK(fixture.thrown == 1);
     CHECK(takeCallbackFailures() == 1);
 }
+
+// A sanitizer needs more address space than any limit leaves.
+#if !defined(__SANITIZE_ADDRESS__)
+
+namespace {
+
+constexpr std::size_t bytesPerMb = 1U << 20U;
+
+/// \brief A router without a configuration in a process of its own, which may take a little more memory than it has.
+struct LimitedRouter {
+    std::uint16_t port { 0 };
+    pid_t process { -1 };
+
+    explicit LimitedRouter(std::size_t spareBytes)
+    {
+        std::array<int, 2> pipeEnds {};
+        REQUIRE(pipe2(pipeEnds.data(), O_CLOEXEC) == 0);
+        process = fork();
+        REQUIRE(process >= 0);
+        if (process == 0)
+            run(pipeEnds[1], spareBytes);
+        ::close(pipeEnds[1]);
+        REQUIRE(::read(pipeEnds[0], &port, sizeof(port)) == sizeof(port));
+        ::close(pipeEnds[0]);
+    }
+    LimitedRouter(const LimitedRouter&) = delete;
+    LimitedRouter& operator=(const LimitedRouter&) = delete;
+    ~LimitedRouter()
+    {
+        if (process > 0 && isRunning()) {
+            kill(process, SIGKILL);
+            waitpid(process, nullptr, 0);
+        }
+    }
+
+    [[nodiscard]] bool isRunning()
+    {
+        if (process > 0 && waitpid(process, nullptr, WNOHANG) == process)
+            process = -1;
+        return process > 0;
+    }
+
+    [[noreturn]] static void run(int portPipe, std::size_t spareBytes)
+    {
+        RouterSettings settings;
+        settings.daemon = { .id = DaemonId { "router-1" }, .availabilityZone = "a" };
+        settings.callers.address = "127.0.0.1:0";
+        settings.health.address = freeAddress();
+        settings.peers.address = freeAddress();
+        auto makeSource = [](event_base&, HttpClient&, const Clock& clock, const RouterSettings&) {
+            auto deployment = std::make_unique<FixedDeployment>();
+            deployment->clock = &clock;
+            return std::unique_ptr<DeploymentSource>(std::move(deployment));
+        };
+        RouterDaemon daemon(settings,
+            DeploymentAdapter { .source = makeSource, .protocol = std::make_unique<platform::PlatformProtocol>() });
+        if (!daemon.start())
+            _exit(2);
+        std::size_t pages = 0;
+        std::ifstream("/proc/self/statm") >> pages;
+        rlim_t limit = pages * static_cast<std::size_t>(sysconf(_SC_PAGESIZE)) + spareBytes;
+        rlimit addressSpace { .rlim_cur = limit, .rlim_max = limit };
+        std::uint16_t port = daemon.callerPort();
+        if (setrlimit(RLIMIT_AS, &addressSpace) != 0 || write(portPipe, &port, sizeof(port)) != sizeof(port))
+            _exit(3);
+        daemon.run();
+        _exit(0);
+    }
+};
+
+}
+
+// Guards against callers whose bodies end a process that has less memory than it was told.
+TEST_CASE("a router without memory for bodies refuses them and serves the next request", "[callbacks][memory]")
+{
+    constexpr std::size_t bodyBytes = 4'000'000;
+    LimitedRouter router(20 * bytesPerMb);
+    std::string head
+        = "POST / HTTP/1.1\r\nHost: shop\r\nContent-Length: " + std::to_string(bodyBytes) + "\r\n\r\n" + "x";
+    std::vector<BlockingSocket> callers;
+    for (int i = 0; i < 100; ++i) {
+        callers.push_back(BlockingSocket::connectTo(router.port));
+        REQUIRE(callers.back().isConnected());
+        callers.back().write(head);
+    }
+    // The last ones find no room.
+    CHECK(callers.back().readUntil("\r\n") == "HTTP/1.1 503 Service Unavailable\r\n");
+    CHECK(router.isRunning());
+    callers.clear();
+    BlockingSocket caller = BlockingSocket::connectTo(router.port);
+    REQUIRE(caller.isConnected());
+    caller.write("GET / HTTP/1.1\r\nHost: shop\r\n\r\n");
+    CHECK(caller.readUntil("}}\n").find("not_ready") != std::string::npos);
+    CHECK(router.isRunning());
+}
+
+#endif
