--- a/tests/FleetSyncTests.cpp
+++ b/tests/FleetSyncTests.cpp
@@ -622,3 +622,33 @@
     CAPTURE(idleBytesPerSecond);
     CHECK(evidenceBytes / daemons <= 4'096.0 * evidenceLife.seconds());
 }
+
+// Guards against a message that decodes and whose values make the daemon throw, or read outside of its tables.
+TEST_CASE("messages with changed values are applied or rejected without an exception", "[exchange][limits][property]")
+{
+    auto seed = GENERATE(range(1U, 21U));
+    CAPTURE(seed);
+    Random random { seed };
+    Fleet fleet(4, 6);
+    unsigned changedMessages = 0;
+    for (int step = 0; step < 100; ++step) {
+        fleet.clock.advance(Millis { 50 });
+        for (const auto& member : fleet.members)
+            member->sync->tick();
+        for (auto& [from, to, bytes] : std::exchange(fleet.network.undelivered, {})) {
+            auto receiver = fleet.network.transports.find(to);
+            if (receiver == fleet.network.transports.end())
+                continue; // An address that a changed message has told.
+            for (int copy = 0; copy < 10; ++copy) {
+                std::string changed = bytes;
+                for (std::uint64_t i = random.uniformInteger(4); i < 4; ++i)
+                    changed[random.uniformInteger(changed.size())] = static_cast<char>(random.uniformInteger(256));
+                receiver->second->handler(changed);
+                ++changedMessages;
+            }
+        }
+    }
+    CHECK(changedMessages > 1'000);
+    fleet.network.undelivered.clear();
+    fleet.runFor(Millis { 2'000 });
+}
