net: events that can't be created for lack of memory are not used

event_new() and evhttp_connection_base_new() return null if they get no memory, and libevent reads the null pointer when the event is added: a connection, an exchange or a request that began at such a moment ended the process with SIGSEGV.

makeEvent() throws std::bad_alloc instead; connections of callers, exchanges with endpoints and requests use it, and the callback boundary closes what could not be begun. HttpClient fails the call as one that sent nothing, and also checks that a request's body was taken: a body that libevent had no memory for would have been sent empty.

Evidence: a test gives libevent no memory (event_set_mem_functions) while a caller connects and an exchange and a call begin. On the code before it ends with SIGSEGV; now the caller's connection is closed, the two others throw, and all three work once there is memory again.

--- a/src/net/CallerServer.cpp
+++ b/src/net/CallerServer.cpp
@@ -129,8 +129,8 @@
         : base(eventBase)
         , handler(callerHandler)
         , options(serverOptions)
-        , readNewEvent(event_new(&eventBase, -1, 0, onReadNew, this))
-        , destroyClosedEvent(event_new(&eventBase, -1, 0, onDestroyClosed, this))
+        , readNewEvent(makeEvent(eventBase, -1, 0, onReadNew, this))
+        , destroyClosedEvent(makeEvent(eventBase, -1, 0, onDestroyClosed, this))
         , readBuffer(readBufferBytes)
     {
         setEventPriority(*readNewEvent, options.priority);
@@ -166,9 +166,9 @@
         : m_owner(owner)
         , m_number(number)
         , m_socket(std::move(socket))
-        , m_readEvent(event_new(&owner.base, m_socket.value(), EV_READ | EV_PERSIST, onReadable, this))
-        , m_writeEvent(event_new(&owner.base, m_socket.value(), EV_WRITE | EV_PERSIST, onWritable, this))
-        , m_timer(evtimer_new(&owner.base, onTimer, this))
+        , m_readEvent(makeEvent(owner.base, m_socket.value(), EV_READ | EV_PERSIST, onReadable, this))
+        , m_writeEvent(makeEvent(owner.base, m_socket.value(), EV_WRITE | EV_PERSIST, onWritable, this))
+        , m_timer(makeEvent(owner.base, -1, 0, onTimer, this))
         , m_acceptedAt(owner.clock.now())
     {
         setEventPriority(*m_readEvent, owner.options.priority);
--- a/src/net/EndpointClient.cpp
+++ b/src/net/EndpointClient.cpp
@@ -121,7 +121,7 @@
         : base(eventBase)
         , clock(clientClock)
         , options(clientOptions)
-        , idleCheckTimer(event_new(&eventBase, -1, EV_PERSIST, closeExpiredConnections, this))
+        , idleCheckTimer(makeEvent(eventBase, -1, EV_PERSIST, closeExpiredConnections, this))
         , readBuffer(readBufferBytes)
     {
         timeval interval { .tv_sec = 0, .tv_usec = 250'000 };
@@ -160,8 +160,8 @@
         connection->idleSince = clock.now();
         connection->idleTimeout = idleTimeout;
         connection->socket = std::move(socket);
-        connection->idleReadEvent.reset(
-            event_new(&base, connection->socket.value(), EV_READ, onIdleReadable, connection.get()));
+        connection->idleReadEvent
+            = makeEvent(base, connection->socket.value(), EV_READ, onIdleReadable, connection.get());
         event_add(connection->idleReadEvent.get(), nullptr);
         idleConnections.push_back(std::move(connection));
     }
@@ -191,8 +191,8 @@
     {
         exchange.socket = std::move(socket);
         int descriptor = exchange.socket.value();
-        exchange.readEvent.reset(event_new(&base, descriptor, EV_READ | EV_PERSIST, onReadable, &exchange));
-        exchange.writeEvent.reset(event_new(&base, descriptor, EV_WRITE, onWritable, &exchange));
+        exchange.readEvent = makeEvent(base, descriptor, EV_READ | EV_PERSIST, onReadable, &exchange);
+        exchange.writeEvent = makeEvent(base, descriptor, EV_WRITE, onWritable, &exchange);
     }
 
     void startExchange(Exchange& exchange)
@@ -473,7 +473,7 @@
     exchange->request = request;
     exchange->listener = &listener;
     exchange->parser = HttpResponseParser(request.method == "HEAD");
-    exchange->timer.reset(evtimer_new(&state.base, State::onTimer, exchange.get()));
+    exchange->timer = makeEvent(state.base, -1, 0, State::onTimer, exchange.get());
     // The exchange is started by an event, so that the listener is not called before this function returns.
     event_active(exchange->timer.get(), EV_TIMEOUT, 0);
     ExchangeId id = exchange->id;
--- a/src/net/HttpClient.cpp
+++ b/src/net/HttpClient.cpp
@@ -10,6 +10,7 @@
 #include <event2/event.h>
 #include <event2/http.h>
 #include <list>
+#include <new>
 
 namespace jasminestack {
 
@@ -133,6 +134,10 @@
     exchange.callback = std::move(callback);
     exchange.responseHeader = std::move(request.responseHeader);
     exchange.timer = evtimer_new(&state.base, State::onFinish, &exchange);
+    if (!exchange.timer) {
+        state.exchanges.erase(position);
+        throw std::bad_alloc();
+    }
 
     auto address = splitAddress(request.address);
     if (!address) {
@@ -144,20 +149,34 @@
     timeval timeout { .tv_sec = request.timeout.count / 1000, .tv_usec = (request.timeout.count % 1000) * 1000 };
     evtimer_add(exchange.timer, &timeout);
 
+    const auto failUnsent = [&exchange](std::string message) {
+        exchange.result = Error { .kind = ErrorKind::EndpointUnavailable, .message = std::move(message) };
+        event_active(exchange.timer, EV_TIMEOUT, 0);
+    };
     exchange.connection = evhttp_connection_base_new(&state.base, nullptr, host.c_str(), port);
+    if (!exchange.connection) {
+        failUnsent("no memory for a connection");
+        return;
+    }
     evhttp_connection_set_max_headers_size(exchange.connection, maxHeaderBytes);
     evhttp_connection_set_max_body_size(exchange.connection, static_cast<ev_ssize_t>(request.maxResponseBytes));
     evhttp_request* outgoing = evhttp_request_new(State::onResponse, &exchange);
+    if (!outgoing) {
+        failUnsent("no memory for a request");
+        return;
+    }
     evkeyvalq* headers = evhttp_request_get_output_headers(outgoing);
     evhttp_add_header(headers, "Host", request.address.c_str());
     evhttp_add_header(headers, "Connection", "close");
     for (const auto& [name, value] : request.headers)
         evhttp_add_header(headers, name.c_str(), value.c_str());
-    evbuffer_add(evhttp_request_get_output_buffer(outgoing), request.body.data(), request.body.size());
+    if (evbuffer_add(evhttp_request_get_output_buffer(outgoing), request.body.data(), request.body.size()) != 0) {
+        evhttp_request_free(outgoing);
+        failUnsent("no memory for the body of a request");
+        return;
+    }
     if (evhttp_make_request(exchange.connection, outgoing, evhttpMethod(request.method), request.target.c_str()) != 0) {
-        exchange.result
-            = Error { .kind = ErrorKind::EndpointUnavailable, .message = "cannot connect to " + request.address };
-        event_active(exchange.timer, EV_TIMEOUT, 0);
+        failUnsent("cannot connect to " + request.address);
         return;
     }
     // A long poll whose connection no longer carries data would otherwise end only with its timeout.
--- a/src/net/Socket.cpp
+++ b/src/net/Socket.cpp
@@ -8,6 +8,7 @@
 #include <linux/sockios.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <new>
 #include <sys/ioctl.h>
 #include <sys/socket.h>
 #include <unistd.h>
@@ -31,6 +32,15 @@
 
 void EventDeleter::operator()(event* item) const noexcept { event_free(item); }
 
+EventPointer makeEvent(
+    event_base& base, int descriptor, short events, void (*callback)(int, short, void*), void* argument)
+{
+    EventPointer created(event_new(&base, descriptor, events, callback, argument));
+    if (!created)
+        throw std::bad_alloc();
+    return created;
+}
+
 void configureConnection(int descriptor, const TcpKeepAliveOptions& options) noexcept
 {
     setOption(descriptor, IPPROTO_TCP, TCP_NODELAY, 1);
--- a/src/net/Socket.h
+++ b/src/net/Socket.h
@@ -10,6 +10,7 @@
 #include <utility>
 
 struct event;
+struct event_base;
 
 namespace jasminestack {
 
@@ -45,6 +46,11 @@
 /// \brief Owns a libevent event.
 using EventPointer = std::unique_ptr<event, EventDeleter>;
 
+/// \brief Creates an event as event_new() does. Throws std::bad_alloc where that returns null, which event_add() does
+/// not accept. \param descriptor -1 for a timer. \param events EV_READ, EV_WRITE and EV_PERSIST.
+[[nodiscard]] EventPointer makeEvent(
+    event_base&, int descriptor, short events, void (*callback)(int, short, void*), void* argument);
+
 /// \brief When the kernel closes a TCP connection whose other end no longer responds.
 struct TcpKeepAliveOptions {
     int keepAliveIdleSeconds { 1 }; ///< Idle time before the first keep-alive probe.
--- a/src/router/RoutedRequest.cpp
+++ b/src/router/RoutedRequest.cpp
@@ -48,8 +48,8 @@
     , m_workspace(std::move(parameters.workspace))
     , m_pool(choosePool())
     , m_caller(&caller)
-    , m_timer(evtimer_new(
-          &owner.context().base,
+    , m_timer(makeEvent(
+          owner.context().base, -1, 0,
           [](int, short, void* self) {
               auto& request = *static_cast<RoutedRequest*>(self);
               request.guard("request_timer", [&] { request.handleTimer(); });
--- a/tests/CallbackFailureTests.cpp
+++ b/tests/CallbackFailureTests.cpp
@@ -10,6 +10,7 @@
 #include "router/PlacementQueue.h"
 
 #include <catch2/catch.hpp>
+#include <cstdlib>
 #include <event2/event.h>
 #include <fcntl.h>
 #include <fstream>
@@ -419,6 +420,45 @@
     CHECK(takeCallbackFailures() == 1);
 }
 
+namespace {
+
+// Set while libevent gets no memory.
+bool isEventMemoryDenied { false }; // NOLINT: the functions below have no argument for it.
+
+void denyEventMemory()
+{
+    event_set_mem_functions([](std::size_t size) { return isEventMemoryDenied ? nullptr : std::malloc(size); },
+        [](void* memory, std::size_t size) { return isEventMemoryDenied ? nullptr : std::realloc(memory, size); },
+        std::free);
+    isEventMemoryDenied = true;
+}
+
+}
+
+// Guards against events that could not be created and are used: libevent then reads a null pointer.
+TEST_CASE("connections, exchanges and calls without memory for their events end by themselves", "[callbacks][memory]")
+{
+    ServerFixture fixture;
+    EndpointClient client(*fixture.base, fixture.clock, {});
+    HttpClient http(*fixture.base);
+    std::string address = "127.0.0.1:" + std::to_string(fixture.server.port());
+    ThrowingListener listener(EndpointStep::None);
+    unsigned responses = 0;
+    auto countResponse = [&](const Result<HttpResponse>&) { ++responses; };
+    BlockingSocket caller = fixture.send("/");
+    denyEventMemory();
+    CHECK_THROWS_AS(http.send({ .address = address }, countResponse), std::bad_alloc);
+    CHECK_THROWS_AS(client.start({ .address = address, .method = "GET", .target = "/" }, listener), std::bad_alloc);
+    CHECK(fixture.runUntil([&] { return takeCallbackFailures() != 0; }));
+    isEventMemoryDenied = false;
+    CHECK(caller.readToEnd().empty());
+
+    static_cast<void>(client.start({ .address = address, .method = "GET", .target = "/" }, listener));
+    http.send({ .address = address }, countResponse);
+    CHECK(fixture.runUntil([&] { return listener.results.size() == 1 && responses == 1; }));
+    CHECK(listener.results[0].isComplete);
+}
+
 // A sanitizer needs more address space than any limit leaves.
 #if !defined(__SANITIZE_ADDRESS__)
 
