--- a/src/cli/CheckCommand.cpp
+++ b/src/cli/CheckCommand.cpp
@@ -2,31 +2,18 @@
 #include "cli/Flags.h"
 #include "config/DaemonSettings.h"
 #include "config/DocumentCheck.h"
+#include "config/SettingsFile.h"
 #include "daemon/Daemon.h"
 #include "observe/Logging.h"
 #include "observe/ProcessEnd.h"
 #include "observe/ProcessStart.h"
 
 #include <absl/flags/flag.h>
-#include <fstream>
 #include <iostream>
-#include <iterator>
 #include <nlohmann/json.hpp>
-#include <optional>
 
 namespace jasminestack {
 
-std::optional<std::string> readFile(const std::string& path)
-{
-    std::ifstream stream(path, std::ios::binary);
-    if (!stream)
-        return std::nullopt;
-    std::string text { std::istreambuf_iterator<char>(stream), {} };
-    if (stream.bad())
-        return std::nullopt;
-    return text;
-}
-
 int runCheck(const std::vector<std::string>& arguments)
 {
     const std::string& file = arguments.front();
@@ -62,18 +49,20 @@
     startLogging(LogLevel::Info);
     observeProcessEnd();
     logStarting(path);
-    const auto text = readFile(path);
-    if (!text) {
+    const SettingsText file = awaitSettingsText(path, std::cerr);
+    if (file.isStopRequested)
+        return logExit(exit_code::success, "stopped");
+    if (!file.text) {
         std::cerr << "jasminestack: cannot read " << path << "\n";
         return logExit(exit_code::failure, "settings_unreadable", path);
     }
-    const auto settings = parseDaemonSettings(*text, path);
+    const auto settings = parseDaemonSettings(*file.text, path);
     if (!settings) {
         std::cerr << settings.error().message << "\n";
         return logExit(exit_code::invalidInput, "settings_invalid", settings.error().message);
     }
     endStartStep(StartStep::Settings);
-    return runDaemon(settings.value());
+    return runDaemon(settings.value(), path);
 }
 
 }
--- a/src/daemon/Daemon.cpp
+++ b/src/daemon/Daemon.cpp
@@ -1,7 +1,9 @@
 #include "daemon/Daemon.h"
 
 #include "base/Clock.h"
+#include "base/LifecycleSignals.h"
 #include "base/Random.h"
+#include "config/SettingsFile.h"
 #include "core/CrashGuard.h"
 #include "core/EndpointHealth.h"
 #include "core/Retry.h"
@@ -11,8 +13,10 @@
 #include "daemon/ConfigurationService.h"
 #include "daemon/FleetServices.h"
 #include "daemon/RequestProxy.h"
+#include "net/AddressBinder.h"
 #include "net/CallerServer.h"
 #include "net/EndpointClient.h"
+#include "net/EventCallback.h"
 #include "net/EventPriority.h"
 #include "net/HttpClient.h"
 #include "net/HttpLogClient.h"
@@ -48,11 +52,6 @@
     // keys.
     constexpr Millis claimFlushTimeout { 5'000 };
 
-    struct EventDeleter {
-        void operator()(event* pointer) const noexcept { event_free(pointer); }
-    };
-    using EventPointer = std::unique_ptr<event, EventDeleter>;
-
     RequestProxyOptions proxyOptions(const DaemonSettings& settings)
     {
         return { .maxBodyBytes = settings.callers.maxBodyBytes,
@@ -111,8 +110,10 @@
     CallerServer callerServer;
     std::unique_ptr<AdminServer> adminServer;
     FleetServices fleetServices;
+    AddressBinder addressBinder;
     EventPointer tickTimer;
-    std::array<EventPointer, 2> signalEvents;
+    std::array<EventPointer, 3> signalEvents;
+    std::string settingsPath;
     Phase phase { Phase::Running };
     Millis stopRequestedAt {};
     Millis leftAt {};
@@ -120,7 +121,8 @@
     Millis lastProcessCheckAt {};
     Millis idleSince {}; ///< When a stopping daemon found that its last request had ended; 0 before.
     std::uint64_t appliedConfigurationVersion { 0 };
-    bool isShutdownForced { false };
+    int exitCode { 0 };
+    bool isServing { false }; ///< All addresses are bound.
 
     State(const DaemonSettings& theSettings, std::function<const Configuration&()> theConfiguration)
         : settings(theSettings)
@@ -172,6 +174,7 @@
               .metrics = metrics,
               .configuration = [this]() -> const Configuration& { return currentConfiguration(); },
               .onSlotsChanged = [this] { proxy.dispatchQueuedRequests(); } })
+        , addressBinder(*base, clock)
     {
         tickTimer.reset(event_new(base.get(), -1, EV_PERSIST, onTick, this));
         event_add(tickTimer.get(), &tickInterval);
@@ -207,16 +210,39 @@
 
     void watchSignals()
     {
-        constexpr std::array<int, 2> signalNumbers { SIGTERM, SIGINT };
-        for (std::size_t i = 0; i < signalNumbers.size(); ++i) {
-            signalEvents[i].reset(evsignal_new(base.get(), signalNumbers[i], onSignal, this));
-            event_add(signalEvents[i].get(), nullptr);
-        }
+        auto watch = [this](std::size_t index, int signalNumber, event_callback_fn handler) {
+            signalEvents[index].reset(evsignal_new(base.get(), signalNumber, handler, this));
+            event_add(signalEvents[index].get(), nullptr);
+        };
+        auto onStop = [](evutil_socket_t, short, void* argument) { static_cast<State*>(argument)->stop(); };
+        watch(0, SIGTERM, onStop);
+        watch(1, SIGINT, onStop);
+        watch(
+            2, SIGHUP, [](evutil_socket_t, short, void* argument) { static_cast<State*>(argument)->reloadSettings(); });
     }
 
-    static void onSignal(evutil_socket_t, short, void* argument) { static_cast<State*>(argument)->stop(); }
+    // Addresses and the parts built from the other settings stay as they were at the start.
+    void reloadSettings()
+    {
+        auto text = readFile(settingsPath);
+        auto parsed = parseDaemonSettings(text.value_or(""), settingsPath);
+        if (!parsed) {
+            logEvent(LogLevel::Error, "reload_failed", { { "message", parsed.error().message } });
+            return;
+        }
+        settings.logging = parsed.value().logging;
+        settings.shutdown = parsed.value().shutdown;
+        setLogLevel(parseLogLevel(settings.logging.level).value());
+        logEvent(LogLevel::Info, "settings_reloaded", { { "signalled", 1 } });
+    }
 
-    static void onTick(evutil_socket_t, short, void* argument) { static_cast<State*>(argument)->runTick(); }
+    // A step of the tick that fails must not keep a planned stop from ending.
+    static void onTick(evutil_socket_t, short, void* argument)
+    {
+        auto& state = *static_cast<State*>(argument);
+        runGuarded("tick", [&] { state.runTick(); });
+        runGuarded("tick_shutdown", [&] { state.advanceShutdown(state.clock.now()); });
+    }
 
     void applyCurrentConfiguration()
     {
@@ -234,8 +260,40 @@
         metrics.set(Gauge::Ready, {}, self.ready ? 1 : 0);
     }
 
+    [[nodiscard]] std::vector<AddressBinding> addressBindings()
+    {
+        return {
+            { .protocol = "tcp",
+                .address = settings.callers.address,
+                .bind = [this] { return callerServer.listen(); } },
+            { .protocol = "tcp", .address = settings.admin.address, .bind = [this] { return startAdmin(); } },
+            { .protocol = "tcp", .address = settings.peers.address, .bind = [this] { return fleetServices.start(); } }
+        };
+    }
+
+    void onAddressesBound(const Result<void>& result)
+    {
+        if (!result) {
+            logEvent(LogLevel::Error, "start_failed", { { "message", result.error().message } });
+            exitCode = 1;
+            event_base_loopbreak(base.get());
+            return;
+        }
+        isServing = true;
+        if (!configuration) {
+            configurationService.start();
+            claims.start();
+        }
+        applyCurrentConfiguration();
+        updateReadiness();
+        endStartStep(StartStep::Addresses);
+        logStarted({ { "daemon", settings.daemon.id.value }, { "callers", settings.callers.address } });
+    }
+
     void runTick()
     {
+        if (!isServing)
+            return;
         Millis now = clock.now();
         if (!configuration) {
             configurationService.tick();
@@ -254,14 +312,16 @@
             lastTraceFlushAt = now;
             tracer.flush();
         }
-        advanceShutdown(now);
+        metrics.add(Counter::CallbackFailures, {}, static_cast<double>(takeCallbackFailures()));
     }
 
     void stop()
     {
+        if (phase != Phase::Running && !isServing)
+            return; // The loop ends already.
         if (phase != Phase::Running) {
             logEvent(LogLevel::Warning, "shutdown_forced", { { "in_progress", proxy.activeRequestCount() } });
-            isShutdownForced = true;
+            exitCode = 1;
             event_base_loopbreak(base.get());
             return;
         }
@@ -271,6 +331,10 @@
         updateReadiness();
         callerServer.disableKeepAlive();
         logEvent(LogLevel::Info, "shutdown_started", { { "in_progress", proxy.activeRequestCount() } });
+        if (isServing)
+            return;
+        logEvent(LogLevel::Info, "shutdown_finished", { { "took_ms", 0 } });
+        event_base_loopbreak(base.get());
     }
 
     void advanceShutdown(Millis now)
@@ -309,51 +373,48 @@
 
 Result<void> Daemon::start()
 {
-    auto listening = m_state->callerServer.listen();
-    if (!listening)
-        return listening.error();
-    if (auto started = m_state->startAdmin(); !started)
-        return started.error();
-    if (auto servicesStarted = m_state->fleetServices.start(); !servicesStarted)
-        return servicesStarted.error();
-    if (!m_state->configuration) {
-        m_state->configurationService.start();
-        m_state->claims.start();
-    }
-    m_state->applyCurrentConfiguration();
-    m_state->updateReadiness();
-    return ok();
+    State& state = *m_state;
+    return state.addressBinder.start(
+        state.addressBindings(), [&state](const Result<void>& result) { state.onAddressesBound(result); });
 }
 
 int Daemon::run()
 {
     event_base_dispatch(m_state->base.get());
     m_state->tracer.flush();
-    return m_state->isShutdownForced ? 1 : 0;
+    return m_state->exitCode;
 }
 
-void Daemon::watchSignals() { m_state->watchSignals(); }
+void Daemon::watchSignals(std::string settingsPath)
+{
+    m_state->settingsPath = std::move(settingsPath);
+    m_state->watchSignals();
+}
 
 void Daemon::stop() { m_state->stop(); }
 
+bool Daemon::isServing() const noexcept { return m_state->isServing; }
+
 std::uint16_t Daemon::callerPort() const noexcept { return m_state->callerServer.port(); }
 
-int runDaemon(const DaemonSettings& settings)
+int runDaemon(const DaemonSettings& settings, std::string settingsPath)
 {
     std::signal(SIGPIPE, SIG_IGN);
+    replaceDefaultSignalActions();
     setLogLevel(parseLogLevel(settings.logging.level).value());
     Daemon daemon(settings);
     endStartStep(StartStep::Construction);
+    daemon.watchSignals(std::move(settingsPath));
+    unblockLifecycleSignals();
     auto started = daemon.start();
     if (!started) {
         logEvent(LogLevel::Error, "start_failed", { { "message", started.error().message } });
         return logExit(1, "start_failed");
     }
-    endStartStep(StartStep::Addresses);
-    daemon.watchSignals();
-    logStarted({ { "daemon", settings.daemon.id.value }, { "callers", settings.callers.address } });
     int code = daemon.run();
-    return logExit(code, code == 0 ? "stopped" : "shutdown_forced");
+    if (code == 0)
+        return logExit(0, "stopped");
+    return logExit(code, daemon.isServing() ? "shutdown_forced" : "start_failed");
 }
 
 }
--- a/src/net/NngTransport.cpp
+++ b/src/net/NngTransport.cpp
@@ -1,9 +1,12 @@
 #include "net/NngTransport.h"
 
+#include "net/AddressBinder.h"
+#include "net/EventCallback.h"
 #include "net/PeerCodec.h"
 
 #include <algorithm>
 #include <arpa/inet.h>
+#include <cerrno>
 #include <event2/event.h>
 #include <map>
 #include <nng/nng.h>
@@ -32,8 +35,23 @@
         std::thread([socket] { nng_close(socket); }).detach();
     }
 
+    // Of nng's codes only those that may pass have an errno.
+    int systemErrorOf(int errorCode)
+    {
+        switch (errorCode) {
+        case NNG_EADDRINUSE:
+            return EADDRINUSE;
+        case NNG_EADDRINVAL:
+            return EADDRNOTAVAIL;
+        default:
+            return 0;
+        }
+    }
+
     Error listenError(std::string_view address, int errorCode)
     {
+        if (int systemError = systemErrorOf(errorCode); systemError != 0)
+            return bindError("tcp", address, systemError);
         return { .kind = ErrorKind::SettingsInvalid,
             .message = "cannot listen for peers on " + std::string(address) + ": " + nng_strerror(errorCode) };
     }
@@ -89,7 +107,7 @@
             ++counters.messagesReceived;
             counters.bytesReceived += bytes.size() + framingBytes;
             if (handler)
-                handler(bytes);
+                runGuarded("peer_message", [&] { handler(bytes); });
             nng_msg_free(message);
         }
     }
@@ -156,7 +174,9 @@
     std::unique_ptr<NngTransport> transport(new NngTransport(std::move(state)));
     transport->m_state->cleanupTimer = event_new(
         &base, -1, EV_PERSIST,
-        [](evutil_socket_t, short, void* argument) { static_cast<NngTransport*>(argument)->closeUnusedConnections(); },
+        [](evutil_socket_t, short, void* argument) {
+            runGuarded("peer_cleanup", [argument] { static_cast<NngTransport*>(argument)->closeUnusedConnections(); });
+        },
         transport.get());
     timeval interval { .tv_sec = 1, .tv_usec = 0 };
     event_add(transport->m_state->cleanupTimer, &interval);
--- a/src/router/RouterDaemon.cpp
+++ b/src/router/RouterDaemon.cpp
@@ -1,9 +1,13 @@
 #include "router/RouterDaemon.h"
 
 #include "base/Hash.h"
+#include "base/LifecycleSignals.h"
+#include "config/SettingsFile.h"
 #include "net/AcceptPolicy.h"
+#include "net/AddressBinder.h"
 #include "net/CallerServer.h"
 #include "net/EndpointClient.h"
+#include "net/EventCallback.h"
 #include "net/EventPriority.h"
 #include "net/SimpleHttpServer.h"
 #include "net/UdpTransport.h"
@@ -25,9 +29,8 @@
 #include <array>
 #include <csignal>
 #include <event2/event.h>
-#include <fstream>
 #include <malloc.h>
-#include <sstream>
+#include <set>
 #include <sys/stat.h>
 #include <unistd.h>
 #include <utility>
@@ -131,15 +134,6 @@
     // the allocator raises the size with the buffers that are freed, and gaps between large ones stay in memory.
     constexpr int largeBufferBytes = 128 << 10;
 
-    std::optional<std::string> readFile(const std::string& path)
-    {
-        std::ifstream file(path);
-        std::ostringstream text;
-        if (!(text << file.rdbuf()))
-            return std::nullopt;
-        return text.str();
-    }
-
 }
 
 struct RouterDaemon::State final : DeploymentListener {
@@ -167,10 +161,13 @@
     std::vector<std::unique_ptr<SimpleHttpServer>> statusServers; ///< One for each address.
     EventPointer tickTimer;
     LoopMonitor loopMonitor;
+    AddressBinder addressBinder;
     std::array<EventPointer, 3> signalEvents;
     std::string settingsPath;
     std::int64_t settingsModifiedNs { 0 }; ///< Modification time of the file in nanoseconds; 0: not read yet.
     Phase phase { Phase::Running };
+    bool isServing { false }; ///< All required addresses are bound.
+    int exitCode { 0 };
     bool hasRegistrations { false };
     bool wasReady { false };
     Millis stopRequestTime {};
@@ -244,6 +241,7 @@
                   .minDaemonsForCoordinators = settings.coordination.fromDaemons })
         , tickTimer(event_new(base.get(), -1, EV_PERSIST, onTick, this))
         , loopMonitor(*base, clock)
+        , addressBinder(*base, clock)
     {
         setEventPriority(*tickTimer, EventPriority::Control);
         timeval interval = toTimeval(tickInterval);
@@ -269,10 +267,13 @@
             .hasDocuments = address == settings.peers.address,
         };
         auto respond = [this, content](std::string_view target) { return statusResponse(content, target); };
-        statusServers.push_back(std::make_unique<SimpleHttpServer>(*base, respond,
+        auto server = std::make_unique<SimpleHttpServer>(*base, respond,
             SimpleHttpServerOptions {
-                .maxConnections = maxStatusConnections(settings), .maxTotalBytes = maxTotalBodyBytes(settings) / 4 }));
-        return statusServers.back()->listen(address);
+                .maxConnections = maxStatusConnections(settings), .maxTotalBytes = maxTotalBodyBytes(settings) / 4 });
+        auto listening = server->listen(address);
+        if (listening)
+            statusServers.push_back(std::move(server));
+        return listening;
     }
 
     SimpleHttpResponse statusResponse(const StatusContent& content, std::string_view target)
@@ -421,10 +422,60 @@
                 { "longest_unread_ms", counts.longestUnread.count }, { "lag_ms", loopMonitor.lag().count } });
     }
 
-    static void onTick(evutil_socket_t, short, void* self) { static_cast<State*>(self)->tick(); }
+    // A step of the tick that fails must not keep a planned stop from ending.
+    static void onTick(evutil_socket_t, short, void* self)
+    {
+        auto& state = *static_cast<State*>(self);
+        runGuarded("tick", [&] { state.tick(); });
+        runGuarded("tick_shutdown", [&] { state.advanceShutdown(state.clock.now()); });
+    }
+
+    [[nodiscard]] std::vector<AddressBinding> addressBindings()
+    {
+        const std::string& metricsAddress = settings.health.metricsAddress;
+        std::vector<AddressBinding> bindings { { .protocol = "udp", .address = settings.peers.address, .bind = [this] {
+                                                    return peerTransport.bind(settings.peers.address);
+                                                } } };
+        for (const std::string& address :
+            std::set<std::string> { settings.peers.address, settings.health.address, metricsAddress }) {
+            if (address.empty())
+                continue;
+            bool isRequired = address == settings.peers.address || address == settings.health.address;
+            bindings.push_back({ .protocol = "tcp",
+                .address = address,
+                .bind = [this, address] { return listenForStatus(address); },
+                .isRequired = isRequired });
+        }
+        bindings.push_back({ .protocol = "tcp", .address = settings.callers.address, .bind = [this] {
+                                return callerServer.listen();
+                            } });
+        return bindings;
+    }
+
+    void onAddressesBound(const Result<void>& result)
+    {
+        if (!result) {
+            logEvent(LogLevel::Error, "start_failed", { { "message", result.error().message } });
+            exitCode = 1;
+            end();
+            return;
+        }
+        isServing = true;
+        fleetSync.start();
+        source->start(*this);
+        endStartStep(StartStep::Addresses);
+        logStarted({ { "daemon", settings.daemon.id.value }, { "availability_zone", settings.daemon.availabilityZone },
+            { "callers", settings.callers.address }, { "store", settings.store.address },
+            { "processor_share", settings.daemon.cpuCores }, { "memory_mb", settings.daemon.memoryMb },
+            { "max_descriptors", settings.daemon.maxDescriptors } });
+    }
 
     void tick()
     {
+        if (!isServing) {
+            flushLog();
+            return;
+        }
         Millis now = clock.now();
         updateLag();
         updateConfigurationCurrent(now);
@@ -447,9 +498,9 @@
             metrics.set(Gauge::ConfigurationAge, {}, (now - source->configurationConfirmedAt()).seconds());
             reportCallerConnections();
             processMonitor.update(now, callerServer.heldResources());
+            metrics.add(Counter::CallbackFailures, {}, static_cast<double>(takeCallbackFailures()));
             reloadSettingsIfRequired(false);
         }
-        advanceShutdown(now);
     }
 
     void stop()
@@ -463,6 +514,16 @@
         logEvent(LogLevel::Info, "shutdown_started",
             { { "in_progress", router.activeCount() }, { "connections", callerServer.connectionCount() } });
         updateReadiness();
+        if (isServing)
+            return;
+        logEvent(LogLevel::Info, "shutdown_finished", { { "took_ms", 0 }, { "in_progress", router.activeCount() } });
+        end();
+    }
+
+    void end()
+    {
+        phase = Phase::Ended;
+        event_base_loopbreak(base.get());
     }
 
     void advanceShutdown(Millis now)
@@ -482,11 +543,10 @@
         bool isComplete = elapsed >= acceptanceTime && router.activeCount() == 0 && callerServer.connectionCount() == 0;
         if (!isComplete && elapsed < exitTime)
             return;
-        phase = Phase::Ended;
         fleetSync.announceLeave();
         logEvent(LogLevel::Info, "shutdown_finished",
             { { "took_ms", elapsed.count }, { "in_progress", router.activeCount() } });
-        event_base_loopbreak(base.get());
+        end();
     }
 
     // Reloads the settings after SIGHUP or a change of the file; the first call only records the file's modification
@@ -546,23 +606,11 @@
 {
     State& state = *m_state;
     mallopt(M_MMAP_THRESHOLD, largeBufferBytes);
-    if (auto bound = state.peerTransport.bind(state.settings.peers.address); !bound)
-        return bound.error();
-    for (const std::string& address :
-        { state.settings.peers.address, state.settings.health.address, state.settings.health.metricsAddress }) {
-        if (address.empty())
-            continue;
-        if (auto bound = state.listenForStatus(address); !bound)
-            return bound.error();
-    }
-    if (auto listening = state.callerServer.listen(); !listening)
-        return listening.error();
-    state.fleetSync.start();
-    state.source->start(state);
-    return ok();
+    return state.addressBinder.start(
+        state.addressBindings(), [&state](const Result<void>& result) { state.onAddressesBound(result); });
 }
 
-void RouterDaemon::run()
+int RouterDaemon::run()
 {
     State& state = *m_state;
     while (state.phase != State::Phase::Ended) {
@@ -573,6 +621,7 @@
             event_base_loop(state.base.get(), EVLOOP_ONCE);
     }
     flushLog();
+    return state.exitCode;
 }
 
 void RouterDaemon::watchSignals(std::string settingsPath)
@@ -588,21 +637,18 @@
 int runRouter(const RouterSettings& settings, DeploymentAdapter adapter, std::string settingsPath)
 {
     std::signal(SIGPIPE, SIG_IGN);
+    replaceDefaultSignalActions();
     setLogLevel(parseLogLevel(settings.logging.level).value());
     RouterDaemon daemon(settings, std::move(adapter));
     endStartStep(StartStep::Construction);
+    daemon.watchSignals(std::move(settingsPath));
+    unblockLifecycleSignals();
     if (auto started = daemon.start(); !started) {
         logEvent(LogLevel::Error, "start_failed", { { "message", started.error().message } });
         return logExit(1, "start_failed");
     }
-    endStartStep(StartStep::Addresses);
-    daemon.watchSignals(std::move(settingsPath));
-    logStarted({ { "daemon", settings.daemon.id.value }, { "availability_zone", settings.daemon.availabilityZone },
-        { "callers", settings.callers.address }, { "store", settings.store.address },
-        { "processor_share", settings.daemon.cpuCores }, { "memory_mb", settings.daemon.memoryMb },
-        { "max_descriptors", settings.daemon.maxDescriptors } });
-    daemon.run();
-    return logExit(0, "stopped");
+    int code = daemon.run();
+    return logExit(code, code == 0 ? "stopped" : "start_failed");
 }
 
 }
