--- a/bench/soak/soak.py
+++ b/bench/soak/soak.py
@@ -480,7 +480,8 @@
         if print_counts:
             print("  " + text)
         logs = {router.name: router for router in self.routers}
-        for violation in self.violations[:20]:
+        often = collections.Counter((violation.rule, violation.text) for violation in self.violations)
+        for violation in sorted(self.violations, key=lambda item: often[item.rule, item.text])[:20]:
             print(f"VIOLATION {violation.rule} seed={self.seed} time={violation.at:.3f} request={violation.attempt} "
                   f"router={violation.router}: {violation.text}")
             if violation.router in logs:
