--- a/bench/lifecycle/test_ends.py
+++ b/bench/lifecycle/test_ends.py
@@ -1,8 +1,11 @@
 """Checks with real processes that each end of a router or daemon leaves a log line that tells its cause."""
 
+import contextlib
 import json
 import os
 import pathlib
+import resource
+import shlex
 import signal
 import socket
 import subprocess
@@ -10,11 +13,14 @@
 import tempfile
 import time
 import unittest
+import urllib.request
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent.parent
 BINARY = pathlib.Path(os.environ.get("JASMINESTACK_BINARY", ROOT / "build/release/jasminestack"))
 START_S = 10.0
 END_S = 10.0
+CLOCK_TICK_MS = 10
+LOG_LIMIT = 60  # Bytes, less than the line of the start.
 ENVIRONMENT = {**os.environ, "JASMINESTACK_OPERATOR_TOKEN": "test-token-0123456789abcdef",
                "JASMINESTACK_FLEET_KEY": "test-key-0123456789abcdef0123456789abcdef"}
 
@@ -47,6 +53,10 @@
             "shutdown": {"balancerGraceMs": 0, "drainMs": 1000}}
 
 
+def fields_of(line):
+    return dict(word.split("=", 1) for word in shlex.split(line))
+
+
 class Process:
     """A router or daemon whose output goes to a file."""
 
@@ -68,6 +78,10 @@
             time.sleep(0.01)
         return text in self.log()
 
+    def cpu_seconds(self):
+        fields = pathlib.Path(f"/proc/{self.process.pid}/stat").read_text().rsplit(")", 1)[1].split()
+        return (int(fields[11]) + int(fields[12])) / os.sysconf("SC_CLK_TCK")
+
     def send(self, number):
         self.process.send_signal(number)
 
@@ -149,6 +163,127 @@
                 self.assertEqual(process.end(), 1)
                 self.assertIn("level=error event=process_exit code=1 reason=settings_unreadable", process.last_line())
 
+    # Guards against a log whose file is at its size limit and takes the process with it (SIGXFSZ), and against lines
+    # that stay lost when the file has room again.
+    def test_log_file_at_its_size_limit(self):
+        for role in ("router", "daemon"):
+            with self.subTest(role=role):
+                hard = resource.getrlimit(resource.RLIMIT_FSIZE)[1]
+                limit = LOG_LIMIT
+                process = self.start(role, preexec_fn=lambda: resource.setrlimit(resource.RLIMIT_FSIZE, (limit, hard)))
+                time.sleep(1.0)
+                self.assertIsNone(process.process.poll())
+                self.assertEqual(len(process.log()), limit)
+                cpu_before = process.cpu_seconds()
+                time.sleep(1.0)
+                self.assertLess(process.cpu_seconds() - cpu_before, 0.2)
+                resource.prlimit(process.process.pid, resource.RLIMIT_FSIZE, (hard, hard))
+                process.send(signal.SIGTERM)
+                self.assertEqual(process.end(), 0)
+                lines = process.log().splitlines()
+                self.assertTrue(all(line.startswith("time=") and " event=" in line for line in lines), lines)
+                self.assertEqual(sum(" event=started " in line for line in lines), 1)
+                self.assertIn("event=process_exit code=0", lines[-1])
+
+    # Guards against signals without a meaning here that end the process.
+    def test_ignored_signals(self):
+        for role in ("router", "daemon"):
+            for number in (signal.SIGUSR1, signal.SIGUSR2, signal.SIGXFSZ, signal.SIGPIPE):
+                with self.subTest(role=role, signal=number.name):
+                    process = self.started(role)
+                    process.send(number)
+                    time.sleep(0.1)
+                    process.send(signal.SIGTERM)
+                    self.assertEqual(process.end(), 0)
+                    self.assertIn("event=process_exit code=0", process.last_line())
+
+    # Guards against a start that ends before "started" without telling which process it was and how far it came.
+    def test_steps_of_a_start(self):
+        for role in ("router", "daemon"):
+            with self.subTest(role=role):
+                process = self.started(role)
+                lines = process.log().splitlines()
+                first = fields_of(lines[0])
+                self.assertEqual(first["event"], "starting")
+                self.assertEqual(int(first["pid"]), process.process.pid)
+                self.assertEqual(first["settings"], str(pathlib.Path(self.folder) / "settings.json"))
+                self.assertEqual(int(first["descriptor_limit"]), resource.getrlimit(resource.RLIMIT_NOFILE)[0])
+                self.assertLess(int(first["since_exec_ms"]), 1000 * START_S)
+                started = fields_of(next(line for line in lines if " event=started " in line))
+                steps = sum(int(started[key]) for key in ("settings_ms", "construction_ms", "addresses_ms"))
+                self.assertLessEqual(steps, int(started["since_exec_ms"]) + CLOCK_TICK_MS)
+                self.assertLessEqual(int(first["since_exec_ms"]), int(started["since_exec_ms"]))
+
+    # Guards against an address that is taken, whose line cannot be told from a process that was killed in its start.
+    def test_start_with_a_taken_address(self):
+        ports = free_ports(5)
+        with socket.socket() as taken:
+            taken.bind(("127.0.0.1", ports[0]))
+            taken.listen()
+            process = self.start(settings=router_settings(ports))
+            self.assertEqual(process.end(), 1)
+        self.assertIn(" event=starting ", process.log().splitlines()[0])
+        self.assertIn("event=process_exit code=1 reason=start_failed", process.last_line())
+
+    # Guards against a process that is killed for its memory and whose log says nothing of it.
+    def test_high_memory(self):
+        ports = free_ports(5)
+        process = self.start(settings=router_settings(ports, memoryMb=8))
+        self.assertTrue(process.wait_for("event=memory_high "), process.log())
+        process.send(signal.SIGKILL)
+        self.assertEqual(process.end(), -signal.SIGKILL)
+        line = fields_of(process.last_line())
+        self.assertEqual(line["event"], "memory_high")
+        self.assertEqual(int(line["limit_bytes"]), 8_000_000)
+        self.assertGreater(int(line["resident_bytes"]), 6_400_000)
+        for key in ("request_bytes", "unread_response_bytes", "connections"):
+            self.assertEqual(int(line[key]), 0)
+
+    # Guards against descriptors that run out without a line.
+    def test_high_descriptors(self):
+        ports = free_ports(5)
+        process = self.start(settings=router_settings(ports, maxDescriptors=256),
+                             preexec_fn=lambda: resource.setrlimit(resource.RLIMIT_NOFILE, (200, 200)))
+        self.assertTrue(process.wait_for("event=started "))
+        with contextlib.ExitStack() as connections:
+            for port, count in ((ports[0], 150), (ports[1], 10)):
+                for _ in range(count):
+                    connections.enter_context(socket.create_connection(("127.0.0.1", port)))
+            self.assertTrue(process.wait_for("event=descriptors_high "), process.log())
+        line = fields_of(next(line for line in process.log().splitlines() if " event=descriptors_high " in line))
+        self.assertEqual(int(line["limit"]), 200)
+        self.assertGreaterEqual(int(line["descriptors"]), 160)
+
+    # Guards against metrics of the process that are missing or in another unit.
+    def test_metrics(self):
+        for role in ("router", "daemon"):
+            with self.subTest(role=role):
+                ports = free_ports(5)
+                settings = router_settings(ports) if role == "router" else daemon_settings(ports)
+                process = self.start(role, settings)
+                self.assertTrue(process.wait_for("event=started "))
+                time.sleep(1.5)
+                port = ports[2] if role == "router" else ports[3]
+                with urllib.request.urlopen(f"http://127.0.0.1:{port}/metrics", timeout=5) as answer:
+                    lines = [line.split() for line in answer.read().decode().splitlines() if not line.startswith("#")]
+                metrics = {words[0]: float(words[1]) for words in lines if len(words) == 2}
+                resident = int(pathlib.Path(f"/proc/{process.process.pid}/statm").read_text().split()[1])
+                self.assertAlmostEqual(metrics["process_resident_memory_bytes"] / (resident * resource.getpagesize()), 1,
+                                       delta=0.2)
+                open_fds = len(os.listdir(f"/proc/{process.process.pid}/fd"))
+                self.assertAlmostEqual(metrics["process_open_fds"], open_fds, delta=3)
+                self.assertEqual(metrics["process_max_fds"], resource.getrlimit(resource.RLIMIT_NOFILE)[0])
+                self.assertAlmostEqual(metrics["process_start_time_seconds"], time.time() - 2, delta=2)
+                self.assertLess(metrics["process_cpu_seconds_total"], 2)
+                self.assertGreater(metrics["process_cpu_seconds_total"], 0)
+                self.assertEqual(metrics["jasminestack_request_bytes"], 0)
+                self.assertEqual(metrics["jasminestack_unread_response_bytes"], 0)
+                self.assertEqual(metrics["jasminestack_open_caller_connections"], 0)
+                if role == "router":
+                    self.assertEqual(metrics["jasminestack_memory_limit_bytes"], 260e6)
+                    self.assertEqual(metrics["jasminestack_descriptor_limit"], 1024)
+                    self.assertEqual(metrics["jasminestack_request_limit_bytes"], 130e6)
+
 
 if __name__ == "__main__":
     if not BINARY.exists():
--- a/src/cli/CheckCommand.cpp
+++ b/src/cli/CheckCommand.cpp
@@ -6,6 +6,7 @@
 #include "daemon/Daemon.h"
 #include "observe/Logging.h"
 #include "observe/ProcessEnd.h"
+#include "observe/ProcessStart.h"
 
 #include <absl/flags/flag.h>
 #include <iostream>
@@ -47,6 +48,7 @@
     }
     startLogging(LogLevel::Info);
     observeProcessEnd();
+    logStarting(path);
     const SettingsText file = awaitSettingsText(path, std::cerr);
     if (file.isStopRequested)
         return logExit(exit_code::success, "stopped");
@@ -59,6 +61,7 @@
         std::cerr << settings.error().message << "\n";
         return logExit(exit_code::invalidInput, "settings_invalid", settings.error().message);
     }
+    endStartStep(StartStep::Settings);
     return runDaemon(settings.value(), path);
 }
 
--- a/src/cli/RouterCommand.cpp
+++ b/src/cli/RouterCommand.cpp
@@ -4,6 +4,7 @@
 #include "config/SettingsFile.h"
 #include "observe/Logging.h"
 #include "observe/ProcessEnd.h"
+#include "observe/ProcessStart.h"
 #include "platform/PlatformAdapter.h"
 
 #include <absl/flags/flag.h>
@@ -20,6 +21,7 @@
     }
     startBufferedLogging(LogLevel::Info);
     observeProcessEnd();
+    logStarting(path);
     const SettingsText file = awaitSettingsText(path, std::cerr);
     if (file.isStopRequested)
         return logExit(exit_code::success, "stopped");
@@ -32,6 +34,7 @@
         std::cerr << settings.error().message << "\n";
         return logExit(exit_code::invalidInput, "settings_invalid", settings.error().message);
     }
+    endStartStep(StartStep::Settings);
     return runRouter(settings.value(), platform::makePlatformAdapter(), path);
 }
 
--- a/src/router/RouterDaemon.cpp
+++ b/src/router/RouterDaemon.cpp
@@ -13,6 +13,8 @@
 #include "observe/Logging.h"
 #include "observe/Metrics.h"
 #include "observe/ProcessEnd.h"
+#include "observe/ProcessMonitor.h"
+#include "observe/ProcessStart.h"
 #include "router/DeploymentSource.h"
 #include "router/DocumentsRequest.h"
 #include "router/FleetSync.h"
@@ -121,6 +123,12 @@
         return memoryBytes / 2;
     }
 
+    ProcessLimits processLimits(const RouterSettings& settings)
+    {
+        constexpr std::size_t bytesPerMb = 1'000'000;
+        return { .memoryBytes = settings.daemon.memoryMb * bytesPerMb, .descriptors = settings.daemon.maxDescriptors };
+    }
+
     // Buffers from this size on are mapped one by one, so that their memory goes back to the system at once. Otherwise
     // the allocator raises the size with the buffers that are freed, and gaps between large ones stay in memory.
     constexpr int largeBufferBytes = 128 << 10;
@@ -138,6 +146,7 @@
     HttpClient http;
     std::unique_ptr<DeploymentSource> source;
     Metrics metrics;
+    ProcessMonitor processMonitor;
     RouterBlackboard board;
     DaemonInstanceId instanceId; ///< Of this process.
     EndpointClient endpointClient;
@@ -171,6 +180,7 @@
         , base(makePrioritizedEventBase())
         , http(*base)
         , source(adapter.source(*base, http, clock, settings))
+        , processMonitor(metrics, processLimits(settings))
         , instanceId(hash64(settings.daemon.id.value, systemSeed()))
         , endpointClient(
               *base, clock, { .maxIdleTime = endpointIdleTimeout, .maxIdleConnectionsPerAddress = maxIdlePerEndpoint })
@@ -443,9 +453,11 @@
         isServing = true;
         fleetSync.start();
         source->start(*this);
-        logEvent(LogLevel::Info, "started",
-            { { "daemon", settings.daemon.id.value }, { "availability_zone", settings.daemon.availabilityZone },
-                { "callers", settings.callers.address }, { "store", settings.store.address } });
+        endStartStep(StartStep::Addresses);
+        logStarted({ { "daemon", settings.daemon.id.value }, { "availability_zone", settings.daemon.availabilityZone },
+            { "callers", settings.callers.address }, { "store", settings.store.address },
+            { "processor_share", settings.daemon.cpuCores }, { "memory_mb", settings.daemon.memoryMb },
+            { "max_descriptors", settings.daemon.maxDescriptors } });
     }
 
     void tick()
@@ -475,6 +487,7 @@
             metrics.set(Gauge::MembersAlive, {}, static_cast<double>(fleetSync.livePeerCount() + 1));
             metrics.set(Gauge::ConfigurationAge, {}, (now - source->configurationConfirmedAt()).seconds());
             reportCallerConnections();
+            processMonitor.update(now, callerServer.heldResources());
             reloadSettingsIfRequired(false);
         }
         advanceShutdown(now);
@@ -617,6 +630,7 @@
     replaceDefaultSignalActions();
     setLogLevel(parseLogLevel(settings.logging.level).value());
     RouterDaemon daemon(settings, std::move(adapter));
+    endStartStep(StartStep::Construction);
     daemon.watchSignals(std::move(settingsPath));
     unblockLifecycleSignals();
     if (auto started = daemon.start(); !started) {
