--- a/src/router/RouterDaemon.cpp
+++ b/src/router/RouterDaemon.cpp
@@ -7,6 +7,7 @@
 #include "net/AddressBinder.h"
 #include "net/CallerServer.h"
 #include "net/EndpointClient.h"
+#include "net/EventCallback.h"
 #include "net/EventPriority.h"
 #include "net/SimpleHttpServer.h"
 #include "net/UdpTransport.h"
@@ -266,10 +267,13 @@
             .hasDocuments = address == settings.peers.address,
         };
         auto respond = [this, content](std::string_view target) { return statusResponse(content, target); };
-        statusServers.push_back(std::make_unique<SimpleHttpServer>(*base, respond,
+        auto server = std::make_unique<SimpleHttpServer>(*base, respond,
             SimpleHttpServerOptions {
-                .maxConnections = maxStatusConnections(settings), .maxTotalBytes = maxTotalBodyBytes(settings) / 4 }));
-        return statusServers.back()->listen(address);
+                .maxConnections = maxStatusConnections(settings), .maxTotalBytes = maxTotalBodyBytes(settings) / 4 });
+        auto listening = server->listen(address);
+        if (listening)
+            statusServers.push_back(std::move(server));
+        return listening;
     }
 
     SimpleHttpResponse statusResponse(const StatusContent& content, std::string_view target)
@@ -418,7 +422,13 @@
                 { "longest_unread_ms", counts.longestUnread.count }, { "lag_ms", loopMonitor.lag().count } });
     }
 
-    static void onTick(evutil_socket_t, short, void* self) { static_cast<State*>(self)->tick(); }
+    // A step of the tick that fails must not keep a planned stop from ending.
+    static void onTick(evutil_socket_t, short, void* self)
+    {
+        auto& state = *static_cast<State*>(self);
+        runGuarded("tick", [&] { state.tick(); });
+        runGuarded("tick_shutdown", [&] { state.advanceShutdown(state.clock.now()); });
+    }
 
     [[nodiscard]] std::vector<AddressBinding> addressBindings()
     {
@@ -488,9 +498,9 @@
             metrics.set(Gauge::ConfigurationAge, {}, (now - source->configurationConfirmedAt()).seconds());
             reportCallerConnections();
             processMonitor.update(now, callerServer.heldResources());
+            metrics.add(Counter::CallbackFailures, {}, static_cast<double>(takeCallbackFailures()));
             reloadSettingsIfRequired(false);
         }
-        advanceShutdown(now);
     }
 
     void stop()
