Keep descriptors for the store, status addresses and files

2,300 callers with long streams took all 4,100 descriptors of a router: readiness was not answered and accept() failed more than 100,000 times a second with a log line each.

Callers may have 0.6 of the descriptors, and nothing bounded connections to endpoints. Both now share what is left without 200 descriptors for files, 64 for the store, peers and listeners, and those of the status addresses. At three quarters of it, the connection that has been idle for longest is closed for a new one to an endpoint; if there is none, the request is refused as not run (503, Retry-After, no_descriptor) without blame for the endpoint. The last quarter is left to callers, so that they get that answer. After EMFILE or ENFILE no connection is accepted for 100 ms, and a line a second is logged. All servers on CallerServer have the pause, also readiness, metrics and documents.

--- a/src/net/CallerServer.cpp
+++ b/src/net/CallerServer.cpp
@@ -44,6 +44,10 @@
 
     constexpr Millis dropLogInterval { 1'000 };
 
+    // Without descriptors no connection is accepted for this long. The listener stays readable, so that the event loop
+    // would otherwise do nothing else.
+    constexpr Millis acceptPause { 100 };
+
     // At the limit of connections this fraction of them is closed if they are idle, so that the next ones find room
     // without another search.
     constexpr std::size_t idleCloseDivisor = 32;
@@ -104,6 +108,9 @@
     CallerServerOptions options;
     FileDescriptor listener;
     EventPointer acceptEvent;
+    EventPointer acceptPauseTimer;
+    Millis lastAcceptLogAt {};
+    std::uint64_t failedAccepts { 0 }; ///< Since the last log line.
     std::uint16_t port { 0 };
     bool closeAfterResponse { false };
     std::uint64_t droppedConnections { 0 }; ///< Connections closed at maxConnections since the last log line.
@@ -127,6 +134,7 @@
         : base(eventBase)
         , handler(callerHandler)
         , options(serverOptions)
+        , acceptPauseTimer(evtimer_new(&eventBase, onAcceptPauseEnd, this))
         , readNewEvent(event_new(&eventBase, -1, 0, onReadNew, this))
         , destroyClosedEvent(event_new(&eventBase, -1, 0, onDestroyClosed, this))
         , readBuffer(readBufferBytes)
@@ -137,6 +145,7 @@
     void close(Connection* connection);
     void logDroppedConnections();
     void accept(int count);
+    void handleAcceptError(int error);
     /// \returns Whether there is room for another connection, for which idle ones may be closed.
     bool makeRoom();
     void limitOutput();
@@ -148,6 +157,7 @@
         static_cast<State*>(argument)->closedConnections.clear();
     }
     static void onAccept(evutil_socket_t, short, void* argument);
+    static void onAcceptPauseEnd(evutil_socket_t, short, void* argument);
     static void onReadNew(evutil_socket_t, short, void* argument) { static_cast<State*>(argument)->readNewest(); }
 };
 
@@ -752,6 +762,8 @@
         event_active(destroyClosedEvent.get(), EV_TIMEOUT, 0);
     closedConnections.push_back(std::move(position->second));
     connections.erase(position);
+    if (options.budget)
+        options.budget->callers = connections.size();
 }
 
 void CallerServer::State::logDroppedConnections()
@@ -774,8 +786,7 @@
     for (int i = 0; i < count && listener.value() >= 0; ++i) {
         FileDescriptor socket(::accept4(listener.value(), nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC));
         if (socket.value() < 0) {
-            if (errno != EAGAIN && errno != EINTR && errno != ECONNABORTED)
-                logEvent(LogLevel::Error, "accept_failed", { { "errno", errno } });
+            handleAcceptError(errno);
             return;
         }
         if (!makeRoom()) {
@@ -788,6 +799,8 @@
         auto connection = std::make_unique<Connection>(*this, std::move(socket), ++lastNumber);
         Connection* connectionKey = connection.get();
         connections.emplace(connectionKey, std::move(connection));
+        if (options.budget)
+            options.budget->callers = connections.size();
         if (!isSaturated) {
             connectionKey->start();
             continue;
@@ -798,9 +811,35 @@
     }
 }
 
+void CallerServer::State::handleAcceptError(int error)
+{
+    if (error == EAGAIN || error == EINTR || error == ECONNABORTED)
+        return;
+    if (isOutOfDescriptors(error) && acceptEvent) {
+        event_del(acceptEvent.get());
+        timeval pause = toTimeval(acceptPause);
+        evtimer_add(acceptPauseTimer.get(), &pause);
+    }
+    ++failedAccepts;
+    Millis now = clock.now();
+    if (lastAcceptLogAt != Millis {} && now - lastAcceptLogAt < dropLogInterval)
+        return;
+    lastAcceptLogAt = now;
+    logEvent(LogLevel::Error, "accept_failed",
+        { { "errno", error }, { "failures", std::exchange(failedAccepts, 0) }, { "connections", connections.size() } });
+}
+
+void CallerServer::State::onAcceptPauseEnd(evutil_socket_t, short, void* argument)
+{
+    auto& state = *static_cast<State*>(argument);
+    if (state.acceptEvent)
+        event_add(state.acceptEvent.get(), nullptr);
+}
+
 bool CallerServer::State::makeRoom()
 {
-    if (options.maxConnections == 0 || connections.size() < options.maxConnections)
+    bool isWithinBudget = !options.budget || hasRoomForCaller(*options.budget);
+    if (isWithinBudget && (options.maxConnections == 0 || connections.size() < options.maxConnections))
         return true;
     if (options.closesOldestConnection) {
         auto isOlder = [](const auto& a, const auto& b) { return a.first->number() < b.first->number(); };
--- a/src/net/CallerServer.h
+++ b/src/net/CallerServer.h
@@ -2,6 +2,7 @@
 
 #include "base/Clock.h"
 #include "base/Result.h"
+#include "net/ConnectionBudget.h"
 #include "net/EventPriority.h"
 
 #include <cstddef>
@@ -106,6 +107,8 @@
     /// Of all requests that are being received or handled, their heads included; later ones are refused as not run.
     /// Requests with bodies of more than CallerServer::smallBodyBytes may use three quarters of it. 0: no limit.
     std::size_t maxTotalBodyBytes { 0 };
+    /// Shared with connections to endpoints; outlives the server. Its limit holds like maxConnections. Null: no limit.
+    ConnectionBudget* budget { nullptr };
 };
 
 /// \brief What became of callers' connections since the counts were last taken.
--- a/src/net/EndpointClient.cpp
+++ b/src/net/EndpointClient.cpp
@@ -78,6 +78,7 @@
         std::string address;
         Millis idleSince {};
         Millis idleTimeout {}; ///< Idle time after which the connection is closed.
+        ConnectionSlot slot;
         FileDescriptor socket;
         EventPointer idleReadEvent;
     };
@@ -87,6 +88,7 @@
         ExchangeId id { 0 };
         EndpointRequest request;
         EndpointListener* listener { nullptr };
+        ConnectionSlot slot;
         FileDescriptor socket;
         EventPointer readEvent;
         EventPointer writeEvent;
@@ -129,7 +131,8 @@
 
     [[nodiscard]] bool isInProgress(ExchangeId id) const { return exchanges.contains(id); }
 
-    FileDescriptor takeIdleConnection(const std::string& address, bool requiresFresh)
+    // Returns null if there is none.
+    std::unique_ptr<IdleConnection> takeIdleConnection(const std::string& address, bool requiresFresh)
     {
         // The most recently used connection is the least likely to have been closed by the endpoint.
         auto found = std::find_if(idleConnections.rbegin(), idleConnections.rend(),
@@ -141,13 +144,24 @@
             maxIdleTime = std::min(maxIdleTime, options.maxFreshIdleTime);
         if (clock.now() - (*found)->idleSince >= maxIdleTime)
             return {};
-        (*found)->idleReadEvent.reset();
-        FileDescriptor socket = std::move((*found)->socket);
+        std::unique_ptr<IdleConnection> connection = std::move(*found);
         idleConnections.erase(std::next(found).base());
-        return socket;
+        connection->idleReadEvent.reset();
+        return connection;
     }
 
-    void addIdleConnection(FileDescriptor socket, const std::string& address, Millis idleTimeout)
+    // Returns whether another connection may be opened, for which an idle one may be closed.
+    bool makeRoom()
+    {
+        if (!options.budget || hasRoomForEndpoint(*options.budget))
+            return true;
+        if (idleConnections.empty())
+            return false;
+        idleConnections.erase(idleConnections.begin());
+        return true;
+    }
+
+    void addIdleConnection(FileDescriptor socket, ConnectionSlot slot, const std::string& address, Millis idleTimeout)
     {
         auto sameAddressCount = std::count_if(idleConnections.begin(), idleConnections.end(),
             [&](const auto& connection) { return connection->address == address; });
@@ -158,6 +172,7 @@
         connection->address = address;
         connection->idleSince = clock.now();
         connection->idleTimeout = idleTimeout;
+        connection->slot = std::move(slot);
         connection->socket = std::move(socket);
         connection->idleReadEvent.reset(
             event_new(&base, connection->socket.value(), EV_READ, onIdleReadable, connection.get()));
@@ -196,19 +211,23 @@
 
     void startExchange(Exchange& exchange)
     {
-        if (FileDescriptor reused
-            = takeIdleConnection(exchange.request.address, exchange.request.requiresFreshConnection);
-            reused.value() >= 0) {
+        if (auto reused = takeIdleConnection(exchange.request.address, exchange.request.requiresFreshConnection)) {
             exchange.connectionWasReused = true;
-            attachSocket(exchange, std::move(reused));
+            exchange.slot = std::move(reused->slot);
+            attachSocket(exchange, std::move(reused->socket));
             sendRequest(exchange);
             return;
         }
+        if (!makeRoom()) {
+            finish(exchange, ErrorKind::RouterOverloaded);
+            return;
+        }
         auto socket = startConnection(exchange.request.address);
         if (!socket) {
-            finish(exchange, ErrorKind::EndpointUnavailable);
+            finish(exchange, socket.error().kind);
             return;
         }
+        exchange.slot = ConnectionSlot(options.budget ? &options.budget->endpoints : nullptr);
         attachSocket(exchange, std::move(socket).value());
         exchange.phase = Phase::Connecting;
         timeval timeout = toTimeval(exchange.request.connectTimeout);
@@ -281,6 +300,7 @@
         if (!isComplete)
             closeIdleConnections(address);
         FileDescriptor reusableSocket;
+        ConnectionSlot reusableSlot;
         Millis idleTimeout = options.maxIdleTime;
         if (auto announced = announcedIdleTime(exchange.parser.head()))
             idleTimeout
@@ -289,10 +309,11 @@
             exchange.readEvent.reset();
             exchange.writeEvent.reset();
             reusableSocket = std::move(exchange.socket);
+            reusableSlot = std::move(exchange.slot);
         }
         exchanges.erase(exchange.id);
         if (reusableSocket.value() >= 0)
-            addIdleConnection(std::move(reusableSocket), address, idleTimeout);
+            addIdleConnection(std::move(reusableSocket), std::move(reusableSlot), address, idleTimeout);
         listener.onEnd(result);
     }
 
--- a/src/net/EndpointClient.h
+++ b/src/net/EndpointClient.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "net/ConnectionBudget.h"
 #include "net/Interfaces.h"
 
 #include <cstddef>
@@ -19,6 +20,9 @@
     /// A connection is closed this long before the end of the idle time that the endpoint announces (Keep-Alive), but
     /// not before half of the announced time, so that no request is sent while the endpoint closes the connection.
     Millis keepAliveMargin { 1'000 };
+    /// Shared with callers' connections; outlives the client. At its limit the connection that has been idle for
+    /// longest is closed for a new one or, if there is none, the exchange ends with RouterOverloaded. Null: no limit.
+    ConnectionBudget* budget { nullptr };
 };
 
 /// \brief HTTP/1.1 client for endpoints on the event loop, with one exchange at a time on each connection.
--- a/src/net/Socket.cpp
+++ b/src/net/Socket.cpp
@@ -58,6 +58,11 @@
     setsockopt(descriptor, SOL_SOCKET, SO_LINGER, &option, sizeof(option));
 }
 
+bool isOutOfDescriptors(int error) noexcept
+{
+    return error == EMFILE || error == ENFILE || error == ENOBUFS || error == ENOMEM;
+}
+
 Result<FileDescriptor> startConnection(std::string_view address)
 {
     auto split = splitAddress(address);
@@ -68,7 +73,8 @@
     target.sin_port = htons(split.value().second);
     FileDescriptor socket(::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0));
     if (socket.value() < 0)
-        return Error { .kind = ErrorKind::EndpointUnavailable, .message = "cannot create a socket" };
+        return Error { .kind = isOutOfDescriptors(errno) ? ErrorKind::RouterOverloaded : ErrorKind::EndpointUnavailable,
+            .message = "cannot create a socket" };
     configureConnection(socket.value());
     if (connect(socket.value(), reinterpret_cast<sockaddr*>(&target), sizeof(target)) != 0 && errno != EINPROGRESS)
         return Error { .kind = ErrorKind::EndpointUnavailable, .message = "cannot connect to " + std::string(address) };
--- a/src/net/Socket.h
+++ b/src/net/Socket.h
@@ -70,8 +70,13 @@
 /// \returns Whether all written bytes were acknowledged by the other end; true if the system does not tell.
 [[nodiscard]] bool isOutputAcknowledged(int descriptor) noexcept;
 
+/// \returns Whether \p error of a system call means that the process or the system has no descriptor, or no memory for
+/// one, left.
+[[nodiscard]] bool isOutOfDescriptors(int error) noexcept;
+
 /// \brief Creates a non-blocking TCP socket and starts to connect it.
-/// \returns EndpointUnavailable if the address is invalid or the connection fails at once.
+/// \returns EndpointUnavailable if the address is invalid or the connection fails at once, RouterOverloaded if the
+/// process has no descriptor left.
 [[nodiscard]] Result<FileDescriptor> startConnection(std::string_view address);
 
 [[nodiscard]] timeval toTimeval(Millis duration) noexcept;
--- a/src/router/RoutedRequest.cpp
+++ b/src/router/RoutedRequest.cpp
@@ -37,6 +37,9 @@
     // Retry-After value of requests that giveUp() ends.
     constexpr Millis retryAfterFault { 300 };
 
+    // This process has no descriptor left for a connection to the endpoint.
+    constexpr std::string_view noDescriptorCause = "no_descriptor";
+
 }
 
 RoutedRequest::RoutedRequest(RoutedRequestOwner& owner, Parameters parameters, CallerExchange& caller)
@@ -386,6 +389,12 @@
 
 void RoutedRequest::handleAttemptFailure(ErrorKind kind, const EndpointExchangeResult& result, std::string_view cause)
 {
+    if (kind == ErrorKind::RouterOverloaded && !result.requestMayHaveBeenSent) {
+        recordAttemptEnd(AttemptOutcome::Cancelled); // The endpoint has no part in it.
+        --m_sendCount;
+        giveUp(noDescriptorCause);
+        return;
+    }
     if (!result.requestMayHaveBeenSent) {
         recordAttemptEnd(AttemptOutcome::ConnectionFailed);
         --m_sendCount;
@@ -494,6 +503,8 @@
         kind = isDeadlineReached ? ErrorKind::EndpointTimeout : ErrorKind::EndpointLost;
     else if (isDeadlineReached)
         kind = ErrorKind::DeadlineUnreachable;
+    else if (cause == noDescriptorCause)
+        kind = ErrorKind::RouterOverloaded;
     endWithError({ .kind = kind, .cause = cause, .retryAfter = retryAfterFault });
 }
 
--- a/src/router/RouterDaemon.cpp
+++ b/src/router/RouterDaemon.cpp
@@ -107,6 +107,32 @@
         return static_cast<std::size_t>(statusDescriptorFraction * settings.daemon.maxDescriptors);
     }
 
+    // Readiness, metrics and documents.
+    constexpr std::size_t maxStatusAddresses = 3;
+
+    // Files of the process, among them the log and the settings; for few descriptors one in so many.
+    constexpr std::size_t fileDescriptors = 200;
+    constexpr std::size_t fileDescriptorShare = 8;
+
+    // Connections to the store and peers, listeners, the peers' socket and the event loop; for few descriptors one in
+    // so many.
+    constexpr std::size_t controlDescriptors = 64;
+    constexpr std::size_t controlDescriptorShare = 16;
+
+    // Of the descriptors for callers and endpoints, one in so many is left to callers, who then get a refusal: callers
+    // that are turned away unanswered come again at once.
+    constexpr std::size_t callerMarginShare = 4;
+
+    ConnectionBudget connectionBudget(const RouterSettings& settings)
+    {
+        std::size_t descriptors = settings.daemon.maxDescriptors;
+        std::size_t reserved = std::min(fileDescriptors, descriptors / fileDescriptorShare)
+            + std::min(controlDescriptors, descriptors / controlDescriptorShare)
+            + maxStatusAddresses * maxStatusConnections(settings);
+        std::size_t limit = descriptors - reserved;
+        return { .limit = limit, .callerMargin = limit / callerMarginShare };
+    }
+
     // Returns the memory that the process may use, in bytes.
     std::size_t memoryBytes(const RouterSettings& settings)
     {
@@ -152,6 +178,7 @@
     Metrics metrics;
     RouterBlackboard board;
     DaemonInstanceId instanceId; ///< Of this process.
+    ConnectionBudget budget;
     EndpointClient endpointClient;
     UdpTransport peerTransport;
     PlacementQueue queue;
@@ -181,8 +208,11 @@
         , http(*base)
         , source(adapter.source(*base, http, clock, settings))
         , instanceId(hash64(settings.daemon.id.value, systemSeed()))
-        , endpointClient(
-              *base, clock, { .maxIdleTime = endpointIdleTimeout, .maxIdleConnectionsPerAddress = maxIdlePerEndpoint })
+        , budget(connectionBudget(settings))
+        , endpointClient(*base, clock,
+              { .maxIdleTime = endpointIdleTimeout,
+                  .maxIdleConnectionsPerAddress = maxIdlePerEndpoint,
+                  .budget = &budget })
         , peerTransport(*base)
         , queue(*base)
         , placementClient({ .base = *base,
@@ -217,7 +247,8 @@
               { .address = settings.callers.address,
                   .writeTimeout = settings.callers.writeTimeout,
                   .maxConnections = maxCallerConnections(settings),
-                  .maxTotalBodyBytes = maxTotalBodyBytes(settings) })
+                  .maxTotalBodyBytes = maxTotalBodyBytes(settings),
+                  .budget = &budget })
         , fleetSync({ .base = *base,
                         .clock = clock,
                         .board = board,
@@ -298,7 +329,8 @@
             .idleTimeout = limits.idleTimeout,
             .writeTimeout = settings.callers.writeTimeout,
             .maxConnections = maxCallerConnections(settings),
-            .maxTotalBodyBytes = maxTotalBodyBytes(settings) });
+            .maxTotalBodyBytes = maxTotalBodyBytes(settings),
+            .budget = &budget });
         metrics.set(Gauge::ConfigurationVersion, {}, static_cast<double>(board.table->version));
         updateReadiness();
     }
--- a/tests/RequestRouterTests.cpp
+++ b/tests/RequestRouterTests.cpp
@@ -487,6 +487,22 @@
     CHECK(caller.body.find("not_run") != std::string::npos);
 }
 
+// Guards against a lack of this process's descriptors that counts as the endpoint's failure or is tried elsewhere.
+TEST_CASE("a request without a descriptor for its endpoint is refused as not run", "[router][flow][descriptors]")
+{
+    Fixture fixture;
+    RecordingCaller& caller = fixture.request("/quote/x", "id-1");
+    fixture.endpointTransport.listeners.front()->onEnd({ .error = ErrorKind::RouterOverloaded });
+    CHECK(fixture.endpointTransport.sentTo.size() == 1);
+    REQUIRE(caller.head);
+    CHECK(caller.head->status == 503);
+    CHECK(!findHeader(caller.head->headers, "Retry-After").empty());
+    CHECK(caller.body.find("router_overloaded") != std::string::npos);
+    CHECK(caller.body.find("not_run") != std::string::npos);
+    for (const auto& [id, view] : fixture.board.fleetView.endpoints)
+        CHECK(view.consecutiveConnectionFailures == 0);
+}
+
 // Guards against a retry that costs one more endpoint after two were lost with the same part.
 TEST_CASE("a request is not retried after the second loss with one of its parts", "[router][flow][crash]")
 {
