tests: ends of a start that waits for an address

That the exit of a start whose address stays taken has its line is checked by test_address_that_stays_taken_fails_the_start, which waits for it anyway (90 s).

--- a/bench/lifecycle/test_lifecycle.py
+++ b/bench/lifecycle/test_lifecycle.py
@@ -283,6 +283,7 @@
             with self.subTest(command):
                 self.assertEqual(process.process.wait(90 + service.PATIENCE_S), 1)
                 self.assertIn("event=start_failed", process.log())
+                self.assertIn("event=process_exit code=1 reason=start_failed", process.log().splitlines()[-1])
                 self.assertIn(os.strerror(errno.EADDRINUSE), process.log())
                 # One line a second, of about 900 attempts.
                 self.assertLessEqual(process.log().count("event=address_unavailable"), 91)
