soak: times of signals and cut-off settings do not depend on the loop

Threads now begin at once. If the machine still holds up the soak for over a second, an end with code 3 is excused and counted.

--- a/bench/soak/lifecycle.py
+++ b/bench/soak/lifecycle.py
@@ -22,6 +22,9 @@
 RECOVER_S = 12.0  # bounds.recoverS of the deployments: a router serves again by then.
 STOP_SLACK_S = 2.0
 EARLY_S = 0.05
+MAX_BLOCKED = 32  # The C library blocks all signals for moments, also before main, and unblocks them again.
+SETTINGS_CODE = 3
+MAX_CUT_S = 1.0  # Settings are cut off for 0.3 s, unless the machine holds up the soak; routers read them again for 2 s.
 MAX_THREADS = 512  # More than signals are sent to at a time: none waits for a thread.
 PORTS = {"callers": 20001, "health": 20002, "peers": 20003, "metrics": 20004}
 
@@ -67,6 +70,8 @@
         lines = pathlib.Path(f"/proc/{self.child.pid}/status").read_text().splitlines()
         values = dict(line.split(":", 1) for line in lines if ":" in line)
         masks = [int(values[name], 16) for name in ("SigBlk", "SigCgt", "SigIgn")]
+        if masks[0].bit_count() > MAX_BLOCKED:
+            masks[0] = 0
         return values["State"].split()[0] in "ZX" or any(mask >> (number - 1) & 1 for mask in masks)
 
     def must_handle(self, number):
@@ -122,6 +127,7 @@
     time.sleep(seconds)
     with open(path, "a", encoding="utf-8") as file:
         file.write(text)
+    return time.monotonic()
 
 
 def occupy(how, ip, port, other):
@@ -208,6 +214,11 @@
     def use_threads():
         asyncio.get_running_loop().set_default_executor(ThreadPoolExecutor(MAX_THREADS))
 
+    @staticmethod
+    def in_thread(function, *arguments):
+        """Runs a function at once, without waiting for a turn of the loop."""
+        return asyncio.get_running_loop().run_in_executor(None, function, *arguments)
+
     def add(self, process):
         self.processes.append(process)
         self.soak.spawn(self.await_ready(process))
@@ -233,11 +244,19 @@
         if code in process.excused:
             self.soak.count(f"excused end with {code}")
         if problem := check_end(code, process.signals, process.excused):
-            self.report("ENDED", process, problem + ("" if process.is_ready else ", before it was ready"))
+            self.report_end(process, problem + ("" if process.is_ready else ", before it was ready"))
         self.soak.note(f"{process.router.name} ended with {code}")
         if process.router.process is process:
             self.soak.spawn(self.start_again(process.router))
 
+    def report_end(self, process, problem):
+        router = process.router
+        cut_off_s = (time.monotonic() if router.cut_until is None else router.cut_until) - router.cut_from
+        if process.child.returncode == SETTINGS_CODE and cut_off_s > MAX_CUT_S:
+            self.soak.count("excused end with 3, the soak itself completed the settings late")
+        else:
+            self.report("ENDED", process, problem)
+
     def check_bounds(self, process):
         if process.is_stopping():
             process.stopping_s += 0 if process.is_paused else TICK_S
@@ -287,7 +306,7 @@
         if start.signals:
             self.soak.count("starts met by signals")
             self.soak.note(f"signals {start.signals} at a start of {router.name}")
-            self.soak.spawn(asyncio.to_thread(send_early, process, start.signals))
+            self.in_thread(send_early, process, start.signals).add_done_callback(self.soak.check_task)
 
     def hold(self, router, how, port, seconds):
         holder = occupy(how, router.ip, port, self.soak.store_endpoint())
@@ -315,10 +334,12 @@
         router.is_rewriting = True
         end = int(len(text) * part)
         router.path.write_text(text[:end])
-        self.soak.spawn(self.complete_settings(router, text[end:], seconds))
+        router.cut_from, router.cut_until = time.monotonic(), None
+        self.soak.spawn(self.complete_settings(router, self.in_thread(append_later, router.path, text[end:], seconds)))
 
-    async def complete_settings(self, router, text, seconds):
-        await asyncio.to_thread(append_later, router.path, text, seconds)
+    @staticmethod
+    async def complete_settings(router, writing):
+        router.cut_until = await writing
         router.is_rewriting = False
 
     async def limit_log(self, process, seconds):
--- a/bench/soak/soak.py
+++ b/bench/soak/soak.py
@@ -72,6 +72,7 @@
         self.starts = 0
         self.holds = 0
         self.is_rewriting = False
+        self.cut_from = self.cut_until = 0.0  # When the settings were last cut off; cut_until is None meanwhile.
 
     def settings(self):
         seeds = [f"{router.ip}:{PORTS['peers']}" for router in self.soak.routers[:3]]
