Guard the handlers of signals and of address retries

The same class as the callbacks of connections: an exception in a reload, a stop or a retry would pass through libevent's C code and end the process. Found by listing the callbacks that the guards had left out; no such end was seen, and no test of its own was added.

--- a/src/daemon/Daemon.cpp
+++ b/src/daemon/Daemon.cpp
@@ -214,11 +214,14 @@
             signalEvents[index].reset(evsignal_new(base.get(), signalNumber, handler, this));
             event_add(signalEvents[index].get(), nullptr);
         };
-        auto onStop = [](evutil_socket_t, short, void* argument) { static_cast<State*>(argument)->stop(); };
+        auto onStop = [](evutil_socket_t, short, void* argument) {
+            runGuarded("signal_stop", [&] { static_cast<State*>(argument)->stop(); });
+        };
         watch(0, SIGTERM, onStop);
         watch(1, SIGINT, onStop);
-        watch(
-            2, SIGHUP, [](evutil_socket_t, short, void* argument) { static_cast<State*>(argument)->reloadSettings(); });
+        watch(2, SIGHUP, [](evutil_socket_t, short, void* argument) {
+            runGuarded("signal_reload", [&] { static_cast<State*>(argument)->reloadSettings(); });
+        });
     }
 
     // Addresses and the parts built from the other settings stay as they were at the start.
--- a/src/net/AddressBinder.cpp
+++ b/src/net/AddressBinder.cpp
@@ -1,5 +1,6 @@
 #include "net/AddressBinder.h"
 
+#include "net/EventCallback.h"
 #include "observe/Logging.h"
 
 #include <algorithm>
@@ -15,7 +16,10 @@
     , m_options(options)
     , m_timer(event_new(
           &base, -1, EV_PERSIST,
-          [](evutil_socket_t, short, void* argument) { static_cast<AddressBinder*>(argument)->onTimer(); }, this))
+          [](evutil_socket_t, short, void* argument) {
+              runGuarded("bind_addresses", [&] { static_cast<AddressBinder*>(argument)->onTimer(); });
+          },
+          this))
 {
 }
 
--- a/src/router/RouterDaemon.cpp
+++ b/src/router/RouterDaemon.cpp
@@ -618,11 +618,14 @@
             signalEvents[index].reset(evsignal_new(base.get(), signalNumber, handler, this));
             event_add(signalEvents[index].get(), nullptr);
         };
-        auto onStop = [](evutil_socket_t, short, void* self) { static_cast<State*>(self)->stop(); };
+        auto onStop = [](evutil_socket_t, short, void* self) {
+            runGuarded("signal_stop", [&] { static_cast<State*>(self)->stop(); });
+        };
         watch(0, SIGTERM, onStop);
         watch(1, SIGINT, onStop);
-        watch(2, SIGHUP,
-            [](evutil_socket_t, short, void* self) { static_cast<State*>(self)->reloadSettingsIfRequired(true); });
+        watch(2, SIGHUP, [](evutil_socket_t, short, void* self) {
+            runGuarded("signal_reload", [&] { static_cast<State*>(self)->reloadSettingsIfRequired(true); });
+        });
     }
 };
 
