Bound the memory of requests that callers send ahead

1,700 connections with up to 60 requests sent ahead on each took routers of 160 MB over their memory.

A connection could keep 32 KiB of further requests (a read of 16 KiB with 16 KiB kept, in a string whose capacity doubles), and its receive buffer was 64 KiB, which the system doubles, until it had been full once. Neither depended on the memory of the host.

At most 8 KiB of further requests are kept, and no read goes beyond it, so that the string doesn't grow either. The receive buffers of all possible connections fit into a quarter of router.memoryMb with the doubling: 8 to 64 KiB each. While a body of more than 64 KiB is received, whose memory is reserved, the buffer is 64 KiB, so that its caller is not held to the small buffer in each round trip; its effect on the time of an upload was not measured.

"requests sent ahead take a bounded memory of each connection" needs 1,065,584 bytes for a limit of 491,520 with the former bounds, and passes with these. scripts/check.d/misbehaving-clients: no failure.

--- a/src/net/CallerServer.cpp
+++ b/src/net/CallerServer.cpp
@@ -30,11 +30,14 @@
     // closing a socket with unread bytes resets the connection, and the caller may then lose the response.
     constexpr Millis lingerTimeout { 1'000 };
 
-    // No more is read while so many bytes of pipelined requests wait for the responses before them.
-    constexpr std::size_t maxPipelinedBytes = 16U << 10U;
+    // No more than so many bytes of pipelined requests are kept while they wait for the responses before them.
+    constexpr std::size_t maxPipelinedBytes = 8U << 10U;
 
-    // Receive buffer of a connection whose caller has sent more than that, or was refused.
-    constexpr int smallReceiveBytes = 16 << 10;
+    // Read at once, unless fewer may be kept.
+    constexpr std::size_t minReadBytes = 1U << 10U;
+
+    // Receive buffer while a long body is being received. Its memory is reserved with that of the body.
+    constexpr int bodyReceiveBytes = 64 << 10;
 
     constexpr std::size_t readBufferBytes = 64U << 10U;
 
@@ -85,6 +88,11 @@
     // Gives back memory, too, which the assignment of an empty string keeps.
     template <typename Value> void release(Value& value) { static_cast<void>(std::exchange(value, {})); }
 
+    void setReceiveBuffer(int descriptor, int bytes) noexcept
+    {
+        setsockopt(descriptor, SOL_SOCKET, SO_RCVBUF, &bytes, sizeof(bytes));
+    }
+
     bool statusHasNoBody(int status) noexcept { return status == 204 || status == 304; }
 
     std::size_t countHeaders(const CallerRequest& request, std::string_view name) noexcept
@@ -416,7 +424,7 @@
     void readOrPause()
     {
         bool isParsing = m_phase == Phase::Receiving && bufferedBytes() == 0;
-        bool isFull = !isParsing && m_phase != Phase::Lingering && m_input.size() >= maxPipelinedBytes;
+        bool isFull = !isParsing && m_phase != Phase::Lingering && m_input.size() + minReadBytes > maxPipelinedBytes;
         if (!isFull || m_writeFailed)
             read();
         else if (m_phase == Phase::Responding || bufferedBytes() != 0)
@@ -444,13 +452,25 @@
     [[nodiscard]] std::size_t maxReadBytes() const noexcept
     {
         bool isInBody = m_phase == Phase::Receiving && m_headComplete && bufferedBytes() == 0;
-        return isInBody || m_phase == Phase::Lingering ? readBufferBytes : maxPipelinedBytes;
+        if (isInBody || m_phase == Phase::Lingering)
+            return readBufferBytes;
+        return std::max(minReadBytes, maxPipelinedBytes - std::min(m_input.size(), maxPipelinedBytes));
     }
 
     // What the caller goes on sending stays in its own buffers: it counts as memory of this host once it has arrived.
     void limitReceiveBuffer()
     {
-        setsockopt(m_socket.value(), SOL_SOCKET, SO_RCVBUF, &smallReceiveBytes, sizeof(smallReceiveBytes));
+        if (std::exchange(m_hasBodyReceiveBuffer, false))
+            setReceiveBuffer(m_socket.value(), m_owner.options.receiveBufferBytes);
+    }
+
+    // Otherwise a caller on a long path sends no more than the small buffer in each round trip.
+    void growReceiveBuffer()
+    {
+        if (m_owner.options.receiveBufferBytes >= bodyReceiveBytes)
+            return;
+        m_hasBodyReceiveBuffer = true;
+        setReceiveBuffer(m_socket.value(), bodyReceiveBytes);
     }
 
     void pauseReading()
@@ -510,6 +530,7 @@
             return;
         }
         m_phase = Phase::Responding;
+        limitReceiveBuffer();
         Millis now = m_owner.clock.now();
         if (m_hasDelivered && now - m_deliveredAt < minPrioritizedInterval)
             setEventPriority(*m_readEvent, EventPriority::IncomingRequests);
@@ -592,6 +613,8 @@
             if (!reserve(static_cast<std::size_t>(length)))
                 return setMemoryFull();
             m_request.body.reserve(static_cast<std::size_t>(length));
+            if (length > CallerServer::smallBodyBytes)
+                growReceiveBuffer();
         }
         if (equalIgnoringAsciiCase(m_request.header("Expect"), "100-continue"))
             enqueue("HTTP/1.1 100 Continue\r\n\r\n");
@@ -745,6 +768,7 @@
     bool m_isHttp10 { false };
     bool m_keepAlive { true };
     bool m_writeFailed { false };
+    bool m_hasBodyReceiveBuffer { false };
     Millis m_acceptedAt;
     Millis m_idleSince { m_acceptedAt };
     bool m_hasRead { false }; ///< Bytes, or the end of the connection, were read.
@@ -934,8 +958,7 @@
     FileDescriptor socket(::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0));
     int reuseAddress = 1;
     // Accepted sockets inherit it. Otherwise the system lets each buffer grow to several megabytes.
-    int receiveBytes = state.options.receiveBufferBytes;
-    setsockopt(socket.value(), SOL_SOCKET, SO_RCVBUF, &receiveBytes, sizeof(receiveBytes));
+    setReceiveBuffer(socket.value(), state.options.receiveBufferBytes);
     if (socket.value() < 0
         || setsockopt(socket.value(), SOL_SOCKET, SO_REUSEADDR, &reuseAddress, sizeof(reuseAddress)) != 0
         || ::bind(socket.value(), reinterpret_cast<const sockaddr*>(&localAddress), sizeof(localAddress)) != 0
--- a/src/router/RouterDaemon.cpp
+++ b/src/router/RouterDaemon.cpp
@@ -147,6 +147,21 @@
     // The other half is for the process without requests, answers, prompt parts, and bytes in the kernel's buffers.
     std::size_t maxTotalBodyBytes(const RouterSettings& settings) { return memoryBytes(settings) / 2; }
 
+    // The receive buffers of all callers' connections may take this part of the memory, one in so many.
+    constexpr std::size_t receiveMemoryShare = 4;
+
+    // Bounds of a receive buffer: a typical request, and what fills a path of some milliseconds.
+    constexpr std::size_t minReceiveBytes = 8U << 10U;
+    constexpr std::size_t maxReceiveBytes = 64U << 10U;
+
+    // Returns the receive buffer of each caller's connection. The system doubles it.
+    int receiveBufferBytes(const RouterSettings& settings)
+    {
+        std::size_t connections = std::max<std::size_t>(maxCallerConnections(settings), 1);
+        std::size_t bytes = memoryBytes(settings) / receiveMemoryShare / connections / 2;
+        return static_cast<int>(std::clamp(bytes, minReceiveBytes, maxReceiveBytes));
+    }
+
     // Modelled prefix caches may take this part of the memory, one in so many.
     constexpr std::size_t promptMemoryShare = 12;
 
@@ -247,6 +262,7 @@
               { .address = settings.callers.address,
                   .writeTimeout = settings.callers.writeTimeout,
                   .maxConnections = maxCallerConnections(settings),
+                  .receiveBufferBytes = receiveBufferBytes(settings),
                   .maxTotalBodyBytes = maxTotalBodyBytes(settings),
                   .budget = &budget })
         , fleetSync({ .base = *base,
@@ -329,6 +345,7 @@
             .idleTimeout = limits.idleTimeout,
             .writeTimeout = settings.callers.writeTimeout,
             .maxConnections = maxCallerConnections(settings),
+            .receiveBufferBytes = receiveBufferBytes(settings),
             .maxTotalBodyBytes = maxTotalBodyBytes(settings),
             .budget = &budget });
         metrics.set(Gauge::ConfigurationVersion, {}, static_cast<double>(board.table->version));
--- a/tests/RequestMemoryTests.cpp
+++ b/tests/RequestMemoryTests.cpp
@@ -5,8 +5,11 @@
 #include <atomic>
 #include <catch2/catch.hpp>
 #include <event2/event.h>
+#include <fstream>
+#include <iomanip>
 #include <list>
 #include <malloc.h>
+#include <sstream>
 
 using namespace jasminestack;
 using namespace jasminestack::test;
@@ -28,6 +31,28 @@
     std::string onInvalidRequest(ErrorKind, std::string_view message) override { return std::string(message); }
 };
 
+// Returns the bytes in the receive queues of the connections at a loopback port.
+std::size_t unreadBytes(std::uint16_t port)
+{
+    std::ostringstream local;
+    local << "0100007F:" << std::hex << std::uppercase << std::setw(4) << std::setfill('0') << port;
+    std::ifstream table("/proc/net/tcp");
+    std::size_t total = 0;
+    for (std::string line; std::getline(table, line);) {
+        std::istringstream fields(line);
+        std::string number;
+        std::string localAddress;
+        std::string remoteAddress;
+        std::string state;
+        std::string queues;
+        fields >> number >> localAddress >> remoteAddress >> state >> queues;
+        bool isListening = state == "0A";
+        if (localAddress == local.str() && !isListening)
+            total += std::stoul(queues.substr(queues.find(':') + 1), nullptr, 16);
+    }
+    return total;
+}
+
 /// \brief A server with a limit for all bodies; it runs only inside runFor().
 struct Fixture {
     EventBasePointer base = makePrioritizedEventBase();
@@ -259,6 +284,41 @@
     CHECK(total < sentBytes);
 }
 
+// Guards against a crowd that sends requests ahead on each of its connections: what the router keeps of them and what
+// waits in the system's buffers count as its memory.
+TEST_CASE("requests sent ahead take a bounded memory of each connection", "[callers][memory]")
+{
+    constexpr std::size_t connections = 40;
+    constexpr int receiveBytes = 8 << 10;
+    constexpr std::size_t maxHeldBytes = 8U << 10U;
+    constexpr std::size_t maxObjectBytes = 4U << 10U; // The connection, and the request that is being handled.
+    EventBasePointer base = makePrioritizedEventBase();
+    KeepingHandler handler;
+    CallerServer server { *base, handler, { .address = "127.0.0.1:0", .receiveBufferBytes = receiveBytes } };
+    REQUIRE(server.listen());
+    std::string requests;
+    while (requests.size() < 200'000)
+        requests += "POST /x HTTP/1.1\r\nHost: a\r\nContent-Length: 500\r\n\r\n" + std::string(500, 'x');
+    std::size_t before = allocatedBytes();
+    std::list<std::pair<BlockingSocket, std::size_t>> crowd;
+    for (std::size_t i = 0; i < connections; ++i) {
+        crowd.emplace_back(BlockingSocket::connectTo(server.port()), 0);
+        event_base_loop(base.get(), EVLOOP_NONBLOCK);
+    }
+    for (int turn = 0; turn < 300; ++turn) {
+        for (auto& [caller, sent] : crowd) {
+            ssize_t length = ::send(caller.descriptor(), requests.data() + sent, requests.size() - sent, MSG_DONTWAIT);
+            sent += static_cast<std::size_t>(std::max<ssize_t>(length, 0));
+        }
+        for (int i = 0; i < 20; ++i)
+            event_base_loop(base.get(), EVLOOP_NONBLOCK);
+        std::this_thread::sleep_for(std::chrono::milliseconds(1));
+    }
+    CHECK(handler.requests.size() == connections);
+    CHECK(allocatedBytes() - before <= connections * (maxHeldBytes + maxObjectBytes));
+    CHECK(unreadBytes(server.port()) <= connections * 2 * receiveBytes);
+}
+
 // Guards against long targets and values of fields that take memory outside of the limit for all requests.
 TEST_CASE("the text of a head counts as memory of its request", "[callers][memory]")
 {
