--- a/bench/lifecycle/test_ends.py
+++ b/bench/lifecycle/test_ends.py
@@ -3,6 +3,8 @@
 import json
 import os
 import pathlib
+import resource
+import shlex
 import signal
 import socket
 import subprocess
@@ -15,6 +17,9 @@
 BINARY = pathlib.Path(os.environ.get("JASMINESTACK_BINARY", ROOT / "build/release/jasminestack"))
 START_S = 10.0
 END_S = 10.0
+ADDRESS_RETRY_S = 30.0  # How long a start waits for an address that is taken.
+CLOCK_TICK_MS = 10
+LOG_LIMIT = 60  # Bytes, less than the line of the start.
 ENVIRONMENT = {**os.environ, "JASMINESTACK_OPERATOR_TOKEN": "test-token-0123456789abcdef",
                "JASMINESTACK_FLEET_KEY": "test-key-0123456789abcdef0123456789abcdef"}
 
@@ -47,6 +52,10 @@
             "shutdown": {"balancerGraceMs": 0, "drainMs": 1000}}
 
 
+def fields_of(line):
+    return dict(word.split("=", 1) for word in shlex.split(line))
+
+
 class Process:
     """A router or daemon whose output goes to a file."""
 
@@ -68,11 +77,15 @@
             time.sleep(0.01)
         return text in self.log()
 
+    def cpu_seconds(self):
+        fields = pathlib.Path(f"/proc/{self.process.pid}/stat").read_text().rsplit(")", 1)[1].split()
+        return (int(fields[11]) + int(fields[12])) / os.sysconf("SC_CLK_TCK")
+
     def send(self, number):
         self.process.send_signal(number)
 
-    def end(self):
-        return self.process.wait(END_S)
+    def end(self, seconds=END_S):
+        return self.process.wait(seconds)
 
     def last_line(self):
         lines = self.log().splitlines()
@@ -149,6 +162,68 @@
                 self.assertEqual(process.end(), 1)
                 self.assertIn("level=error event=process_exit code=1 reason=settings_unreadable", process.last_line())
 
+    # Guards against a log whose file is at its size limit and takes the process with it (SIGXFSZ), and against lines
+    # that stay lost when the file has room again.
+    def test_log_file_at_its_size_limit(self):
+        for role in ("router", "daemon"):
+            with self.subTest(role=role):
+                hard = resource.getrlimit(resource.RLIMIT_FSIZE)[1]
+                limit = LOG_LIMIT
+                process = self.start(role, preexec_fn=lambda: resource.setrlimit(resource.RLIMIT_FSIZE, (limit, hard)))
+                time.sleep(1.0)
+                self.assertIsNone(process.process.poll())
+                self.assertEqual(len(process.log()), limit)
+                cpu_before = process.cpu_seconds()
+                time.sleep(1.0)
+                self.assertLess(process.cpu_seconds() - cpu_before, 0.2)
+                resource.prlimit(process.process.pid, resource.RLIMIT_FSIZE, (hard, hard))
+                process.send(signal.SIGTERM)
+                self.assertEqual(process.end(), 0)
+                lines = process.log().splitlines()
+                self.assertTrue(all(line.startswith("time=") and " event=" in line for line in lines), lines)
+                self.assertEqual(sum(" event=started " in line for line in lines), 1)
+                self.assertIn("event=process_exit code=0", lines[-1])
+
+    # Guards against signals without a meaning here that end the process.
+    def test_ignored_signals(self):
+        for role in ("router", "daemon"):
+            for number in (signal.SIGUSR1, signal.SIGUSR2, signal.SIGXFSZ, signal.SIGPIPE):
+                with self.subTest(role=role, signal=number.name):
+                    process = self.started(role)
+                    process.send(number)
+                    time.sleep(0.1)
+                    process.send(signal.SIGTERM)
+                    self.assertEqual(process.end(), 0)
+                    self.assertIn("event=process_exit code=0", process.last_line())
+
+    # Guards against a start that ends before "started" without telling which process it was and how far it came.
+    def test_steps_of_a_start(self):
+        for role in ("router", "daemon"):
+            with self.subTest(role=role):
+                process = self.started(role)
+                lines = process.log().splitlines()
+                first = fields_of(lines[0])
+                self.assertEqual(first["event"], "starting")
+                self.assertEqual(int(first["pid"]), process.process.pid)
+                self.assertEqual(first["settings"], str(pathlib.Path(self.folder) / "settings.json"))
+                self.assertEqual(int(first["descriptor_limit"]), resource.getrlimit(resource.RLIMIT_NOFILE)[0])
+                self.assertLess(int(first["since_exec_ms"]), 1000 * START_S)
+                started = fields_of(next(line for line in lines if " event=started " in line))
+                steps = sum(int(started[key]) for key in ("settings_ms", "construction_ms", "addresses_ms"))
+                self.assertLessEqual(steps, int(started["since_exec_ms"]) + CLOCK_TICK_MS)
+                self.assertLessEqual(int(first["since_exec_ms"]), int(started["since_exec_ms"]))
+
+    # Guards against an address that is taken, whose line cannot be told from a process that was killed in its start.
+    def test_start_with_a_taken_address(self):
+        ports = free_ports(5)
+        with socket.socket() as taken:
+            taken.bind(("127.0.0.1", ports[0]))
+            taken.listen()
+            process = self.start(settings=router_settings(ports))
+            self.assertEqual(process.end(ADDRESS_RETRY_S + END_S), 1)
+        self.assertIn(" event=starting ", process.log().splitlines()[0])
+        self.assertIn("event=process_exit code=1 reason=start_failed", process.last_line())
+
 
 if __name__ == "__main__":
     if not BINARY.exists():
--- a/src/daemon/Daemon.cpp
+++ b/src/daemon/Daemon.cpp
@@ -22,6 +22,7 @@
 #include "observe/Logging.h"
 #include "observe/Metrics.h"
 #include "observe/ProcessEnd.h"
+#include "observe/ProcessStart.h"
 #include "observe/Tracing.h"
 
 #include <array>
@@ -273,8 +274,8 @@
         }
         applyCurrentConfiguration();
         updateReadiness();
-        logEvent(LogLevel::Info, "started",
-            { { "daemon", settings.daemon.id.value }, { "callers", settings.callers.address } });
+        endStartStep(StartStep::Addresses);
+        logStarted({ { "daemon", settings.daemon.id.value }, { "callers", settings.callers.address } });
     }
 
     void runTick()
@@ -386,6 +387,7 @@
     replaceDefaultSignalActions();
     setLogLevel(parseLogLevel(settings.logging.level).value());
     Daemon daemon(settings);
+    endStartStep(StartStep::Construction);
     daemon.watchSignals(std::move(settingsPath));
     unblockLifecycleSignals();
     auto started = daemon.start();
--- a/src/router/RouterDaemon.cpp
+++ b/src/router/RouterDaemon.cpp
@@ -13,6 +13,7 @@
 #include "observe/Logging.h"
 #include "observe/Metrics.h"
 #include "observe/ProcessEnd.h"
+#include "observe/ProcessStart.h"
 #include "router/DeploymentSource.h"
 #include "router/DocumentsRequest.h"
 #include "router/FleetSync.h"
@@ -25,6 +26,7 @@
 
 #include <algorithm>
 #include <array>
+#include <cmath>
 #include <csignal>
 #include <event2/event.h>
 #include <malloc.h>
@@ -436,9 +438,11 @@
         isServing = true;
         fleetSync.start();
         source->start(*this);
-        logEvent(LogLevel::Info, "started",
-            { { "daemon", settings.daemon.id.value }, { "availability_zone", settings.daemon.availabilityZone },
-                { "callers", settings.callers.address }, { "store", settings.store.address } });
+        endStartStep(StartStep::Addresses);
+        logStarted({ { "daemon", settings.daemon.id.value }, { "availability_zone", settings.daemon.availabilityZone },
+            { "callers", settings.callers.address }, { "store", settings.store.address },
+            { "processor_share", settings.daemon.cpuCores }, { "memory_mb", std::llround(settings.daemon.memoryMb) },
+            { "max_descriptors", settings.daemon.maxDescriptors } });
     }
 
     void tick()
@@ -611,6 +615,7 @@
     setLogLevel(parseLogLevel(settings.logging.level).value());
     logNotices(settings, settingsPath);
     RouterDaemon daemon(settings, std::move(adapter));
+    endStartStep(StartStep::Construction);
     daemon.watchSignals(std::move(settingsPath));
     unblockLifecycleSignals();
     if (auto started = daemon.start(); !started) {
