daemon: an exception at the end of an exchange no longer strands its request

What callers saw: nothing known; found by review. A request whose end threw (lack of memory in a metric, a span, the error's text) stayed in the table: its exchange was gone, so nobody ended it, its slot was lost, and a planned stop waited for it without limit. A request that could not be put into the table left its caller with a listener that no longer existed, and one exception at a deadline kept the deadlines of all others from being checked. Cause: the guards of callbacks covered the daemon's request only as far as its exchange existed. Change: the end of an exchange is guarded and ends the request with 'unknown' if nothing better is known; each step of finishing is guarded; a caller is told of its listener once the request is in the table, which has room for its end. Evidence: two tests fail before (an exception leaves the end of the exchange, and the tick) and pass now; the tests of flow, crashes, claims, retries and loopback pass. The lock of errno in CallerServer::listen() by setting a buffer on a socket that could not be created is mended as well (found by review: RLIMIT_NOFILE 10 was reported as 'Bad file descriptor').

--- a/src/daemon/ProxiedRequest.cpp
+++ b/src/daemon/ProxiedRequest.cpp
@@ -1,5 +1,6 @@
 #include "daemon/ProxiedRequest.h"
 
+#include "net/EventCallback.h"
 #include "net/HttpResponseParser.h"
 #include "observe/Logging.h"
 
@@ -59,7 +60,6 @@
     m_requestSpan = context.tracer.start("accept", parent ? &*parent : nullptr);
     m_requestSpan.attributes = { { "request.id", m_id.value }, { "workspace", m_resolved.workspace.value },
         { "pool", m_resolved.pool.value } };
-    caller.setListener(*this);
 }
 
 ProxiedRequest::~ProxiedRequest() = default;
@@ -101,13 +101,13 @@
 
 void ProxiedRequest::onAssigned(const EndpointState& endpoint)
 {
+    m_hasSlot = true;
     endStepSpan(false);
     RequestProxyContext& context = m_owner.context();
     if (m_exchangeCount == 0)
         context.metrics.observe(
             Histogram::QueueSeconds, { m_resolved.pool.value }, (context.clock.now() - m_acceptedAt).seconds());
     m_stage = Stage::Running;
-    m_hasSlot = true;
     m_endpoint = endpoint.id;
     m_endpointAddress = endpoint.address;
     startExchange(false);
@@ -356,6 +356,17 @@
 void ProxiedRequest::onEnd(const EndpointExchangeResult& exchangeResult)
 {
     m_exchange = 0;
+    // The exchange no longer exists, so nobody would end the request later.
+    runGuarded(
+        "request_exchange_end", [&] { handleEnd(exchangeResult); },
+        [&] {
+            m_hasSentRequest = m_hasSentRequest || exchangeResult.requestMayHaveBeenSent;
+            endAfterException();
+        });
+}
+
+void ProxiedRequest::handleEnd(const EndpointExchangeResult& exchangeResult)
+{
     if (exchangeResult.error == ErrorKind::AnswerMalformed)
         logMalformedAnswer(exchangeResult.malformedPart);
     AttemptResult attempt { .isComplete = exchangeResult.isComplete,
@@ -403,9 +414,12 @@
     if (m_stage == Stage::Ended)
         return;
     cancelExchange();
-    recordAttempt(m_attemptHistory, { .requestMayHaveBeenSent = m_hasSentRequest });
-    endWithError(
-        { .kind = ErrorKind::Internal, .message = "a callback of the request failed" }, runStatus(m_attemptHistory));
+    RunStatus status = RunStatus::Unknown;
+    runGuarded("request_history", [&] {
+        recordAttempt(m_attemptHistory, { .requestMayHaveBeenSent = m_hasSentRequest });
+        status = runStatus(m_attemptHistory);
+    });
+    endWithError({ .kind = ErrorKind::Internal, .message = "a callback of the request failed" }, status);
 }
 
 void ProxiedRequest::sendBufferedResponse()
@@ -443,23 +457,32 @@
     std::string_view outcome = errorResponseFor(error.kind).name;
     m_requestSpan.failed = true;
     m_finalRunStatus = status;
-    releaseSlot(false);
-    if (m_caller) {
-        CallerError callerError { .error = std::move(error), .runStatus = status, .id = m_id };
-        if (!hasResponseBegun()) {
-            CallerResponseHead head = errorHead(callerError);
-            std::string body = errorBody(callerError);
-            std::exchange(m_caller, nullptr)->sendResponse(head, body);
-        } else if (m_relayMode == RelayMode::Events) {
-            m_caller->sendChunk(errorEvent(callerError));
-            std::exchange(m_caller, nullptr)->endStream();
-        } else {
-            std::exchange(m_caller, nullptr)->abort();
-        }
-    }
+    runGuarded("request_slot", [this] { releaseSlot(false); });
+    runGuarded(
+        "request_error", [&] { sendError({ .error = std::move(error), .runStatus = status, .id = m_id }); },
+        [this] {
+            if (m_caller)
+                std::exchange(m_caller, nullptr)->abort();
+        });
     finish(outcome);
 }
 
+void ProxiedRequest::sendError(const CallerError& callerError)
+{
+    if (!m_caller)
+        return;
+    if (!hasResponseBegun()) {
+        CallerResponseHead head = errorHead(callerError);
+        std::string body = errorBody(callerError);
+        std::exchange(m_caller, nullptr)->sendResponse(head, body);
+    } else if (m_relayMode == RelayMode::Events) {
+        m_caller->sendChunk(errorEvent(callerError));
+        std::exchange(m_caller, nullptr)->endStream();
+    } else {
+        std::exchange(m_caller, nullptr)->abort();
+    }
+}
+
 void ProxiedRequest::releaseSlot(bool completed)
 {
     if (!std::exchange(m_hasSlot, false))
@@ -506,20 +529,26 @@
 
 void ProxiedRequest::finish(std::string_view outcome)
 {
-    finishClaim();
+    // Each step is guarded: a request that stayed in the table would keep a planned stop from ending.
+    runGuarded("request_claim", [this] { finishClaim(); });
     m_stage = Stage::Ended;
-    RequestProxyContext& context = m_owner.context();
-    endStepSpan(false);
     if (m_isStreamOpen)
         m_owner.streamClosed();
+    runGuarded("request_metrics", [&] { recordOutcome(outcome); });
+    m_owner.requestFinished(m_id);
+    m_owner.dispatchNeeded();
+}
+
+void ProxiedRequest::recordOutcome(std::string_view outcome)
+{
+    RequestProxyContext& context = m_owner.context();
+    endStepSpan(false);
     context.metrics.add(Counter::Requests, { m_resolved.workspace.value, outcome });
     recordRelayedTokens();
     context.metrics.observe(
         Histogram::TotalSeconds, { m_resolved.pool.value }, (context.clock.now() - m_acceptedAt).seconds());
     m_requestSpan.attributes.emplace_back("outcome", outcome);
     context.tracer.end(std::move(m_requestSpan));
-    m_owner.requestFinished(m_id);
-    m_owner.dispatchNeeded();
 }
 
 void ProxiedRequest::recordRelayedTokens()
--- a/src/daemon/ProxiedRequest.h
+++ b/src/daemon/ProxiedRequest.h
@@ -117,6 +117,9 @@
     void updateEndpointHealth(EndpointAttemptOutcome outcome);
     void reportPossibleCrash(ErrorKind kind);
     [[nodiscard]] CallerResponseHead callerHead() const;
+    void handleEnd(const EndpointExchangeResult&);
+    void sendError(const CallerError&);
+    void recordOutcome(std::string_view outcome);
     void finish(std::string_view outcome);
     void cancelExchange();
     void recordRelayedTokens();
--- a/src/daemon/RequestProxy.cpp
+++ b/src/daemon/RequestProxy.cpp
@@ -230,7 +230,9 @@
     auto proxied
         = std::make_unique<ProxiedRequest>(state, id, std::move(resolved).value(), std::move(request), exchange);
     ProxiedRequest& startedRequest = *proxied;
+    ensureCapacity(state.finishedRequests, state.finishedRequests.size() + state.requests.size() + 1);
     state.requests.emplace(id, std::move(proxied));
+    exchange.setListener(startedRequest);
     creditRetryBudget(state.proxyContext.retryBudget, startedRequest.pool(), configuration.limits.retryRatio);
     startedRequest.claimOrEnqueue();
 }
@@ -250,8 +252,10 @@
     activeRequests.reserve(state.requests.size());
     for (auto& [id, request] : state.requests)
         activeRequests.push_back(request.get());
-    for (ProxiedRequest* request : activeRequests)
-        request->checkDeadline(now);
+    for (ProxiedRequest* request : activeRequests) {
+        runGuarded(
+            "request_deadline", [&] { request->checkDeadline(now); }, [&] { request->endAfterException(); });
+    }
     state.dispatchQueuedRequests();
 }
 
--- a/src/net/CallerServer.cpp
+++ b/src/net/CallerServer.cpp
@@ -1058,11 +1058,12 @@
     if (inet_pton(AF_INET, std::string(address.substr(0, colon)).c_str(), &localAddress.sin_addr) != 1)
         return Error { .kind = ErrorKind::SettingsInvalid, .message = "invalid address " + state.options.address };
     FileDescriptor socket(::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0));
+    if (socket.value() < 0)
+        return bindError("tcp", state.options.address, errno);
     int reuseAddress = 1;
     // Accepted sockets inherit it. Otherwise the system lets each buffer grow to several megabytes.
     setReceiveBuffer(socket.value(), state.options.receiveBufferBytes);
-    if (socket.value() < 0
-        || setsockopt(socket.value(), SOL_SOCKET, SO_REUSEADDR, &reuseAddress, sizeof(reuseAddress)) != 0
+    if (setsockopt(socket.value(), SOL_SOCKET, SO_REUSEADDR, &reuseAddress, sizeof(reuseAddress)) != 0
         || ::bind(socket.value(), reinterpret_cast<const sockaddr*>(&localAddress), sizeof(localAddress)) != 0
         || ::listen(socket.value(), acceptPolicy.queueLength) != 0)
         return bindError("tcp", state.options.address, errno);
--- a/tests/RequestProxyHarness.h
+++ b/tests/RequestProxyHarness.h
@@ -8,6 +8,7 @@
 
 #include <list>
 #include <map>
+#include <new>
 #include <nlohmann/json.hpp>
 #include <string>
 #include <vector>
@@ -126,7 +127,12 @@
     Metrics metrics;
     std::vector<CrashMark> crashMarks;
     std::string spans;
-    Tracer tracer { { .batchSpans = 1 }, clock, random, [this](std::string_view text) { spans.append(text); } };
+    bool failsTracing { false }; ///< Whether the end of a span throws.
+    Tracer tracer { { .batchSpans = 1 }, clock, random, [this](std::string_view text) {
+                       if (failsTracing)
+                           throw std::bad_alloc();
+                       spans.append(text);
+                   } };
     FakeEndpointTransport transport;
     std::list<FakeCaller> callers;
     RequestProxy proxy;
--- a/tests/RequestProxyTests.cpp
+++ b/tests/RequestProxyTests.cpp
@@ -189,3 +189,41 @@
     REQUIRE(caller.hasEnded);
     CHECK(nlohmann::json::parse(caller.body)["data"][0]["id"] == "care-9b");
 }
+
+// Guards against a request that stays in the table after an exception at the end of its exchange: nobody would end it,
+// its slot would be lost, and a planned stop would wait for it without limit.
+TEST_CASE("an exception at the end of an exchange ends the request and frees its slot", "[flow]")
+{
+    RequestProxyHarness harness;
+    FakeCaller& caller = harness.sendBooking();
+    harness.latestExchange().sendHead(200);
+    harness.latestExchange().sendBody("booked");
+    harness.failsTracing = true;
+    SECTION("of a complete answer")
+    {
+        harness.latestExchange().endExchange();
+        CHECK((caller.hasEnded || caller.isAborted));
+    }
+    SECTION("of a broken answer")
+    {
+        harness.latestExchange().endExchange(false);
+        REQUIRE(caller.hasEnded);
+        CHECK(caller.runStatus() == "unknown");
+    }
+    CHECK(harness.transport.exchanges.size() == 1); // A booking is not repeated.
+    CHECK(harness.proxy.activeRequestCount() == 0);
+    CHECK(harness.inFlightCount() == 0);
+}
+
+// The same for a deadline, which the tick checks for all requests.
+TEST_CASE("an exception at a deadline ends this request and not the check of the others", "[flow]")
+{
+    RequestProxyHarness harness;
+    FakeCaller& first = harness.sendBooking();
+    FakeCaller& second = harness.sendChat();
+    harness.failsTracing = true;
+    harness.advance(harness.configuration.limits.defaultDeadline + Millis { 1 });
+    CHECK_FALSE(first.isAwaitingResponse());
+    CHECK_FALSE(second.isAwaitingResponse());
+    CHECK(harness.proxy.activeRequestCount() == 0);
+}
