Read settings again that changed during the start or were cut off at a reload

What operators saw: nothing known; found by review. A change of the settings while a start waited for an address was lost: the first check only recorded the file's time. A reload that met a file being written kept the old settings for good where no later change showed: at a daemon, which only read after SIGHUP, and at a router on a file system with coarse times. A SIGHUP while the file was missing left no line at a router. A shorter grace time that was reloaded during a planned stop cut it. Change: SettingsFile knows the modification time from before the read that the service started with, and a failed read is repeated each second, with one line for each different failure. Daemons look for changes, too, as routers do. A planned stop keeps its times. A unit test covers the repetition. The grace time of a stop has no test of its own.

--- a/bench/lifecycle/test_lifecycle.py
+++ b/bench/lifecycle/test_lifecycle.py
@@ -332,6 +332,51 @@
                 self.assertLessEqual(process.log().count("event=address_unavailable"), 91)
 
 
+class ReloadTest(LifecycleTest):
+    def rewrite(self, started, command, text=None):
+        """Writes the settings with a changed time of the shutdown, or other text, in place."""
+        settings = self.settings(command)
+        settings["shutdown"][next(iter(settings["shutdown"]))] = 2
+        started.settings_path.write_text(json.dumps(settings) if text is None else text)
+
+    def test_settings_that_are_changed_while_an_address_is_taken_are_read(self):
+        for command, port in (("router", 8783), ("daemon", 8080)):
+            with self.subTest(command):
+                self.setUp()
+                holder = socket.create_server((self.ip, port))
+                with Service(command, self.folder, self.settings(command)) as started:
+                    started.wait_for_event("address_unavailable")
+                    self.rewrite(started, command)
+                    holder.close()
+                    started.wait_for_event("started")
+                    started.wait_for_event("settings_reloaded")
+
+    def test_settings_that_are_cut_off_at_a_signal_are_read_when_they_are_whole(self):
+        for command in ("router", "daemon"):
+            with self.subTest(command):
+                self.setUp()
+                with Service(command, self.folder, self.settings(command)) as started:
+                    started.wait_for_event("started")
+                    self.rewrite(started, command, text="{")
+                    started.send(signal.SIGHUP)
+                    started.wait_for_event("reload_failed")
+                    times = started.settings_path.stat()
+                    self.rewrite(started, command)
+                    # A file system with coarse times doesn't show the second change.
+                    os.utime(started.settings_path, ns=(times.st_atime_ns, times.st_mtime_ns))
+                    started.wait_for_event("settings_reloaded")
+
+    def test_a_missing_file_is_reported_at_a_signal(self):
+        for command in ("router", "daemon"):
+            with self.subTest(command):
+                self.setUp()
+                with Service(command, self.folder, self.settings(command)) as started:
+                    started.wait_for_event("started")
+                    started.settings_path.unlink()
+                    started.send(signal.SIGHUP)
+                    started.wait_for_event("reload_failed")
+
+
 class ClientCommandTest(LifecycleTest):
     def test_sigterm_ends_a_command_that_waits_for_a_response(self):
         # The command waits for a server that accepts connections and never answers.
--- a/src/cli/CheckCommand.cpp
+++ b/src/cli/CheckCommand.cpp
@@ -62,7 +62,7 @@
         return logExit(exit_code::invalidInput, "settings_invalid", settings.error().message);
     }
     endStartStep(StartStep::Settings);
-    return runDaemon(settings.value(), path);
+    return runDaemon(settings.value(), { .path = path, .modifiedNs = file.modifiedNs });
 }
 
 }
--- a/src/cli/RouterCommand.cpp
+++ b/src/cli/RouterCommand.cpp
@@ -35,7 +35,8 @@
         return logExit(exit_code::invalidInput, "settings_invalid", settings.error().message);
     }
     endStartStep(StartStep::Settings);
-    return runRouter(settings.value(), platform::makePlatformAdapter(), path);
+    return runRouter(
+        settings.value(), platform::makePlatformAdapter(), { .path = path, .modifiedNs = file.modifiedNs });
 }
 
 }
--- a/src/config/SettingsFile.cpp
+++ b/src/config/SettingsFile.cpp
@@ -6,7 +6,9 @@
 #include <fstream>
 #include <iterator>
 #include <ostream>
+#include <sys/stat.h>
 #include <thread>
+#include <utility>
 
 namespace jasminestack {
 
@@ -20,6 +22,39 @@
         return problems.empty();
     }
 
+    std::int64_t modificationTimeNs(const std::string& path)
+    {
+        constexpr std::int64_t nanosecondsPerSecond = 1'000'000'000;
+        struct stat status { };
+        if (stat(path.c_str(), &status) != 0)
+            return 0;
+        return status.st_mtim.tv_sec * nanosecondsPerSecond + status.st_mtim.tv_nsec;
+    }
+
+}
+
+bool takeReload(SettingsFile& file, bool isSignalled)
+{
+    if (file.path.empty())
+        return false;
+    std::int64_t modifiedNs = modificationTimeNs(file.path);
+    bool isChanged = modifiedNs != 0 && modifiedNs != file.modifiedNs;
+    if (!isSignalled && !isChanged && !file.isRetryDue)
+        return false;
+    file.modifiedNs = modifiedNs;
+    return true;
+}
+
+bool recordReloadFailure(SettingsFile& file, std::string_view message)
+{
+    file.isRetryDue = true;
+    return std::exchange(file.lastFailure, std::string(message)) != message;
+}
+
+void recordReload(SettingsFile& file)
+{
+    file.isRetryDue = false;
+    file.lastFailure.clear();
 }
 
 std::optional<std::string> readFile(const std::string& path)
@@ -38,13 +73,12 @@
     SystemClock clock;
     Millis start = clock.now();
     for (bool hasNotified = false;; hasNotified = true) {
+        std::int64_t modifiedNs = modificationTimeNs(path);
         auto text = readFile(path);
-        if (text && isWhole(*text))
-            return { .text = std::move(text) };
-        if (isStopSignalPending())
-            return { .text = std::move(text), .isStopRequested = true };
-        if (clock.now() - start >= options.timeLimit)
-            return { .text = std::move(text) };
+        bool isComplete = text && isWhole(*text);
+        bool isStopRequested = !isComplete && isStopSignalPending();
+        if (isComplete || isStopRequested || clock.now() - start >= options.timeLimit)
+            return { .text = std::move(text), .modifiedNs = modifiedNs, .isStopRequested = isStopRequested };
         if (!hasNotified)
             notices << "jasminestack: " << path << (text ? " is not whole" : " cannot be read")
                     << ", trying again for at most " << options.timeLimit.count << " ms" << std::endl;
--- a/src/daemon/Daemon.cpp
+++ b/src/daemon/Daemon.cpp
@@ -113,7 +113,7 @@
     AddressBinder addressBinder;
     EventPointer tickTimer;
     std::array<EventPointer, 3> signalEvents;
-    std::string settingsPath;
+    SettingsFile settingsFile;
     Phase phase { Phase::Running };
     Millis stopRequestedAt {};
     Millis leftAt {};
@@ -220,23 +220,28 @@
         watch(0, SIGTERM, onStop);
         watch(1, SIGINT, onStop);
         watch(2, SIGHUP, [](evutil_socket_t, short, void* argument) {
-            runGuarded("signal_reload", [&] { static_cast<State*>(argument)->reloadSettings(); });
+            runGuarded("signal_reload", [&] { static_cast<State*>(argument)->reloadSettingsIfRequired(true); });
         });
     }
 
     // Addresses and the parts built from the other settings stay as they were at the start.
-    void reloadSettings()
+    void reloadSettingsIfRequired(bool isSignalled)
     {
-        auto text = readFile(settingsPath);
-        auto parsed = parseDaemonSettings(text.value_or(""), settingsPath);
+        if (!takeReload(settingsFile, isSignalled))
+            return;
+        auto text = readFile(settingsFile.path);
+        auto parsed = parseDaemonSettings(text.value_or(""), settingsFile.path);
         if (!parsed) {
-            logEvent(LogLevel::Error, "reload_failed", { { "message", parsed.error().message } });
+            if (recordReloadFailure(settingsFile, parsed.error().message) || isSignalled)
+                logEvent(LogLevel::Error, "reload_failed", { { "message", parsed.error().message } });
             return;
         }
+        recordReload(settingsFile);
         settings.logging = parsed.value().logging;
-        settings.shutdown = parsed.value().shutdown;
+        if (phase == Phase::Running) // A planned stop keeps the times with which it began.
+            settings.shutdown = parsed.value().shutdown;
         setLogLevel(parseLogLevel(settings.logging.level).value());
-        logEvent(LogLevel::Info, "settings_reloaded", { { "signalled", 1 } });
+        logEvent(LogLevel::Info, "settings_reloaded", { { "signalled", isSignalled ? 1 : 0 } });
     }
 
     // A step of the tick that fails must not keep a planned stop from ending.
@@ -310,6 +315,7 @@
         if (now - lastProcessCheckAt >= processCheckInterval) {
             lastProcessCheckAt = now;
             processMonitor.update(now, callerServer.heldResources());
+            reloadSettingsIfRequired(false);
         }
         if (now - lastTraceFlushAt >= traceFlushInterval) {
             lastTraceFlushAt = now;
@@ -388,9 +394,9 @@
     return m_state->exitCode;
 }
 
-void Daemon::watchSignals(std::string settingsPath)
+void Daemon::watchSignals(SettingsFile settingsFile)
 {
-    m_state->settingsPath = std::move(settingsPath);
+    m_state->settingsFile = std::move(settingsFile);
     m_state->watchSignals();
 }
 
@@ -400,14 +406,14 @@
 
 std::uint16_t Daemon::callerPort() const noexcept { return m_state->callerServer.port(); }
 
-int runDaemon(const DaemonSettings& settings, std::string settingsPath)
+int runDaemon(const DaemonSettings& settings, SettingsFile settingsFile)
 {
     std::signal(SIGPIPE, SIG_IGN);
     replaceDefaultSignalActions();
     setLogLevel(parseLogLevel(settings.logging.level).value());
     Daemon daemon(settings);
     endStartStep(StartStep::Construction);
-    daemon.watchSignals(std::move(settingsPath));
+    daemon.watchSignals(std::move(settingsFile));
     unblockLifecycleSignals();
     auto started = daemon.start();
     if (!started) {
--- a/src/daemon/Daemon.h
+++ b/src/daemon/Daemon.h
@@ -3,6 +3,7 @@
 #include "base/Result.h"
 #include "config/Configuration.h"
 #include "config/DaemonSettings.h"
+#include "config/SettingsFile.h"
 
 #include <cstdint>
 #include <functional>
@@ -32,8 +33,10 @@
 
     /// \brief Installs handlers for SIGTERM and SIGINT, which call stop(), and for SIGHUP, which reads the log level
     /// and the times of the shutdown from the settings again. Call it before start(), so that signals during the start
-    /// are handled when run() is called. \param settingsPath The settings file; empty: settings are not reloaded.
-    void watchSignals(std::string settingsPath = {});
+    /// are handled when run() is called. From now on the settings are also reloaded when the file changes.
+    /// \param settingsFile As read for the settings that the daemon was created with; without a path, settings are not
+    /// reloaded.
+    void watchSignals(SettingsFile settingsFile = {});
 
     /// \brief Begins the graceful shutdown; a second call ends the loop at once. Call it only on the loop's thread.
     void stop();
@@ -50,8 +53,8 @@
 };
 
 /// \brief Runs a daemon until SIGTERM or SIGINT; logging has been started.
-/// \param settingsPath The settings file, for reloads.
+/// \param settingsFile For reloads.
 /// \returns The process's exit code, as returned by Daemon::run(); 1 if the daemon cannot start.
-[[nodiscard]] int runDaemon(const DaemonSettings&, std::string settingsPath);
+[[nodiscard]] int runDaemon(const DaemonSettings&, SettingsFile settingsFile);
 
 }
--- a/src/router/RouterDaemon.cpp
+++ b/src/router/RouterDaemon.cpp
@@ -32,7 +32,6 @@
 #include <event2/event.h>
 #include <malloc.h>
 #include <set>
-#include <sys/stat.h>
 #include <unistd.h>
 #include <utility>
 
@@ -203,8 +202,7 @@
     LoopMonitor loopMonitor;
     AddressBinder addressBinder;
     std::array<EventPointer, 3> signalEvents;
-    std::string settingsPath;
-    std::int64_t settingsModifiedNs { 0 }; ///< Modification time of the file in nanoseconds; 0: not read yet.
+    SettingsFile settingsFile;
     Phase phase { Phase::Running };
     bool isServing { false }; ///< All required addresses are bound.
     int exitCode { 0 };
@@ -596,32 +594,24 @@
         end();
     }
 
-    // Reloads the settings after SIGHUP or a change of the file; the first call only records the file's modification
-    // time.
+    // Reloads the settings after SIGHUP, a change of the file, or a failure of the last reload.
     void reloadSettingsIfRequired(bool signalled)
     {
-        if (settingsPath.empty())
+        if (!takeReload(settingsFile, signalled))
             return;
-        struct stat fileStatus { };
-        if (stat(settingsPath.c_str(), &fileStatus) != 0)
-            return;
-        std::int64_t modifiedNs = fileStatus.st_mtim.tv_sec * 1'000'000'000 + fileStatus.st_mtim.tv_nsec;
-        if (modifiedNs == settingsModifiedNs && !signalled)
-            return;
-        bool isFirstCheck = settingsModifiedNs == 0;
-        settingsModifiedNs = modifiedNs;
-        if (isFirstCheck && !signalled)
-            return;
-        auto text = readFile(settingsPath);
-        auto parsed = parseRouterSettings(text.value_or(""), settingsPath);
+        auto text = readFile(settingsFile.path);
+        auto parsed = parseRouterSettings(text.value_or(""), settingsFile.path);
         if (!parsed) {
-            logEvent(LogLevel::Error, "reload_failed", { { "message", parsed.error().message } });
+            if (recordReloadFailure(settingsFile, parsed.error().message) || signalled)
+                logEvent(LogLevel::Error, "reload_failed", { { "message", parsed.error().message } });
             return;
         }
-        logNotices(parsed.value(), settingsPath);
+        recordReload(settingsFile);
+        logNotices(parsed.value(), settingsFile.path);
         settings.retries = parsed.value().retries;
         settings.placement = parsed.value().placement;
-        settings.shutdown = parsed.value().shutdown;
+        if (phase == Phase::Running) // A planned stop keeps the grace time with which it began.
+            settings.shutdown = parsed.value().shutdown;
         settings.logging = parsed.value().logging;
         router.setOptions(requestRouterOptions(settings));
         refreshPaces();
@@ -675,9 +665,9 @@
     return state.exitCode;
 }
 
-void RouterDaemon::watchSignals(std::string settingsPath)
+void RouterDaemon::watchSignals(SettingsFile settingsFile)
 {
-    m_state->settingsPath = std::move(settingsPath);
+    m_state->settingsFile = std::move(settingsFile);
     m_state->watchSignals();
 }
 
@@ -685,15 +675,15 @@
 
 std::uint16_t RouterDaemon::callerPort() const noexcept { return m_state->callerServer.port(); }
 
-int runRouter(const RouterSettings& settings, DeploymentAdapter adapter, std::string settingsPath)
+int runRouter(const RouterSettings& settings, DeploymentAdapter adapter, SettingsFile settingsFile)
 {
     std::signal(SIGPIPE, SIG_IGN);
     replaceDefaultSignalActions();
     setLogLevel(parseLogLevel(settings.logging.level).value());
-    logNotices(settings, settingsPath);
+    logNotices(settings, settingsFile.path);
     RouterDaemon daemon(settings, std::move(adapter));
     endStartStep(StartStep::Construction);
-    daemon.watchSignals(std::move(settingsPath));
+    daemon.watchSignals(std::move(settingsFile));
     unblockLifecycleSignals();
     if (auto started = daemon.start(); !started) {
         logEvent(LogLevel::Error, "start_failed", { { "message", started.error().message } });
--- a/src/router/RouterDaemon.h
+++ b/src/router/RouterDaemon.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "config/RouterSettings.h"
+#include "config/SettingsFile.h"
 #include "router/DeploymentSource.h"
 #include "router/RequestProtocol.h"
 
@@ -43,8 +44,9 @@
     /// \brief Installs handlers for SIGTERM and SIGINT (graceful shutdown) and SIGHUP (reload of the settings). From
     /// now on the settings are also reloaded when the file changes. Call it before start(), so that signals during the
     /// start are handled when run() is called.
-    /// \param settingsPath The settings file; empty: settings are not reloaded.
-    void watchSignals(std::string settingsPath);
+    /// \param settingsFile As read for the settings that the router was created with; without a path, settings are not
+    /// reloaded.
+    void watchSignals(SettingsFile settingsFile);
 
     /// \brief Begins a graceful shutdown.
     void stop();
@@ -59,6 +61,6 @@
 
 /// \brief Runs a router until it is stopped; logging has been started.
 /// \returns The process's exit code.
-[[nodiscard]] int runRouter(const RouterSettings&, DeploymentAdapter, std::string settingsPath);
+[[nodiscard]] int runRouter(const RouterSettings&, DeploymentAdapter, SettingsFile);
 
 }
--- a/tests/SettingsFileTests.cpp
+++ b/tests/SettingsFileTests.cpp
@@ -66,3 +66,22 @@
     CHECK(awaitSettingsText(file.path.string(), notices).text == R"({ "router": -1 })");
     CHECK(notices.str().empty());
 }
+
+// Guards against settings that stay as they were because the file was read while it was written, and against a line for
+// each attempt to read a file that stays broken.
+TEST_CASE("a failed reload is repeated until the file can be used", "[settings-file]")
+{
+    TemporaryFile file;
+    file.write("{}");
+    SettingsFile settings { .path = file.path.string() };
+    CHECK(takeReload(settings, false));
+    CHECK_FALSE(takeReload(settings, false));
+    CHECK(takeReload(settings, true));
+    CHECK(recordReloadFailure(settings, "cut off"));
+    CHECK(takeReload(settings, false));
+    CHECK_FALSE(recordReloadFailure(settings, "cut off"));
+    recordReload(settings);
+    CHECK_FALSE(takeReload(settings, false));
+    SettingsFile unwatched;
+    CHECK_FALSE(takeReload(unwatched, true));
+}
