cli: one function for the commands that run a service

A flag that two threads of a test shared is atomic. Behaviour is unchanged: the tests of callbacks, command line and settings files pass.

--- a/src/cli/CheckCommand.cpp
+++ b/src/cli/CheckCommand.cpp
@@ -1,12 +1,7 @@
 #include "cli/Commands.h"
 #include "cli/Flags.h"
-#include "config/DaemonSettings.h"
 #include "config/DocumentCheck.h"
 #include "config/SettingsFile.h"
-#include "daemon/Daemon.h"
-#include "observe/Logging.h"
-#include "observe/ProcessEnd.h"
-#include "observe/ProcessStart.h"
 
 #include <absl/flags/flag.h>
 #include <iostream>
@@ -39,30 +34,4 @@
     return problems.empty() ? exit_code::success : exit_code::invalidInput;
 }
 
-int runDaemonCommand(const std::vector<std::string>&)
-{
-    const std::string path = absl::GetFlag(FLAGS_settings);
-    if (path.empty()) {
-        std::cerr << "jasminestack: 'daemon' needs --settings FILE\n";
-        return exit_code::usage;
-    }
-    startLogging(LogLevel::Info);
-    observeProcessEnd();
-    logStarting(path);
-    const SettingsText file = awaitSettingsText(path, std::cerr);
-    if (file.isStopRequested)
-        return logExit(exit_code::success, "stopped");
-    if (!file.text) {
-        std::cerr << "jasminestack: cannot read " << path << "\n";
-        return logExit(exit_code::failure, "settings_unreadable", path);
-    }
-    const auto settings = parseDaemonSettings(*file.text, path);
-    if (!settings) {
-        std::cerr << settings.error().message << "\n";
-        return logExit(exit_code::invalidInput, "settings_invalid", settings.error().message);
-    }
-    endStartStep(StartStep::Settings);
-    return runDaemon(settings.value(), { .path = path, .modifiedNs = file.modifiedNs });
-}
-
 }
--- a/tests/CallbackFailureTests.cpp
+++ b/tests/CallbackFailureTests.cpp
@@ -9,6 +9,7 @@
 #include "net/UdpTransport.h"
 #include "router/PlacementQueue.h"
 
+#include <atomic>
 #include <catch2/catch.hpp>
 #include <cstdlib>
 #include <event2/event.h>
@@ -119,12 +120,12 @@
         BlockingSocket caller = send(target);
         std::string answer;
         std::thread reader([&] { answer = caller.readToEnd(); });
-        bool isRead = false;
+        std::atomic<bool> isRead { false };
         std::thread waiter([&] {
             reader.join();
             isRead = true;
         });
-        static_cast<void>(runUntil([&] { return isRead; }));
+        static_cast<void>(runUntil([&] { return isRead.load(); }));
         waiter.join();
         return answer;
     }
