--- a/src/net/CallerServer.cpp
+++ b/src/net/CallerServer.cpp
@@ -32,11 +32,14 @@
     // closing a socket with unread bytes resets the connection, and the caller may then lose the response.
     constexpr Millis lingerTimeout { 1'000 };
 
-    // No more is read while so many bytes of pipelined requests wait for the responses before them.
-    constexpr std::size_t maxPipelinedBytes = 16U << 10U;
+    // No more than so many bytes of pipelined requests are kept while they wait for the responses before them.
+    constexpr std::size_t maxPipelinedBytes = 8U << 10U;
 
-    // Receive buffer of a connection whose caller has sent more than that, or was refused.
-    constexpr int smallReceiveBytes = 16 << 10;
+    // Read at once, unless fewer may be kept.
+    constexpr std::size_t minReadBytes = 1U << 10U;
+
+    // Receive buffer while a long body is being received. Its memory is reserved with that of the body.
+    constexpr int bodyReceiveBytes = 64 << 10;
 
     constexpr std::size_t readBufferBytes = 64U << 10U;
 
@@ -46,6 +49,10 @@
 
     constexpr Millis dropLogInterval { 1'000 };
 
+    // Without descriptors no connection is accepted for this long. The listener stays readable, so that the event loop
+    // would otherwise do nothing else.
+    constexpr Millis acceptPause { 100 };
+
     // At the limit of connections this fraction of them is closed if they are idle, so that the next ones find room
     // without another search.
     constexpr std::size_t idleCloseDivisor = 32;
@@ -83,6 +90,11 @@
     // Gives back memory, too, which the assignment of an empty string keeps.
     template <typename Value> void release(Value& value) { static_cast<void>(std::exchange(value, {})); }
 
+    void setReceiveBuffer(int descriptor, int bytes) noexcept
+    {
+        setsockopt(descriptor, SOL_SOCKET, SO_RCVBUF, &bytes, sizeof(bytes));
+    }
+
     bool statusHasNoBody(int status) noexcept { return status == 204 || status == 304; }
 
     std::size_t countHeaders(const CallerRequest& request, std::string_view name) noexcept
@@ -106,6 +118,9 @@
     CallerServerOptions options;
     FileDescriptor listener;
     EventPointer acceptEvent;
+    EventPointer acceptPauseTimer;
+    Millis lastAcceptLogAt {};
+    std::uint64_t failedAccepts { 0 }; ///< Since the last log line.
     std::uint16_t port { 0 };
     bool closeAfterResponse { false };
     std::uint64_t droppedConnections { 0 }; ///< Connections closed at maxConnections since the last log line.
@@ -130,6 +145,7 @@
         : base(eventBase)
         , handler(callerHandler)
         , options(serverOptions)
+        , acceptPauseTimer(makeEvent(eventBase, -1, 0, onAcceptPauseEnd, this))
         , readNewEvent(makeEvent(eventBase, -1, 0, onReadNew, this))
         , destroyClosedEvent(makeEvent(eventBase, -1, 0, onDestroyClosed, this))
         , readBuffer(readBufferBytes)
@@ -140,6 +156,7 @@
     void close(Connection* connection);
     void logDroppedConnections();
     void accept(int count);
+    void handleAcceptError(int error);
     /// \returns Whether there is room for another connection, for which idle ones may be closed.
     bool makeRoom();
     void limitOutput();
@@ -151,6 +168,7 @@
         static_cast<State*>(argument)->closedConnections.clear();
     }
     static void onAccept(evutil_socket_t, short, void* argument);
+    static void onAcceptPauseEnd(evutil_socket_t, short, void* argument);
     static void onReadNew(evutil_socket_t, short, void* argument)
     {
         auto& state = *static_cast<State*>(argument);
@@ -453,7 +471,7 @@
     void readOrPause()
     {
         bool isParsing = m_phase == Phase::Receiving && bufferedBytes() == 0;
-        bool isFull = !isParsing && m_phase != Phase::Lingering && m_input.size() >= maxPipelinedBytes;
+        bool isFull = !isParsing && m_phase != Phase::Lingering && m_input.size() + minReadBytes > maxPipelinedBytes;
         if (!isFull || m_writeFailed)
             read();
         else if (m_phase == Phase::Responding || bufferedBytes() != 0)
@@ -481,13 +499,25 @@
     [[nodiscard]] std::size_t maxReadBytes() const noexcept
     {
         bool isInBody = m_phase == Phase::Receiving && m_headComplete && bufferedBytes() == 0;
-        return isInBody || m_phase == Phase::Lingering ? readBufferBytes : maxPipelinedBytes;
+        if (isInBody || m_phase == Phase::Lingering)
+            return readBufferBytes;
+        return std::max(minReadBytes, maxPipelinedBytes - std::min(m_input.size(), maxPipelinedBytes));
     }
 
     // What the caller goes on sending stays in its own buffers: it counts as memory of this host once it has arrived.
     void limitReceiveBuffer()
     {
-        setsockopt(m_socket.value(), SOL_SOCKET, SO_RCVBUF, &smallReceiveBytes, sizeof(smallReceiveBytes));
+        if (std::exchange(m_hasBodyReceiveBuffer, false))
+            setReceiveBuffer(m_socket.value(), m_owner.options.receiveBufferBytes);
+    }
+
+    // Otherwise a caller on a long path sends no more than the small buffer in each round trip.
+    void growReceiveBuffer()
+    {
+        if (m_owner.options.receiveBufferBytes >= bodyReceiveBytes)
+            return;
+        m_hasBodyReceiveBuffer = true;
+        setReceiveBuffer(m_socket.value(), bodyReceiveBytes);
     }
 
     void pauseReading()
@@ -547,6 +577,7 @@
             return;
         }
         m_phase = Phase::Responding;
+        limitReceiveBuffer();
         Millis now = m_owner.clock.now();
         if (m_hasDelivered && now - m_deliveredAt < minPrioritizedInterval)
             setEventPriority(*m_readEvent, EventPriority::IncomingRequests);
@@ -646,6 +677,8 @@
             if (!reserve(static_cast<std::size_t>(length)))
                 return setMemoryFull();
             m_request.body.reserve(static_cast<std::size_t>(length));
+            if (length > CallerServer::smallBodyBytes)
+                growReceiveBuffer();
         }
         if (equalIgnoringAsciiCase(m_request.header("Expect"), "100-continue"))
             enqueue("HTTP/1.1 100 Continue\r\n\r\n");
@@ -831,6 +864,7 @@
     bool m_isHttp10 { false };
     bool m_keepAlive { true };
     bool m_writeFailed { false };
+    bool m_hasBodyReceiveBuffer { false };
     Millis m_acceptedAt;
     Millis m_idleSince { m_acceptedAt };
     bool m_hasRead { false }; ///< Bytes, or the end of the connection, were read.
@@ -848,6 +882,8 @@
         event_active(destroyClosedEvent.get(), EV_TIMEOUT, 0);
     closedConnections.push_back(std::move(position->second));
     connections.erase(position);
+    if (options.budget)
+        options.budget->callers = connections.size();
 }
 
 void CallerServer::State::logDroppedConnections()
@@ -870,8 +906,7 @@
     for (int i = 0; i < count && listener.value() >= 0; ++i) {
         FileDescriptor socket(::accept4(listener.value(), nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC));
         if (socket.value() < 0) {
-            if (errno != EAGAIN && errno != EINTR && errno != ECONNABORTED)
-                logEvent(LogLevel::Error, "accept_failed", { { "errno", errno } });
+            handleAcceptError(errno);
             return;
         }
         if (!makeRoom()) {
@@ -885,6 +920,8 @@
         auto connection = std::make_unique<Connection>(*this, std::move(socket), ++lastNumber);
         Connection* connectionKey = connection.get();
         connections.emplace(connectionKey, std::move(connection));
+        if (options.budget)
+            options.budget->callers = connections.size();
         if (!isSaturated) {
             connectionKey->start();
             continue;
@@ -900,9 +937,35 @@
     }
 }
 
+void CallerServer::State::handleAcceptError(int error)
+{
+    if (error == EAGAIN || error == EINTR || error == ECONNABORTED)
+        return;
+    if (isOutOfDescriptors(error) && acceptEvent) {
+        event_del(acceptEvent.get());
+        timeval pause = toTimeval(acceptPause);
+        evtimer_add(acceptPauseTimer.get(), &pause);
+    }
+    ++failedAccepts;
+    Millis now = clock.now();
+    if (lastAcceptLogAt != Millis {} && now - lastAcceptLogAt < dropLogInterval)
+        return;
+    lastAcceptLogAt = now;
+    logEvent(LogLevel::Error, "accept_failed",
+        { { "errno", error }, { "failures", std::exchange(failedAccepts, 0) }, { "connections", connections.size() } });
+}
+
+void CallerServer::State::onAcceptPauseEnd(evutil_socket_t, short, void* argument)
+{
+    auto& state = *static_cast<State*>(argument);
+    if (state.acceptEvent)
+        event_add(state.acceptEvent.get(), nullptr);
+}
+
 bool CallerServer::State::makeRoom()
 {
-    if (options.maxConnections == 0 || connections.size() < options.maxConnections)
+    bool isWithinBudget = !options.budget || hasRoomForCaller(*options.budget);
+    if (isWithinBudget && (options.maxConnections == 0 || connections.size() < options.maxConnections))
         return true;
     if (options.closesOldestConnection) {
         auto isOlder = [](const auto& a, const auto& b) { return a.first->number() < b.first->number(); };
@@ -995,12 +1058,12 @@
     if (inet_pton(AF_INET, std::string(address.substr(0, colon)).c_str(), &localAddress.sin_addr) != 1)
         return Error { .kind = ErrorKind::SettingsInvalid, .message = "invalid address " + state.options.address };
     FileDescriptor socket(::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0));
+    if (socket.value() < 0)
+        return bindError("tcp", state.options.address, errno);
     int reuseAddress = 1;
     // Accepted sockets inherit it. Otherwise the system lets each buffer grow to several megabytes.
-    int receiveBytes = state.options.receiveBufferBytes;
-    setsockopt(socket.value(), SOL_SOCKET, SO_RCVBUF, &receiveBytes, sizeof(receiveBytes));
-    if (socket.value() < 0
-        || setsockopt(socket.value(), SOL_SOCKET, SO_REUSEADDR, &reuseAddress, sizeof(reuseAddress)) != 0
+    setReceiveBuffer(socket.value(), state.options.receiveBufferBytes);
+    if (setsockopt(socket.value(), SOL_SOCKET, SO_REUSEADDR, &reuseAddress, sizeof(reuseAddress)) != 0
         || ::bind(socket.value(), reinterpret_cast<const sockaddr*>(&localAddress), sizeof(localAddress)) != 0
         || ::listen(socket.value(), acceptPolicy.queueLength) != 0)
         return bindError("tcp", state.options.address, errno);
--- a/src/router/RouterDaemon.cpp
+++ b/src/router/RouterDaemon.cpp
@@ -32,7 +32,6 @@
 #include <event2/event.h>
 #include <malloc.h>
 #include <set>
-#include <sys/stat.h>
 #include <unistd.h>
 #include <utility>
 
@@ -100,6 +99,32 @@
         return static_cast<std::size_t>(statusDescriptorFraction * settings.daemon.maxDescriptors);
     }
 
+    // Readiness, metrics and documents.
+    constexpr std::size_t maxStatusAddresses = 3;
+
+    // Files of the process, among them the log and the settings; for few descriptors one in so many.
+    constexpr std::size_t fileDescriptors = 200;
+    constexpr std::size_t fileDescriptorShare = 8;
+
+    // Connections to the store and peers, listeners, the peers' socket and the event loop; for few descriptors one in
+    // so many.
+    constexpr std::size_t controlDescriptors = 64;
+    constexpr std::size_t controlDescriptorShare = 16;
+
+    // Of the descriptors for callers and endpoints, one in so many is left to callers, who then get a refusal: callers
+    // that are turned away unanswered come again at once.
+    constexpr std::size_t callerMarginShare = 4;
+
+    ConnectionBudget connectionBudget(const RouterSettings& settings)
+    {
+        std::size_t descriptors = settings.daemon.maxDescriptors;
+        std::size_t reserved = std::min(fileDescriptors, descriptors / fileDescriptorShare)
+            + std::min(controlDescriptors, descriptors / controlDescriptorShare)
+            + maxStatusAddresses * maxStatusConnections(settings);
+        std::size_t limit = descriptors - reserved;
+        return { .limit = limit, .callerMargin = limit / callerMarginShare };
+    }
+
     // Returns the memory that the process may use, in bytes.
     std::size_t memoryBytes(const RouterSettings& settings)
     {
@@ -114,6 +139,21 @@
     // The other half is for the process without requests, answers, prompt parts, and bytes in the kernel's buffers.
     std::size_t maxTotalBodyBytes(const RouterSettings& settings) { return memoryBytes(settings) / 2; }
 
+    // The receive buffers of all callers' connections may take this part of the memory, one in so many.
+    constexpr std::size_t receiveMemoryShare = 4;
+
+    // Bounds of a receive buffer: a typical request, and what fills a path of some milliseconds.
+    constexpr std::size_t minReceiveBytes = 8U << 10U;
+    constexpr std::size_t maxReceiveBytes = 64U << 10U;
+
+    // Returns the receive buffer of each caller's connection. The system doubles it.
+    int receiveBufferBytes(const RouterSettings& settings)
+    {
+        std::size_t connections = std::max<std::size_t>(maxCallerConnections(settings), 1);
+        std::size_t bytes = memoryBytes(settings) / receiveMemoryShare / connections / 2;
+        return static_cast<int>(std::clamp(bytes, minReceiveBytes, maxReceiveBytes));
+    }
+
     // Modelled prefix caches may take this part of the memory, one in so many.
     constexpr std::size_t promptMemoryShare = 12;
 
@@ -148,6 +188,7 @@
     ProcessMonitor processMonitor;
     RouterBlackboard board;
     DaemonInstanceId instanceId; ///< Of this process.
+    ConnectionBudget budget;
     EndpointClient endpointClient;
     UdpTransport peerTransport;
     PlacementQueue queue;
@@ -161,8 +202,7 @@
     LoopMonitor loopMonitor;
     AddressBinder addressBinder;
     std::array<EventPointer, 3> signalEvents;
-    std::string settingsPath;
-    std::int64_t settingsModifiedNs { 0 }; ///< Modification time of the file in nanoseconds; 0: not read yet.
+    SettingsFile settingsFile;
     Phase phase { Phase::Running };
     bool isServing { false }; ///< All required addresses are bound.
     int exitCode { 0 };
@@ -181,8 +221,11 @@
         , source(adapter.source(*base, http, clock, settings))
         , processMonitor(metrics, processLimits(settings))
         , instanceId(hash64(settings.daemon.id.value, systemSeed()))
-        , endpointClient(
-              *base, clock, { .maxIdleTime = endpointIdleTimeout, .maxIdleConnectionsPerAddress = maxIdlePerEndpoint })
+        , budget(connectionBudget(settings))
+        , endpointClient(*base, clock,
+              { .maxIdleTime = endpointIdleTimeout,
+                  .maxIdleConnectionsPerAddress = maxIdlePerEndpoint,
+                  .budget = &budget })
         , peerTransport(*base)
         , queue(*base)
         , placementClient({ .base = *base,
@@ -217,7 +260,9 @@
               { .address = settings.callers.address,
                   .writeTimeout = settings.callers.writeTimeout,
                   .maxConnections = maxCallerConnections(settings),
-                  .maxTotalBodyBytes = maxTotalBodyBytes(settings) })
+                  .receiveBufferBytes = receiveBufferBytes(settings),
+                  .maxTotalBodyBytes = maxTotalBodyBytes(settings),
+                  .budget = &budget })
         , fleetSync({ .base = *base,
                         .clock = clock,
                         .board = board,
@@ -302,7 +347,9 @@
             .idleTimeout = limits.idleTimeout,
             .writeTimeout = settings.callers.writeTimeout,
             .maxConnections = maxCallerConnections(settings),
-            .maxTotalBodyBytes = maxTotalBodyBytes(settings) });
+            .receiveBufferBytes = receiveBufferBytes(settings),
+            .maxTotalBodyBytes = maxTotalBodyBytes(settings),
+            .budget = &budget });
         metrics.set(Gauge::ConfigurationVersion, {}, static_cast<double>(board.table->version));
         updateReadiness();
     }
@@ -547,32 +594,24 @@
         end();
     }
 
-    // Reloads the settings after SIGHUP or a change of the file; the first call only records the file's modification
-    // time.
+    // Reloads the settings after SIGHUP, a change of the file, or a failure of the last reload.
     void reloadSettingsIfRequired(bool signalled)
     {
-        if (settingsPath.empty())
+        if (!takeReload(settingsFile, signalled))
             return;
-        struct stat fileStatus { };
-        if (stat(settingsPath.c_str(), &fileStatus) != 0)
-            return;
-        std::int64_t modifiedNs = fileStatus.st_mtim.tv_sec * 1'000'000'000 + fileStatus.st_mtim.tv_nsec;
-        if (modifiedNs == settingsModifiedNs && !signalled)
-            return;
-        bool isFirstCheck = settingsModifiedNs == 0;
-        settingsModifiedNs = modifiedNs;
-        if (isFirstCheck && !signalled)
-            return;
-        auto text = readFile(settingsPath);
-        auto parsed = parseRouterSettings(text.value_or(""), settingsPath);
+        auto text = readFile(settingsFile.path);
+        auto parsed = parseRouterSettings(text.value_or(""), settingsFile.path);
         if (!parsed) {
-            logEvent(LogLevel::Error, "reload_failed", { { "message", parsed.error().message } });
+            if (recordReloadFailure(settingsFile, parsed.error().message) || signalled)
+                logEvent(LogLevel::Error, "reload_failed", { { "message", parsed.error().message } });
             return;
         }
-        logNotices(parsed.value(), settingsPath);
+        recordReload(settingsFile);
+        logNotices(parsed.value(), settingsFile.path);
         settings.retries = parsed.value().retries;
         settings.placement = parsed.value().placement;
-        settings.shutdown = parsed.value().shutdown;
+        if (phase == Phase::Running) // A planned stop keeps the grace time with which it began.
+            settings.shutdown = parsed.value().shutdown;
         settings.logging = parsed.value().logging;
         router.setOptions(requestRouterOptions(settings));
         refreshPaces();
@@ -586,11 +625,14 @@
             signalEvents[index].reset(evsignal_new(base.get(), signalNumber, handler, this));
             event_add(signalEvents[index].get(), nullptr);
         };
-        auto onStop = [](evutil_socket_t, short, void* self) { static_cast<State*>(self)->stop(); };
+        auto onStop = [](evutil_socket_t, short, void* self) {
+            runGuarded("signal_stop", [&] { static_cast<State*>(self)->stop(); });
+        };
         watch(0, SIGTERM, onStop);
         watch(1, SIGINT, onStop);
-        watch(2, SIGHUP,
-            [](evutil_socket_t, short, void* self) { static_cast<State*>(self)->reloadSettingsIfRequired(true); });
+        watch(2, SIGHUP, [](evutil_socket_t, short, void* self) {
+            runGuarded("signal_reload", [&] { static_cast<State*>(self)->reloadSettingsIfRequired(true); });
+        });
     }
 };
 
@@ -623,9 +665,9 @@
     return state.exitCode;
 }
 
-void RouterDaemon::watchSignals(std::string settingsPath)
+void RouterDaemon::watchSignals(SettingsFile settingsFile)
 {
-    m_state->settingsPath = std::move(settingsPath);
+    m_state->settingsFile = std::move(settingsFile);
     m_state->watchSignals();
 }
 
@@ -633,15 +675,15 @@
 
 std::uint16_t RouterDaemon::callerPort() const noexcept { return m_state->callerServer.port(); }
 
-int runRouter(const RouterSettings& settings, DeploymentAdapter adapter, std::string settingsPath)
+int runRouter(const RouterSettings& settings, DeploymentAdapter adapter, SettingsFile settingsFile)
 {
     std::signal(SIGPIPE, SIG_IGN);
     replaceDefaultSignalActions();
     setLogLevel(parseLogLevel(settings.logging.level).value());
-    logNotices(settings, settingsPath);
+    logNotices(settings, settingsFile.path);
     RouterDaemon daemon(settings, std::move(adapter));
     endStartStep(StartStep::Construction);
-    daemon.watchSignals(std::move(settingsPath));
+    daemon.watchSignals(std::move(settingsFile));
     unblockLifecycleSignals();
     if (auto started = daemon.start(); !started) {
         logEvent(LogLevel::Error, "start_failed", { { "message", started.error().message } });
