--- a/bench/soak/crashing_part.py
+++ b/bench/soak/crashing_part.py
@@ -170,10 +170,9 @@
             await asyncio.wait_for(self.play(), self.options.seconds + 45)
         finally:
             for router in self.routers:
-                if router.alive():
-                    router.child.kill()
-                if router.child is not None:
-                    router.child.wait()
+                if router.process is not None:
+                    router.process.child.kill()
+                    router.process.child.wait()
             for task in list(self.tasks):
                 task.cancel()
             await asyncio.gather(*self.tasks, return_exceptions=True)
@@ -186,6 +185,7 @@
             await self.engines[-1].start()
         self.routers = [Router(self, number) for number in range(self.options.routers)]
         for router in self.routers:
+            router.path.write_text(router.settings())
             router.start()
         for router in self.routers:
             while not await Soak.is_ready(router):
--- a/bench/soak/lifecycle.py
+++ b/bench/soak/lifecycle.py
@@ -301,6 +301,7 @@
         if not router.is_rewriting:
             self.write_settings(router, start.cut_part, start.cut_off_s)
         process = router.start()
+        self.add(process)
         if start.file_limit_s > 0:
             self.soak.spawn(self.limit_log(process, start.file_limit_s))
         if start.signals:
--- a/bench/soak/soak.py
+++ b/bench/soak/soak.py
@@ -95,11 +95,10 @@
             child = subprocess.Popen([str(self.soak.binary), "router", "--settings", str(self.path)], stdout=log,
                                      stderr=log, stdin=subprocess.DEVNULL)
         self.process = Process(self, child, self.path)
-        self.soak.lifecycle.add(self.process)
         return self.process
 
     def alive(self):
-        return self.process.alive()
+        return self.process is not None and self.process.alive()
 
     def tail(self, attempt, count=12):
         lines = self.log.read_text(errors="replace").splitlines() if self.log.exists() else []
