Let callers and endpoints share more of the descriptors

Change: a 16th is left to callers, and 64 are reserved for each status address; a crowd there may take more while some are free. The tests of descriptors, routers, callers and memory pass.

--- a/src/router/RouterDaemon.cpp
+++ b/src/router/RouterDaemon.cpp
@@ -99,8 +99,10 @@
         return static_cast<std::size_t>(statusDescriptorFraction * settings.daemon.maxDescriptors);
     }
 
-    // Readiness, metrics and documents.
+    // Readiness, metrics and documents. Those who use them at the same time need no more connections than this; a crowd
+    // there may take more while descriptors are free.
     constexpr std::size_t maxStatusAddresses = 3;
+    constexpr std::size_t reservedStatusConnections = 64;
 
     // Files of the process, among them the log and the settings; for few descriptors one in so many.
     constexpr std::size_t fileDescriptors = 200;
@@ -113,14 +115,14 @@
 
     // Of the descriptors for callers and endpoints, one in so many is left to callers, who then get a refusal: callers
     // that are turned away unanswered come again at once.
-    constexpr std::size_t callerMarginShare = 4;
+    constexpr std::size_t callerMarginShare = 16;
 
     ConnectionBudget connectionBudget(const RouterSettings& settings)
     {
         std::size_t descriptors = settings.daemon.maxDescriptors;
         std::size_t reserved = std::min(fileDescriptors, descriptors / fileDescriptorShare)
             + std::min(controlDescriptors, descriptors / controlDescriptorShare)
-            + maxStatusAddresses * maxStatusConnections(settings);
+            + maxStatusAddresses * std::min(reservedStatusConnections, maxStatusConnections(settings));
         std::size_t limit = descriptors - reserved;
         return { .limit = limit, .callerMargin = limit / callerMarginShare };
     }
