Load the program after the lifecycle signals are held

What operators saw: processes that ended by themselves, without a line in the log. A platform tells of changed settings by SIGHUP, also while a process starts, and its default action ends the process.

Cause: the executable was linked against 49 shared libraries. The dynamic loader maps and relocates them before main(), so that nothing of the program could hold the signals for the first 2.9 ms, longer on a share of a core.

Change: the executable needs the C library alone, blocks SIGHUP, SIGINT and SIGTERM first and then loads the program, which is a shared library in the same folder. It is found by RUNPATH ($ORIGIN), not by the working directory; where the process sees only a part of the file system, through the working directory as well.

What remains is the kernel's exec and the start of the C library, in which no program can act.

--- a/bench/lifecycle/service.py
+++ b/bench/lifecycle/service.py
@@ -111,6 +111,15 @@
             self.send(signal_number)
             time.sleep(interval_s)
 
+    def has_mapped_libraries(self):
+        """Whether libraries other than the C library and the loader are mapped."""
+        try:
+            maps = pathlib.Path(f"/proc/{self.process.pid}/maps").read_text()
+        except (FileNotFoundError, ProcessLookupError):
+            return False
+        names = {pathlib.PurePath(line.split()[5]).name for line in maps.splitlines() if ".so" in line}
+        return any(not name.startswith(("libc.so", "ld-linux")) for name in names)
+
     def holds_lifecycle_signals(self):
         """Whether each of the signals is blocked or has a handler, so that none ends the process."""
         try:
--- a/bench/lifecycle/test_lifecycle.py
+++ b/bench/lifecycle/test_lifecycle.py
@@ -4,6 +4,7 @@
 import json
 import os
 import re
+import shutil
 import signal
 import socket
 import struct
@@ -28,10 +29,7 @@
 
 
 class SignalsDuringStartTest(LifecycleTest):
-    """A FIFO in the place of the settings holds the process in its start: it waits for a writer.
-
-    The loader's time before main() can't be covered from inside the process, so nothing is sent in it.
-    """
+    """A FIFO in the place of the settings holds the process in its start: it waits for a writer."""
 
     def start_held(self, command):
         """Returns the process, and the descriptor to which its settings are written."""
@@ -95,6 +93,37 @@
                     started.wait_for(send_and_look, "event=started")
 
 
+class LoaderTest(LifecycleTest):
+    """The executable loads the program's libraries itself, so that signals are held by then."""
+
+    # Guards against processes that end by a signal which arrives before main() while the dynamic loader maps libraries.
+    def test_signals_while_libraries_are_loaded_do_not_end_the_process(self):
+        for command in ("router", "daemon"):
+            for number in LIFECYCLE_SIGNALS:
+                with self.subTest(command, signal=number):
+                    self.setUp()
+                    with Service(command, self.folder, self.settings(command)) as started:
+                        started.wait_for(started.has_mapped_libraries, "mapped libraries")
+                        started.send(number)
+                        if number == signal.SIGHUP:
+                            started.wait_for_event("started")
+                        else:
+                            self.assertEqual(started.exit_code(), 0, started.log())
+
+    # Guards against a start that fails without a reason where only the executable was copied.
+    def test_executable_without_its_library_names_the_library(self):
+        copy = os.path.join(self.folder, "jasminestack")
+        shutil.copy(service.BINARY, copy)
+        run = subprocess.run([copy, "--help"], capture_output=True, text=True)
+        self.assertEqual(run.returncode, 1)
+        self.assertIn("libjasminestack_program.so", run.stderr)
+
+    # Guards against a library that is looked up relative to the working directory.
+    def test_program_is_found_from_any_working_directory(self):
+        run = subprocess.run([service.BINARY, "--help"], capture_output=True, text=True, cwd=self.folder)
+        self.assertEqual(run.returncode, 0, run.stderr)
+
+
 class SignalsAfterStartTest(LifecycleTest):
     def test_signals_until_the_end_of_a_stop_leave_exit_code_0(self):
         # Each stop meets the end of the process at another moment.
--- a/src/base/LifecycleSignals.cpp
+++ b/src/base/LifecycleSignals.cpp
@@ -1,36 +1,18 @@
 #include "base/LifecycleSignals.h"
 
-#include <csignal>
 #include <optional>
 
 namespace jasminestack {
 
 namespace {
 
-    constexpr int lifecycleSignals[] { SIGHUP, SIGINT, SIGTERM };
-
     std::optional<sigset_t> originalMask;
 
-    sigset_t lifecycleSignalSet() noexcept
-    {
-        sigset_t set;
-        sigemptyset(&set);
-        for (int signalNumber : lifecycleSignals)
-            sigaddset(&set, signalNumber);
-        return set;
-    }
-
     void ignoreSignal(int) { }
 
 }
 
-void blockLifecycleSignals() noexcept
-{
-    sigset_t blocked = lifecycleSignalSet();
-    sigset_t previous;
-    if (sigprocmask(SIG_BLOCK, &blocked, &previous) == 0 && !originalMask)
-        originalMask = previous;
-}
+void setOriginalSignalMask(const sigset_t& mask) noexcept { originalMask = mask; }
 
 void restoreSignalMask() noexcept
 {
--- a/src/base/LifecycleSignals.h
+++ b/src/base/LifecycleSignals.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <csignal>
+
 namespace jasminestack {
 
 /// \file
@@ -8,10 +10,32 @@
 /// Their default action ends the process. A service therefore blocks them from the start of main() until its handlers
 /// are registered, and keeps a handler until the process has ended.
 
-/// \brief Blocks the lifecycle signals; those that arrive stay pending. main() calls it first.
-void blockLifecycleSignals() noexcept;
+/// \brief The lifecycle signals.
+constexpr int lifecycleSignals[] { SIGHUP, SIGINT, SIGTERM };
+
+/// \returns The set of the lifecycle signals.
+[[nodiscard]] inline sigset_t lifecycleSignalSet() noexcept
+{
+    sigset_t set;
+    sigemptyset(&set);
+    for (int signalNumber : lifecycleSignals)
+        sigaddset(&set, signalNumber);
+    return set;
+}
+
+/// \brief Blocks the lifecycle signals; those that arrive stay pending. Uses the C library only, since it runs before
+/// the program's libraries are loaded.
+/// \param originalMask Receives the signal mask before the call.
+inline void blockLifecycleSignals(sigset_t& originalMask) noexcept
+{
+    sigset_t blocked = lifecycleSignalSet();
+    sigprocmask(SIG_BLOCK, &blocked, &originalMask);
+}
+
+/// \brief Sets the mask that restoreSignalMask() restores.
+void setOriginalSignalMask(const sigset_t&) noexcept;
 
-/// \brief Restores the signal mask that the first call of blockLifecycleSignals() found; without one, does nothing.
+/// \brief Restores the signal mask from before the lifecycle signals were blocked; if none was set, does nothing.
 /// Commands that run no service call it, so that they can be interrupted.
 void restoreSignalMask() noexcept;
 
--- a/src/cli/Main.cpp
+++ b/src/cli/Main.cpp
@@ -1,9 +1,9 @@
 #include "base/LifecycleSignals.h"
 #include "cli/Cli.h"
+#include "cli/Launcher.h"
 
-// A hook in .preinit_array would block the signals about 0.2 ms earlier, of the 3 ms that the loader takes before it.
-int main(int argumentCount, char** arguments)
+extern "C" int jasminestackMain(int argumentCount, char** arguments, const sigset_t* originalMask)
 {
-    jasminestack::blockLifecycleSignals();
+    jasminestack::setOriginalSignalMask(*originalMask);
     return jasminestack::runCommandLine(argumentCount, arguments);
 }
