router: find the settings where the platform names them

What operators saw: a router that didn't start, with exit code 2, on a host that names the settings file in JASMINESTACK_NODE_FILE alone, for example because several routers of a deployment share it.

Cause: nothing read the variable; the deploy file had a fixed path in its command line.

The flag goes first, as before.

Evidence: the new test of the variable failed on the code before (exit code 2) and passes now.

--- a/bench/lifecycle/service.py
+++ b/bench/lifecycle/service.py
@@ -56,15 +56,20 @@
 
 
 class Service:
-    """A process of the command "router" or "daemon"; its log lines go to a file."""
+    """A process of the command "router" or "daemon"; its log lines go to a file.
 
-    def __init__(self, command, folder, settings=None):
+    With a variable, the path of the settings is in the environment alone.
+    """
+
+    def __init__(self, command, folder, settings=None, variable=None):
         self.settings_path = pathlib.Path(folder) / "settings.json"
         self._log_path = pathlib.Path(folder) / "log"
         if settings is not None:
             self.settings_path.write_text(json.dumps(settings))
         with open(self._log_path, "wb") as log:
-            self.process = subprocess.Popen([BINARY, command, "--settings", str(self.settings_path)],
+            arguments = [] if variable else ["--settings", str(self.settings_path)]
+            environment = {**os.environ, variable: str(self.settings_path)} if variable else None
+            self.process = subprocess.Popen([BINARY, command, *arguments], env=environment,
                                             stdin=subprocess.DEVNULL, stdout=log, stderr=log)
 
     def __enter__(self):
--- a/bench/lifecycle/test_lifecycle.py
+++ b/bench/lifecycle/test_lifecycle.py
@@ -223,6 +223,24 @@
                     self.assertNotIn("trying again", started.log())
 
 
+class SettingsLocationTest(LifecycleTest):
+    # Guards against a router that doesn't start where the platform names the settings in the environment alone, as it
+    # does for several routers on one host.
+    def test_router_reads_the_file_that_the_platform_names_in_the_environment(self):
+        with Service("router", self.folder, self.settings("router"), variable="JASMINESTACK_NODE_FILE") as started:
+            started.wait_for_event("started")
+            started.send(signal.SIGHUP)
+            started.wait_for_event("settings_reloaded")
+            started.send(signal.SIGTERM)
+            self.assertEqual(started.exit_code(), 0, started.log())
+
+    def test_flag_goes_before_the_environment(self):
+        os.environ["JASMINESTACK_NODE_FILE"] = os.path.join(self.folder, "missing.json")
+        self.addCleanup(os.environ.pop, "JASMINESTACK_NODE_FILE")
+        with Service("router", self.folder, self.settings("router")) as started:
+            started.wait_for_event("started")
+
+
 class OddSettingsTest(LifecycleTest):
     """Settings that other programs write in another way, or that are stale."""
 
--- a/src/cli/Cli.cpp
+++ b/src/cli/Cli.cpp
@@ -12,7 +12,8 @@
 #include <limits>
 #include <sstream>
 
-ABSL_FLAG(std::string, settings, "", "file with the daemon's settings");
+ABSL_FLAG(std::string, settings, "",
+    "file with the service's settings (default of a router: the file that its platform names in the environment)");
 ABSL_FLAG(bool, summary, false, "count failures by cause instead of printing the log lines of one request");
 ABSL_FLAG(bool, json, false, "print JSON instead of a table");
 ABSL_FLAG(std::string, admin, "127.0.0.1:8081", "address IP:PORT of a daemon's admin server");
--- a/src/cli/DaemonCommand.cpp
+++ b/src/cli/DaemonCommand.cpp
@@ -8,7 +8,7 @@
 int runDaemonCommand(const std::vector<std::string>&)
 {
     return runServiceCommand(
-        "daemon", [] { startLogging(LogLevel::Info); }, parseDaemonSettings,
+        "daemon", "", [] { startLogging(LogLevel::Info); }, parseDaemonSettings,
         [](const DaemonSettings& settings, SettingsFile file) { return runDaemon(settings, std::move(file)); });
 }
 
--- a/src/cli/ServiceCommand.h
+++ b/src/cli/ServiceCommand.h
@@ -15,15 +15,18 @@
 namespace jasminestack {
 
 /// \brief Reads the settings of the flag --settings and runs a service with them.
+/// \param defaultPath Path of the settings without the flag; if empty, the flag is required.
 /// \param startLog Starts logging.
 /// \param parse Returns the settings, or their errors, from a text and the path that errors name.
 /// \param run Runs the service with the settings and the SettingsFile, and returns its exit code.
 /// \returns The process's exit code.
 template <typename StartLog, typename Parse, typename Run>
-[[nodiscard]] int runServiceCommand(
-    std::string_view command, const StartLog& startLog, const Parse& parse, const Run& run)
+[[nodiscard]] int runServiceCommand(std::string_view command, std::string_view defaultPath, const StartLog& startLog,
+    const Parse& parse, const Run& run)
 {
-    const std::string path = absl::GetFlag(FLAGS_settings);
+    std::string path = absl::GetFlag(FLAGS_settings);
+    if (path.empty())
+        path = defaultPath;
     if (path.empty()) {
         std::cerr << "jasminestack: '" << command << "' needs --settings FILE\n";
         return exit_code::usage;
