Accept host names of any form and very high limits in router settings

What operators saw: a router that didn't start, with exit code 3, where a host or availability zone has letters beyond ASCII, a host name has more than 64 characters, or the limit of descriptors is 2^40.

Cause: the names had to be identifiers, although they are the platform's to choose, and the limit had an upper bound that only says that a process can't use more.

Change: another name of a host is replaced by an identifier with a hash of the name, so that hosts stay distinct; the name of an availability zone is kept, since it is compared with those of endpoints; a higher limit is lowered. Each change has a notice with its place. Empty names stay errors.

--- a/bench/lifecycle/test_lifecycle.py
+++ b/bench/lifecycle/test_lifecycle.py
@@ -252,6 +252,9 @@
                           "retries": {"ratio": 2.0, "windowSeconds": 0.5}},
             "a seed with a host name": {"peers": {"seeds": [f"{self.ip}:8785", "host-a:8785"]}},
             "a short contact time": {"store": {"contactMs": 100}},
+            "a host name beyond ASCII": {"router": {"id": "k\u0131l\u0131\u00e7 edge/1", "availabilityZone": "Kad\u0131k\u00f6y 2"}},
+            "a long host name": {"router": {"id": "edge-" * 60}},
+            "a very high limit": {"router": {"maxDescriptors": 1 << 40}},
         }
         for name, sections in changes.items():
             with self.subTest(name):
--- a/src/config/RouterSettings.cpp
+++ b/src/config/RouterSettings.cpp
@@ -1,7 +1,13 @@
 #include "config/RouterSettings.h"
 
+#include "base/Hash.h"
 #include "config/JsonObjectReader.h"
 
+#include <algorithm>
+#include <cstdio>
+#include <functional>
+#include <limits>
+
 namespace jasminestack {
 
 namespace {
@@ -15,6 +21,50 @@
     // Two turns of the tick in which a shutdown advances.
     constexpr double minSeconds = 0.1;
 
+    // More descriptors than a process can use.
+    constexpr std::int64_t maxDescriptors = 10'000'000;
+
+    // Identifiers have at most 64 characters, and a hash has 17 with its separator.
+    constexpr std::size_t maxKeptCharacters = 47;
+
+    // Returns an identifier for a name that is none. Different names get different identifiers.
+    std::string identifierFor(std::string_view name)
+    {
+        std::string identifier(name.substr(0, maxKeptCharacters));
+        auto isAllowed = [](char character) { return isIdentifier({ &character, 1 }); };
+        std::replace_if(identifier.begin(), identifier.end(), std::not_fn(isAllowed), '_');
+        char suffix[18];
+        (void)std::snprintf(suffix, sizeof suffix, "-%016llx", static_cast<unsigned long long>(hash64(name)));
+        return identifier + suffix;
+    }
+
+    void addNotice(RouterSettings& settings, const JsonObjectReader& section, const JsonNode& value,
+        std::string_view name, std::string message)
+    {
+        settings.notices.push_back({ value.line, value.column, joinPath(section.path(), name), std::move(message) });
+    }
+
+    // Platforms name hosts as they like; the name identifies the daemon to others, who accept identifiers only.
+    void readDaemonId(JsonObjectReader& section, RouterSettings& settings)
+    {
+        std::string& id = settings.daemon.id.value;
+        section.text("id", id, FieldPresence::Required);
+        if (id.empty() || isIdentifier(id))
+            return;
+        id = identifierFor(id);
+        addNotice(settings, section, *section.field("id"), "id", "is no identifier, '" + id + "' is used");
+    }
+
+    void readMaxDescriptors(JsonObjectReader& section, RouterSettings& settings)
+    {
+        std::int64_t descriptors = settings.daemon.maxDescriptors;
+        section.integer("maxDescriptors", descriptors, std::int64_t { 256 }, std::numeric_limits<std::int64_t>::max());
+        settings.daemon.maxDescriptors = static_cast<unsigned>(std::min(descriptors, maxDescriptors));
+        if (descriptors > maxDescriptors)
+            addNotice(settings, section, *section.field("maxDescriptors"), "maxDescriptors",
+                "above the maximum, " + std::to_string(maxDescriptors) + " is used");
+    }
+
     void readContactTime(JsonObjectReader& store, RouterSettings& settings)
     {
         auto contactMs = static_cast<double>(settings.store.contactTime.count);
@@ -23,9 +73,8 @@
         if (settings.store.contactTime.count >= minContactTime)
             return;
         settings.store.contactTime = { minContactTime };
-        const JsonNode& value = *store.field("contactMs");
-        settings.notices.push_back({ value.line, value.column, joinPath(store.path(), "contactMs"),
-            "below the minimum, " + std::to_string(minContactTime) + " is used" });
+        addNotice(settings, store, *store.field("contactMs"), "contactMs",
+            "below the minimum, " + std::to_string(minContactTime) + " is used");
     }
 
     void readAddresses(JsonObjectReader& root, RouterSettings& settings)
@@ -101,9 +150,10 @@
     JsonObjectReader reader(&normalized, "", problems);
     {
         JsonObjectReader daemon = reader.object("router", FieldPresence::Required);
-        daemon.identifier("id", settings.daemon.id.value, FieldPresence::Required);
-        daemon.identifier("availabilityZone", settings.daemon.availabilityZone, FieldPresence::Required);
-        daemon.integer("maxDescriptors", settings.daemon.maxDescriptors, 256U, 10'000'000U);
+        readDaemonId(daemon, settings);
+        // Compared with the names in registrations, so it is kept as it is.
+        daemon.text("availabilityZone", settings.daemon.availabilityZone, FieldPresence::Required);
+        readMaxDescriptors(daemon, settings);
         daemon.number("memoryMb", settings.daemon.memoryMb, 0.0, 1'000'000.0);
         daemon.number("processorShare", settings.daemon.cpuCores, 0.01, 1'024.0);
     }
--- a/tests/RouterSettingsTests.cpp
+++ b/tests/RouterSettingsTests.cpp
@@ -115,3 +115,34 @@
     CHECK(checkDocument(text, problems) == DocumentKind::RouterSettings);
     CHECK(problems.empty());
 }
+
+// Guards against a start that fails because of the names that a platform gives its hosts and availability zones, or of
+// a limit beyond what a process can use.
+TEST_CASE("names that are no identifiers and very high limits are used with a notice", "[router]")
+{
+    auto parse = [](const std::string& id, const std::string& zone, const std::string& descriptors) {
+        std::string text = settingsText;
+        std::string_view line = R"("id": "edge-1", "availabilityZone": "gebze")";
+        text.replace(text.find(line), line.size(),
+            R"("id": ")" + id + R"(", "availabilityZone": ")" + zone + R"(", "maxDescriptors": )" + descriptors);
+        return parseRouterSettings(text, "node.json");
+    };
+    auto longName = parse(std::string(300, 'a'), "gebze", "4100");
+    REQUIRE(longName);
+    CHECK(longName.value().daemon.id.value.size() <= 64);
+    CHECK(longName.value().notices.size() == 1);
+    auto otherLongName = parse(std::string(299, 'a') + "b", "gebze", "4100");
+    REQUIRE(otherLongName);
+    CHECK(longName.value().daemon.id != otherLongName.value().daemon.id);
+    auto unicode = parse("kılıç edge/1", "Kılıç Tezgâh", "4100");
+    REQUIRE(unicode);
+    CHECK(unicode.value().daemon.id.value.starts_with("k__l____"));
+    CHECK(unicode.value().daemon.availabilityZone == "Kılıç Tezgâh");
+    auto manyDescriptors = parse("edge-1", "gebze", "1099511627776");
+    REQUIRE(manyDescriptors);
+    CHECK(manyDescriptors.value().daemon.maxDescriptors == 10'000'000);
+    REQUIRE(manyDescriptors.value().notices.size() == 1);
+    CHECK(manyDescriptors.value().notices[0].path == "router.maxDescriptors");
+    CHECK_FALSE(parse("", "gebze", "4100"));
+    CHECK_FALSE(parse("edge-1", "", "4100"));
+}
