--- a/bench/lifecycle/service.py
+++ b/bench/lifecycle/service.py
@@ -56,15 +56,20 @@
 
 
 class Service:
-    """A process of the command "router" or "daemon"; its log lines go to a file."""
+    """A process of the command "router" or "daemon"; its log lines go to a file.
 
-    def __init__(self, command, folder, settings=None):
+    With a variable, the path of the settings is in the environment alone.
+    """
+
+    def __init__(self, command, folder, settings=None, variable=None):
         self.settings_path = pathlib.Path(folder) / "settings.json"
         self._log_path = pathlib.Path(folder) / "log"
         if settings is not None:
             self.settings_path.write_text(json.dumps(settings))
         with open(self._log_path, "wb") as log:
-            self.process = subprocess.Popen([BINARY, command, "--settings", str(self.settings_path)],
+            arguments = [] if variable else ["--settings", str(self.settings_path)]
+            environment = {**os.environ, variable: str(self.settings_path)} if variable else None
+            self.process = subprocess.Popen([BINARY, command, *arguments], env=environment,
                                             stdin=subprocess.DEVNULL, stdout=log, stderr=log)
 
     def __enter__(self):
@@ -111,6 +116,15 @@
             self.send(signal_number)
             time.sleep(interval_s)
 
+    def has_mapped_libraries(self):
+        """Whether libraries other than the C library and the loader are mapped."""
+        try:
+            maps = pathlib.Path(f"/proc/{self.process.pid}/maps").read_text()
+        except (FileNotFoundError, ProcessLookupError):
+            return False
+        names = {pathlib.PurePath(line.split()[5]).name for line in maps.splitlines() if ".so" in line}
+        return any(not name.startswith(("libc.so", "ld-linux", "ld.so.cache")) for name in names)
+
     def holds_lifecycle_signals(self):
         """Whether each of the signals is blocked or has a handler, so that none ends the process."""
         try:
