net: bound the receive buffers of connections to endpoints by the router's memory

An answer whose caller reads slowly is not read from its endpoint either, and waits in the kernel's receive buffer. The system chose its size: 128 KB at first, up to 32 MB for a connection that was read fast before. Bytes that were received and not yet read count as memory of the process. At a router of 260 MB with 2,000 callers that did not read, 139 MB (endless answers) and 190 MB (answers of 20 MB) waited there; with the resident memory it was over its limit, at 285 and 330 MB. The check of crowds missed this, since it counted only the queues of callers' connections.

Each new connection to an endpoint gets a receive buffer of its share of a sixteenth of the memory, between 8 and 64 KB. So the first hundreds of connections still get what fills a path of some milliseconds, and thousands together stay within a quarter of the memory.

--- a/src/net/CallerServer.cpp
+++ b/src/net/CallerServer.cpp
@@ -90,11 +90,6 @@
     // Gives back memory, too, which the assignment of an empty string keeps.
     template <typename Value> void release(Value& value) { static_cast<void>(std::exchange(value, {})); }
 
-    void setReceiveBuffer(int descriptor, int bytes) noexcept
-    {
-        setsockopt(descriptor, SOL_SOCKET, SO_RCVBUF, &bytes, sizeof(bytes));
-    }
-
     bool statusHasNoBody(int status) noexcept { return status == 204 || status == 304; }
 
     std::size_t countHeaders(const CallerRequest& request, std::string_view name) noexcept
--- a/src/net/EndpointClient.cpp
+++ b/src/net/EndpointClient.cpp
@@ -27,6 +27,19 @@
     // kernel would take it for one that is gone; the timeouts of the request decide instead.
     constexpr std::size_t longRequestBytes = 64U << 10U;
 
+    // Bounds of a connection's receive buffer: a typical answer, and what fills a path of some milliseconds.
+    constexpr std::size_t minReceiveBytes = 8U << 10U;
+    constexpr std::size_t maxReceiveBytes = 64U << 10U;
+
+    // Returns the receive buffer of one more connection beside \p openConnections.
+    int receiveBufferBytes(std::size_t receiveMemory, std::size_t openConnections) noexcept
+    {
+        if (receiveMemory == 0)
+            return 0;
+        std::size_t share = receiveMemory / 2 / (openConnections + 1); // The system doubles it.
+        return static_cast<int>(std::clamp(share, minReceiveBytes, maxReceiveBytes));
+    }
+
     constexpr Millis half(Millis duration) noexcept { return { duration.count / 2 }; }
 
     std::string formatHead(const EndpointRequest& request)
@@ -223,7 +236,8 @@
             finish(exchange, ErrorKind::RouterOverloaded);
             return;
         }
-        auto socket = startConnection(exchange.request.address);
+        auto socket = startConnection(exchange.request.address,
+            receiveBufferBytes(options.receiveMemory, exchanges.size() + idleConnections.size()));
         if (!socket) {
             finish(exchange, socket.error().kind);
             return;
--- a/src/net/EndpointClient.h
+++ b/src/net/EndpointClient.h
@@ -23,6 +23,9 @@
     /// Shared with callers' connections; outlives the client. At its limit the connection that has been idle for
     /// longest is closed for a new one or, if there is none, the exchange ends with RouterOverloaded. Null: no limit.
     ConnectionBudget* budget { nullptr };
+    /// Of the receive buffers of all connections, approximately. What waits in them counts as memory of the process,
+    /// and a connection whose caller reads slowly is not read either. 0: the system's choice for each connection.
+    std::size_t receiveMemory { 0 };
 };
 
 /// \brief HTTP/1.1 client for endpoints on the event loop, with one exchange at a time on each connection.
--- a/src/net/Socket.cpp
+++ b/src/net/Socket.cpp
@@ -58,6 +58,8 @@
 
 void setAddressReusable(int descriptor) noexcept { setOption(descriptor, SOL_SOCKET, SO_REUSEADDR, 1); }
 
+void setReceiveBuffer(int descriptor, int bytes) noexcept { setOption(descriptor, SOL_SOCKET, SO_RCVBUF, bytes); }
+
 bool isOutputAcknowledged(int descriptor) noexcept
 {
     int unacknowledgedBytes = 0;
@@ -75,7 +77,7 @@
     return error == EMFILE || error == ENFILE || error == ENOBUFS || error == ENOMEM;
 }
 
-Result<FileDescriptor> startConnection(std::string_view address)
+Result<FileDescriptor> startConnection(std::string_view address, int receiveBufferBytes)
 {
     auto split = splitAddress(address);
     sockaddr_in target {};
@@ -89,6 +91,8 @@
             .message = "cannot create a socket" };
     configureConnection(socket.value());
     setAddressReusable(socket.value());
+    if (receiveBufferBytes != 0)
+        setReceiveBuffer(socket.value(), receiveBufferBytes);
     if (connect(socket.value(), reinterpret_cast<sockaddr*>(&target), sizeof(target)) != 0 && errno != EINPROGRESS)
         return Error { .kind = ErrorKind::EndpointUnavailable, .message = "cannot connect to " + std::string(address) };
     return socket;
--- a/src/net/Socket.h
+++ b/src/net/Socket.h
@@ -84,10 +84,14 @@
 /// one, left.
 [[nodiscard]] bool isOutOfDescriptors(int error) noexcept;
 
+/// \brief Sets the receive buffer of a socket, which otherwise grows to several megabytes. The system doubles it.
+void setReceiveBuffer(int descriptor, int bytes) noexcept;
+
 /// \brief Creates a non-blocking TCP socket and starts to connect it.
+/// \param receiveBufferBytes See setReceiveBuffer(); 0: the system's choice.
 /// \returns EndpointUnavailable if the address is invalid or the connection fails at once, RouterOverloaded if the
 /// process has no descriptor left.
-[[nodiscard]] Result<FileDescriptor> startConnection(std::string_view address);
+[[nodiscard]] Result<FileDescriptor> startConnection(std::string_view address, int receiveBufferBytes = 0);
 
 [[nodiscard]] timeval toTimeval(Millis duration) noexcept;
 
--- a/src/router/RouterDaemon.cpp
+++ b/src/router/RouterDaemon.cpp
@@ -57,6 +57,20 @@
     constexpr std::size_t maxIdlePerEndpoint = 48;
     constexpr Millis endpointIdleTimeout { 30'000 };
 
+    // Returns the memory that the process may use, in bytes.
+    std::size_t memoryBytes(const RouterSettings& settings)
+    {
+        constexpr double bytesPerMb = 1'000'000;
+        auto bytes = static_cast<std::size_t>(settings.daemon.memoryMb * bytesPerMb);
+        long pages = sysconf(_SC_PHYS_PAGES);
+        if (bytes == 0 && pages > 0)
+            bytes = static_cast<std::size_t>(pages) * static_cast<std::size_t>(sysconf(_SC_PAGESIZE));
+        return bytes;
+    }
+
+    // The receive buffers of connections to endpoints may take this part of the memory, one in so many.
+    constexpr std::size_t endpointReceiveShare = 16;
+
     RequestRouterOptions requestRouterOptions(const RouterSettings& settings)
     {
         RequestRouterOptions options { .availabilityZone = settings.daemon.availabilityZone,
@@ -127,17 +141,6 @@
         return { .limit = limit, .callerMargin = limit / callerMarginShare };
     }
 
-    // Returns the memory that the process may use, in bytes.
-    std::size_t memoryBytes(const RouterSettings& settings)
-    {
-        constexpr double bytesPerMb = 1'000'000;
-        auto bytes = static_cast<std::size_t>(settings.daemon.memoryMb * bytesPerMb);
-        long pages = sysconf(_SC_PHYS_PAGES);
-        if (bytes == 0 && pages > 0)
-            bytes = static_cast<std::size_t>(pages) * static_cast<std::size_t>(sysconf(_SC_PAGESIZE));
-        return bytes;
-    }
-
     // The other half is for the process without requests, answers, prompt parts, and bytes in the kernel's buffers.
     std::size_t maxTotalBodyBytes(const RouterSettings& settings) { return memoryBytes(settings) / 2; }
 
@@ -227,7 +230,8 @@
         , endpointClient(*base, clock,
               { .maxIdleTime = endpointIdleTimeout,
                   .maxIdleConnectionsPerAddress = maxIdlePerEndpoint,
-                  .budget = &budget })
+                  .budget = &budget,
+                  .receiveMemory = memoryBytes(settings) / endpointReceiveShare })
         , peerTransport(*base)
         , queue(*base)
         , placementClient({ .base = *base,
