router: bound the memory of all buffered responses together

Operators saw processes of a small deployment end by themselves; one over its memory is killed. A response of up to 256 KB is buffered until it is complete, and so is an incomplete event, but nothing bounded their sum. A stream also kept the memory of the longest piece that it had received.

The buffers of all requests may now take a twelfth of the memory, apart from 8 KB each, so that ordinary answers aren't affected by long ones. A body for which there is no room is sent on as it is received, as a longer one is; an incomplete event for which there is none ends its attempt with an unknown outcome. Streams give back the memory of complete events, and a request whose caller has left buffers nothing.

bench/crowds/crowds.py counts the receive queues of all connections of a router and plays endpoints that withhold the end of an answer or send without end, with 600 callers at 64 MB.

--- a/bench/crowds/crowds.py
+++ b/bench/crowds/crowds.py
@@ -1,9 +1,10 @@
-"""Checks that crowds of clients that do not behave neither end nor hang a router, nor take it over its memory.
+"""Checks that crowds of clients that do not behave, and crowds of clients at endpoints that do not, neither end nor hang
+a router, nor take it over its memory.
 
-Each case starts a router of its own and a crowd of 100 connections of one kind at one listener. Checked are, without
-regard to time: the process lives; its resident memory and the bytes that wait in the kernel's receive queues stay below
-router.memoryMb, its descriptors below router.maxDescriptors; an ordinary request to a route and one to the readiness path
-are answered while the crowd is still connected.
+Each case starts a router of its own and a crowd of connections of one kind at one listener. Checked are, without regard to
+time: the process lives; its resident memory and the bytes that wait in the kernel's receive queues of all its connections
+stay below router.memoryMb, its descriptors below router.maxDescriptors; an ordinary request to a route and one to the
+readiness path are answered while the crowd is still connected.
 """
 
 import argparse
@@ -28,15 +29,20 @@
 KNOWN_FAILURES = ROOT / "KNOWN-RED.txt"
 KNOWN_PREFIX = "misbehaving-clients: "
 CROWD = 100
+ANSWER_CROWD = 600  # Clients whose endpoints do not behave: more than can have a whole buffer each.
 MEMORY_MB = 64
 BYTES_PER_MB = 1_000_000
 MAX_DESCRIPTORS = 1024
+ANSWER_MAX_DESCRIPTORS = 4100
 LEGAL_BODY = 4_194_304  # limits.maxBodyBytes of the configuration.
 OVER_BODY = 20_000_000
 DRIVE_S = 5.0  # Bounds a case; the crowd stops earlier when no connection makes progress.
 QUIET_S = 0.4
 ORDINARY_S = 30.0
 ANSWER_BYTES = 200_000
+WITHHELD_BYTES = 250_000  # Fewer than a router buffers of one answer or of one event.
+WITHHELD_HEAD_BYTES = 60_000
+ENDPOINTS_CAPACITY = 4000
 
 
 def head(target, *fields, method="POST", end=True):
@@ -135,9 +141,44 @@
     yield head(target, f"Content-Length: {LEGAL_BODY}") + b"x" * (LEGAL_BODY // 2)
 
 
+def request_for(route, *fields, **answer):
+    """A request to a route that tells the endpoint how to answer; see Endpoint.answer()."""
+    body = json.dumps(answer).encode()
+    return head(route + "x", f"Content-Length: {len(body)}", *fields) + body
+
+
+MODEL_FIELDS = "X-Jasminestack-Model-Id: m", "X-Jasminestack-Token-Usage: 100,10"
+
+
+def withheld_heads(target):
+    yield request_for(ROUTES["non_idempotent"], mode="withheld_head", size=WITHHELD_HEAD_BYTES)
+
+
+def withheld_bodies(target):
+    """Answers that are too short to be passed on before their end, which does not come."""
+    yield request_for(ROUTES["non_idempotent"], mode="withheld", size=WITHHELD_BYTES)
+
+
+def withheld_errors(target):
+    yield request_for(ROUTES["idempotent"], mode="withheld", size=WITHHELD_BYTES, status=500)
+
+
+def withheld_events(target):
+    yield request_for(ROUTES["stream"], *MODEL_FIELDS, mode="withheld_event", size=WITHHELD_BYTES)
+
+
+def endless_bodies(target):
+    yield request_for(ROUTES["non_idempotent"], mode="endless")
+
+
+def endless_events(target):
+    yield request_for(ROUTES["stream"], *MODEL_FIELDS, mode="endless_events", size=10_000)
+
+
 KINDS = [short_of_end_whole, short_of_end_pieces, short_of_end_chunks, one_byte_chunks, over_with_length, over_in_chunks,
          many_empty_fields, legal_short_fields, endless_head, requests_ahead, endless_requests_ahead, slow_senders,
          slow_readers, half_a_head, half_a_body]
+ANSWER_KINDS = [withheld_heads, withheld_bodies, withheld_errors, withheld_events, endless_bodies, endless_events]
 
 
 class Connection:
@@ -173,35 +214,61 @@
         return True
 
 
-class PlainEngine:
-    """Answers each request with a body of the size that it asks for."""
+class Endpoint:
+    """Answers each request in the way that its body asks for."""
 
-    def __init__(self, store):
+    def __init__(self, store, number, backend):
         self.store = store
+        self.id = f"i-{number:04}"
+        self.backend = backend
 
     async def start(self, ip):
-        server = await asyncio.start_server(self.serve, ip, 0)
-        self.store.put_json("keyed.servers", "i-0001", {
-            "backend": "plain", "address": "%s:%d" % server.sockets[0].getsockname()[:2], "zone": "gebze",
-            "version": "v1", "maxBatchSize": 400, "phase": "ready", "coldRemainingMs": 0,
+        server = await asyncio.start_server(self.serve, ip, 0, backlog=ENDPOINTS_CAPACITY)
+        self.store.put_json("keyed.servers", self.id, {
+            "backend": self.backend, "address": "%s:%d" % server.sockets[0].getsockname()[:2], "zone": "gebze",
+            "version": "v1", "maxBatchSize": ENDPOINTS_CAPACITY, "phase": "ready", "coldRemainingMs": 0,
             "born": int(time.time() * 1000), "sequence": 1})
 
     async def serve(self, reader, writer):
         try:
             while (request := await read_head(reader)) is not None:
-                line, headers = request
+                _, headers = request
                 body = await read_body(reader, headers)
-                size = json.loads(body).get("size", 0) if body[:1] == b"{" else 0
-                attempt = headers.get("x-jasminestack-attempt-id", "")
-                writer.write((f"HTTP/1.1 200 OK\r\nX-Jasminestack-Attempt-Id: {attempt}\r\n"
-                              "X-Jasminestack-Instance-Id: i-0001\r\nX-Jasminestack-Server-Signature: sig.1\r\n"
-                              f"Content-Length: {size}\r\n\r\n").encode() + b"y" * size)
-                await writer.drain()
+                wanted = json.loads(body) if body[:1] == b"{" else {}
+                await self.answer(reader, writer, headers.get("x-jasminestack-attempt-id", ""), **wanted)
         except (ConnectionError, asyncio.IncompleteReadError, ValueError):
             pass
         finally:
             writer.close()
 
+    async def answer(self, reader, writer, attempt, mode="whole", size=0, status=200):
+        """mode: whole; withheld_head, withheld and withheld_event, without the end; endless, endless_events."""
+        async def send(data):
+            writer.write(data)
+            await writer.drain()
+
+        def as_chunk(data):
+            return b"%x\r\n" % len(data) + data + b"\r\n"
+
+        start = (f"HTTP/1.1 {status} x\r\nX-Jasminestack-Attempt-Id: {attempt}\r\n"
+                 f"X-Jasminestack-Instance-Id: {self.id}\r\nX-Jasminestack-Server-Signature: sig.1\r\n").encode()
+        stream = start + b"Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
+        if mode == "whole":
+            await send(start + b"Content-Length: %d\r\n\r\n" % size + b"y" * size)
+        elif mode == "endless":
+            await send(start + b"Transfer-Encoding: chunked\r\n\r\n")
+            while True:
+                await send(as_chunk(b"y" * 65536))
+        elif mode == "endless_events":
+            await send(stream)
+            for number in itertools.count(1):
+                await send(as_chunk(b'id: %d\ndata: {"x":"' % number + b"y" * size + b'"}\n\n'))
+        else:
+            await send({"withheld_head": start + b"field: " + b"y" * size,
+                        "withheld": start + b"Content-Length: %d\r\n\r\n" % (size + 1) + b"y" * size,
+                        "withheld_event": stream + as_chunk(b"id: 1\ndata: " + b"y" * size)}[mode])
+            await reader.read()  # Until the router closes the connection.
+
 
 class World:
     """The store and an engine on a loop in a thread of their own."""
@@ -214,19 +281,25 @@
 
     async def start(self):
         store = Store()
-        store.put_json("keyed.op", "config", configuration(2, False, KEYS))
-        await PlainEngine(store).start(self.ip)
+        config = configuration(2, False, KEYS)
+        for service in config["services"]:
+            service["maxConnections"] = ENDPOINTS_CAPACITY
+            service.get("engine", {})["maxBatchSize"] = ENDPOINTS_CAPACITY
+        store.put_json("keyed.op", "config", config)
+        await Endpoint(store, 1, "plain").start(self.ip)
+        await Endpoint(store, 2, "model").start(self.ip)
         return await store.start(self.ip)
 
 
 class Router:
     PORTS = {"callers": 20001, "ready": 20002, "documents": 20003, "metrics": 20004}
 
-    def __init__(self, binary, folder, world, number):
+    def __init__(self, binary, folder, world, number, max_descriptors=MAX_DESCRIPTORS):
+        self.max_descriptors = max_descriptors
         self.ip = f"127.{10 + os.getpid() % 200}.8.{number}"
         address = {name: f"{self.ip}:{port}" for name, port in self.PORTS.items()}
         settings = {
-            "router": {"id": f"router-{number}", "availabilityZone": "gebze", "maxDescriptors": MAX_DESCRIPTORS,
+            "router": {"id": f"router-{number}", "availabilityZone": "gebze", "maxDescriptors": max_descriptors,
                        "memoryMb": MEMORY_MB},
             "callers": {"address": address["callers"]},
             "health": {"address": address["ready"], "path": "/v1/readyz", "metricsAddress": address["metrics"]},
@@ -248,13 +321,27 @@
                 resident = int(line.split()[1]) * 1024
         local = "".join("%02X" % part for part in reversed(socket.inet_aton(self.ip)))
         ports = {f"{local}:{port:04X}" for port in self.PORTS.values()}
+        own = self.socket_inodes()
         queued = 0
         for line in pathlib.Path("/proc/net/tcp").read_text().splitlines()[1:]:
             fields = line.split()
-            if fields[1] in ports and fields[3] != "0A":  # Of a listening socket it is the number of connections.
+            is_own = fields[1] in ports or fields[9] in own  # Those that were not accepted yet have no inode.
+            if is_own and fields[3] != "0A":  # Of a listening socket it is the number of connections.
                 queued += int(fields[4].split(":")[1], 16)
         return resident, queued
 
+    def socket_inodes(self):
+        inodes = set()
+        folder = f"/proc/{self.child.pid}/fd"
+        for descriptor in os.listdir(folder):
+            try:
+                target = os.readlink(f"{folder}/{descriptor}")
+            except OSError:
+                continue  # It was closed meanwhile.
+            if target.startswith("socket:["):
+                inodes.add(target[len("socket:["):-1])
+        return inodes
+
     def descriptors(self):
         return len(os.listdir(f"/proc/{self.child.pid}/fd"))
 
@@ -314,13 +401,13 @@
             time.sleep(0.002)
 
 
-def play(router, kind, listener, target):
+def play(router, kind, crowd, listener, target):
     """Returns the faults of one case, and its peaks."""
     peaks = Peaks(router)
     ready = router.address("ready")
     if not is_served(ready, lambda: head("/v1/readyz", method="GET")):
         raise RuntimeError("the router does not become ready")
-    connections = [Connection(router.address(listener), kind(target)) for _ in range(CROWD)]
+    connections = [Connection(router.address(listener), kind(target)) for _ in range(crowd)]
     time.sleep(0.05)
     drive(connections, peaks)
     time.sleep(0.1)
@@ -339,8 +426,8 @@
         faults.append("the process ended")
     if peaks.memory > MEMORY_MB * BYTES_PER_MB:
         faults.append(f"memory over {MEMORY_MB} MB")
-    if peaks.descriptors > MAX_DESCRIPTORS:
-        faults.append(f"more than {MAX_DESCRIPTORS} descriptors")
+    if peaks.descriptors > router.max_descriptors:
+        faults.append(f"more than {router.max_descriptors} descriptors")
     return faults, peaks
 
 
@@ -363,14 +450,15 @@
     new_failures = 0
     world = World()
     with tempfile.TemporaryDirectory(prefix="crowds-") as folder:
-        cases = [(kind, name) for kind in KINDS for name in LISTENERS]
-        for number, (kind, name) in enumerate(cases, 1):
+        cases = [(kind, name, CROWD, MAX_DESCRIPTORS) for kind in KINDS for name in LISTENERS]
+        cases += [(kind, "route", ANSWER_CROWD, ANSWER_MAX_DESCRIPTORS) for kind in ANSWER_KINDS]
+        for number, (kind, name, crowd, max_descriptors) in enumerate(cases, 1):
             case = f"{kind.__name__} {name}"
             if options.only not in case:
                 continue
-            router = Router(options.binary, folder, world, number)
+            router = Router(options.binary, folder, world, number, max_descriptors)
             try:
-                faults, peaks = play(router, kind, *LISTENERS[name])
+                faults, peaks = play(router, kind, crowd, *LISTENERS[name])
             finally:
                 router.stop()
             state = "ok" if not faults else "known" if case in known else "FAILED"
@@ -383,4 +471,5 @@
     return 1 if new_failures else 0
 
 
-sys.exit(main())
+if __name__ == "__main__":
+    sys.exit(main())
--- a/src/net/MemoryReservation.h
+++ b/src/net/MemoryReservation.h
@@ -6,7 +6,8 @@
 
 namespace jasminestack {
 
-/// \brief The memory that one request takes of a total which all requests share; given back when the request ends.
+/// \brief The memory that one request takes of a total which all requests share; given back when the request ends, or
+/// before with shrinkTo().
 class MemoryReservation {
 public:
     /// \param total Bytes of all reservations.
@@ -20,7 +21,7 @@
 
     [[nodiscard]] std::size_t bytes() const noexcept { return m_bytes; }
 
-    /// \brief Grows to \p bytes; a reservation does not shrink.
+    /// \brief Grows to \p bytes; does nothing if it is not smaller.
     /// \param maxTotal Limit of all reservations; 0: no limit.
     /// \returns Whether there was enough memory; otherwise nothing changes.
     [[nodiscard]] bool growTo(std::size_t bytes, std::size_t maxTotal) noexcept
@@ -35,6 +36,15 @@
         return true;
     }
 
+    /// \brief Shrinks to \p bytes; does nothing if it is not larger.
+    void shrinkTo(std::size_t bytes) noexcept
+    {
+        if (bytes >= m_bytes)
+            return;
+        *m_total -= m_bytes - bytes;
+        m_bytes = bytes;
+    }
+
 private:
     std::shared_ptr<std::size_t> m_total;
     std::size_t m_bytes { 0 };
--- a/src/net/SseEvent.cpp
+++ b/src/net/SseEvent.cpp
@@ -13,6 +13,9 @@
 
     constexpr std::string_view lineEnds = "\r\n";
 
+    // The usual rest of an event. Less is not worth another allocation.
+    constexpr std::size_t keptCapacity = 4U << 10U;
+
     // Number of bytes of the character at the start of the text, or 0 if it is not UTF-8 (RFC 3629): overlong forms,
     // surrogates and values above U+10FFFF are not.
     std::size_t utf8CharacterSize(std::string_view text) noexcept
@@ -217,12 +220,7 @@
 
 void SseBlockReader::append(std::string_view chunk)
 {
-    m_buffer.erase(0, m_consumedBytes);
-    m_lineStart -= m_consumedBytes;
-    m_scanStart -= m_consumedBytes;
-    m_consumedBytes = 0;
-    m_nextLineFeed.reset();
-    m_nextCarriageReturn.reset();
+    eraseReturnedBlocks();
     if (m_buffer.empty())
         m_chunk = chunk;
     else
@@ -262,6 +260,28 @@
     return std::nullopt;
 }
 
+void SseBlockReader::eraseReturnedBlocks()
+{
+    m_buffer.erase(0, m_consumedBytes);
+    m_lineStart -= m_consumedBytes;
+    m_scanStart -= m_consumedBytes;
+    m_consumedBytes = 0;
+    m_nextLineFeed.reset();
+    m_nextCarriageReturn.reset();
+}
+
+void SseBlockReader::compact()
+{
+    if (m_chunk) // Not all of its blocks were read.
+        return;
+    bool hasReturnedBlocks = m_consumedBytes != 0;
+    eraseReturnedBlocks();
+    // The rest of a block that grows piece by piece keeps what the string has doubled.
+    std::size_t usedCapacity = hasReturnedBlocks ? m_buffer.size() : 2 * m_buffer.size();
+    if (m_buffer.capacity() > std::max(usedCapacity, keptCapacity))
+        std::string(m_buffer).swap(m_buffer); // The assignment of a short string would keep the memory.
+}
+
 void SseBlockReader::clear() noexcept
 {
     m_buffer.clear();
--- a/src/net/SseEvent.h
+++ b/src/net/SseEvent.h
@@ -96,10 +96,17 @@
         return m_chunk.value_or(m_buffer).substr(m_consumedBytes);
     }
 
+    /// \brief Gives back the memory of blocks that next() has returned, which are no longer valid.
+    void compact();
+
+    /// \returns Bytes of memory that are kept for an incomplete block.
+    [[nodiscard]] std::size_t bufferCapacity() const noexcept { return m_buffer.capacity(); }
+
     /// \brief Discards the bytes of an incomplete block, because another connection continues the stream.
     void clear() noexcept;
 
 private:
+    void eraseReturnedBlocks();
     [[nodiscard]] std::size_t findLineEnd(std::string_view text) noexcept;
 
     std::string m_buffer; ///< Blocks that next() has returned from it, then an incomplete block.
--- a/src/router/RequestRouter.cpp
+++ b/src/router/RequestRouter.cpp
@@ -57,6 +57,7 @@
     RequestRouterContext routerContext;
     RequestRouterOptions routerOptions;
     FleetRetryBudget fleetRetryBudget;
+    std::shared_ptr<std::size_t> totalBufferedBytes { std::make_shared<std::size_t>(0) };
     std::unordered_map<RoutedRequest*, std::unique_ptr<RoutedRequest>> requests;
     /// Destroyed by the reaper's event. It has room for all requests, so that ending one does not throw.
     std::vector<std::unique_ptr<RoutedRequest>> endedRequests;
@@ -86,6 +87,10 @@
     [[nodiscard]] RequestRouterContext& context() noexcept override { return routerContext; }
     [[nodiscard]] const RequestRouterOptions& options() const noexcept override { return routerOptions; }
     [[nodiscard]] FleetRetryBudget& retryBudget() noexcept override { return fleetRetryBudget; }
+    [[nodiscard]] const std::shared_ptr<std::size_t>& bufferedBytes() const noexcept override
+    {
+        return totalBufferedBytes;
+    }
 
     [[nodiscard]] Millis lagRetryDelay() const
     {
--- a/src/router/RequestRouter.h
+++ b/src/router/RequestRouter.h
@@ -35,6 +35,9 @@
     /// Responses up to this size are sent only when complete, except for successful SSE responses of stream routes,
     /// which are sent event by event.
     std::size_t maxBufferedResponseBytes { 256U << 10U };
+    /// Of all responses that are buffered, and of events that are not complete yet. A body for which there is no room
+    /// is sent as it is received; a longer incomplete event ends its attempt. 0: no limit.
+    std::size_t maxTotalBufferedBytes { 0 };
     /// For baseline measurements: no request is refused or queued because of predicted times.
     bool admitsAll { false };
     bool usesCoordinators { false }; ///< Requests are placed by the coordinators of their shards.
--- a/src/router/RoutedRequest.cpp
+++ b/src/router/RoutedRequest.cpp
@@ -59,6 +59,7 @@
           },
           this))
     , m_deadline(m_request.arrivedAt + m_route.timeout)
+    , m_bufferReservation(owner.bufferedBytes())
     , m_splitter(owner.context().protocol.eventRules(),
           m_route.kind == RequestKind::Stream ? m_metadata.lastEventId.value_or(0) : 0)
 {
@@ -277,7 +278,7 @@
     m_stage = Stage::InFlight;
     m_relayMode = RelayMode::AwaitingHead;
     m_isConnected = false;
-    m_responseBody.clear();
+    releaseBody();
     m_refusalBytes = 0;
     m_responseHead = {};
     m_lastProgress = currentTime;
--- a/src/router/RoutedRequest.h
+++ b/src/router/RoutedRequest.h
@@ -3,6 +3,7 @@
 #include "net/CallerServer.h"
 #include "net/EventCallback.h"
 #include "net/Interfaces.h"
+#include "net/MemoryReservation.h"
 #include "net/Socket.h"
 #include "router/PlacementClient.h"
 #include "router/PlacementQueue.h"
@@ -32,6 +33,9 @@
     [[nodiscard]] virtual const RequestRouterOptions& options() const noexcept = 0;
     [[nodiscard]] virtual FleetRetryBudget& retryBudget() noexcept = 0;
 
+    /// \returns The total that RequestRouterOptions::maxTotalBufferedBytes limits.
+    [[nodiscard]] virtual const std::shared_ptr<std::size_t>& bufferedBytes() const noexcept = 0;
+
     /// \brief Removes a request that has ended; it is destroyed in a later turn of the event loop, since the call comes
     /// from one of the request's member functions.
     virtual void removeRequest(RoutedRequest&) = 0;
@@ -218,6 +222,10 @@
     void reportFirstByte();
     /// \brief Adds to the buffered body, or passes all of it on if it becomes too long.
     void bufferBody(std::string_view chunk);
+    /// \returns Whether there is memory for \p bytes of this attempt beside the error response before.
+    [[nodiscard]] bool reserveBuffer(std::size_t bytes);
+    /// \brief Discards the buffered body.
+    void releaseBody();
     void relayEvents(std::string_view chunk);
     void beginResponse();
     void sendToCaller(std::string_view bytes);
@@ -267,6 +275,7 @@
 
     HttpResponseHead m_responseHead;
     std::string m_responseBody;
+    MemoryReservation m_bufferReservation; ///< For the buffered bodies and an incomplete event.
     std::optional<CallerResponseHead> m_errorHead; ///< An endpoint's error response, sent if the retry fails.
     std::string m_errorBody;
     SseSplitter m_splitter;
--- a/src/router/RoutedRequestResponse.cpp
+++ b/src/router/RoutedRequestResponse.cpp
@@ -15,6 +15,9 @@
     // The body of a refusal is not used; a longer one is not read to its end.
     constexpr std::size_t maxRefusalBytes = 64U << 10U;
 
+    // A buffer of this size is always had, so that the ordinary answers of many requests are not affected by long ones.
+    constexpr std::size_t uncountedBufferBytes = 8U << 10U;
+
     bool isServerError(int status) noexcept { return status >= 500; }
 
     // Statuses by which callers conclude that the request has not run.
@@ -132,20 +135,42 @@
 
 void RoutedRequest::bufferBody(std::string_view chunk)
 {
+    if (!m_caller)
+        return;
     std::size_t maxBytes = m_owner.options().maxBufferedResponseBytes;
     std::size_t size = m_responseBody.size() + chunk.size();
+    // The string would double its memory beyond the limit.
+    std::size_t capacity = std::max(size, std::min(2 * size, maxBytes));
+    bool hasRoom = size <= maxBytes && (size <= m_responseBody.capacity() || reserveBuffer(capacity));
+    if (!hasRoom) {
+        m_relayMode = RelayMode::PassThrough;
+        beginResponse();
+        sendToCaller(m_responseBody);
+        sendToCaller(chunk);
+        releaseBody();
+        return;
+    }
     if (size > m_responseBody.capacity()) {
-        // The string would double its memory beyond the limit.
         std::string grown;
-        grown.reserve(std::max(size, std::min(2 * size, maxBytes)));
+        grown.reserve(capacity);
         m_responseBody = std::move(grown.append(m_responseBody));
     }
     m_responseBody.append(chunk);
-    if (size <= maxBytes)
-        return;
-    m_relayMode = RelayMode::PassThrough;
-    beginResponse();
-    sendToCaller(std::exchange(m_responseBody, {}));
+}
+
+bool RoutedRequest::reserveBuffer(std::size_t bytes)
+{
+    std::size_t total = m_errorBody.size() + bytes;
+    if (total <= uncountedBufferBytes)
+        total = 0;
+    m_bufferReservation.shrinkTo(total);
+    return m_bufferReservation.growTo(total, m_owner.options().maxTotalBufferedBytes);
+}
+
+void RoutedRequest::releaseBody()
+{
+    static_cast<void>(std::exchange(m_responseBody, {}));
+    static_cast<void>(reserveBuffer(0));
 }
 
 void RoutedRequest::relayEvents(std::string_view chunk)
@@ -167,9 +192,18 @@
         beginResponse();
         sendToCaller(completeEvents);
     }
-    if (m_splitter.violation() != EventViolation::None && m_stage == Stage::InFlight) {
+    if (m_stage != Stage::InFlight)
+        return;
+    if (m_splitter.violation() != EventViolation::None) {
         cancelExchange();
         handleMalformedEvent();
+        return;
+    }
+    m_splitter.compact();
+    if (!reserveBuffer(m_splitter.bufferCapacity())) {
+        cancelExchange();
+        handleAttemptFailure(ErrorKind::RouterOverloaded, { .requestMayHaveBeenSent = true, .responseStarted = true },
+            "no_memory_for_event");
     }
 }
 
@@ -219,6 +253,7 @@
     // A non-idempotent request continues, since closing its connection would leave its outcome unknown. Its response is
     // read to the end, also if reading was paused for the caller's full send buffer.
     if (wasSent && m_route.kind == RequestKind::NonIdempotent) {
+        releaseBody();
         resumeEndpoint();
         return;
     }
--- a/src/router/RouterDaemon.cpp
+++ b/src/router/RouterDaemon.cpp
@@ -71,6 +71,9 @@
     // The receive buffers of connections to endpoints may take this part of the memory, one in so many.
     constexpr std::size_t endpointReceiveShare = 16;
 
+    // Buffered responses and incomplete events may take this part of the memory, one in so many.
+    constexpr std::size_t bufferedResponseShare = 12;
+
     RequestRouterOptions requestRouterOptions(const RouterSettings& settings)
     {
         RequestRouterOptions options { .availabilityZone = settings.daemon.availabilityZone,
@@ -78,7 +81,8 @@
                 .crossZoneCost = settings.placement.crossZoneCost,
                 .leastOutstanding = settings.placement.policy == "least-outstanding" },
             .retries
-            = { .ratio = settings.retries.ratio, .slack = settings.retries.slack, .window = settings.retries.window } };
+            = { .ratio = settings.retries.ratio, .slack = settings.retries.slack, .window = settings.retries.window },
+            .maxTotalBufferedBytes = memoryBytes(settings) / bufferedResponseShare };
         options.admitsAll = options.placement.leastOutstanding;
         return options;
     }
--- a/src/router/SseSplitter.h
+++ b/src/router/SseSplitter.h
@@ -33,6 +33,12 @@
     /// violation.
     void resume() noexcept;
 
+    /// \brief Gives back memory after the forwarded events, which are no longer valid, were used.
+    void compact() { m_reader.compact(); }
+
+    /// \returns Bytes of memory that are kept for an incomplete event.
+    [[nodiscard]] std::size_t bufferCapacity() const noexcept { return m_reader.bufferCapacity(); }
+
     /// \returns The id of the last event that the caller has; 0 if it has none.
     [[nodiscard]] std::uint64_t lastId() const noexcept { return m_lastId; }
 
--- a/tests/SseEventTests.cpp
+++ b/tests/SseEventTests.cpp
@@ -22,7 +22,8 @@
 }
 
 /// \returns Sizes of the blocks that are found if the text is received in pieces, and then of the incomplete rest.
-std::vector<std::size_t> blockSizes(const std::string& text, std::size_t pieceBytes)
+/// \param isCompacted The reader gives back memory after each piece.
+std::vector<std::size_t> blockSizes(const std::string& text, std::size_t pieceBytes, bool isCompacted = false)
 {
     SseBlockReader reader;
     std::vector<std::size_t> sizes;
@@ -31,6 +32,8 @@
         reader.append(piece);
         while (auto block = reader.next())
             sizes.push_back(block->size());
+        if (isCompacted)
+            reader.compact();
     }
     sizes.push_back(reader.incompleteBlock().size());
     return sizes;
@@ -250,9 +253,40 @@
         }
         CAPTURE(pieceBytes);
         CHECK(blockSizes(text, pieceBytes) == expected);
+        CHECK(blockSizes(text, pieceBytes, true) == expected);
     }
 }
 
+// Guards against streams that keep memory for the longest piece that they have received.
+TEST_CASE("the memory of returned blocks is given back, and that of a growing block is not copied", "[sse][memory]")
+{
+    constexpr std::size_t smallBytes = 8U << 10U;
+    const std::string event = "id: 1\ndata: " + std::string(100'000, 'x') + "\n\n";
+    SseBlockReader reader;
+    auto append = [&](std::string_view piece) {
+        reader.append(piece);
+        std::size_t blocks = 0;
+        while (reader.next())
+            ++blocks;
+        reader.compact();
+        return blocks;
+    };
+    CHECK(append("id: 0\nda") == 0);
+    CHECK(append("ta: x\n\n" + event + event.substr(0, 20)) == 2);
+    CHECK(reader.incompleteBlock() == event.substr(0, 20));
+    CHECK(reader.bufferCapacity() <= smallBytes);
+
+    std::size_t capacityChanges = 0;
+    for (std::size_t i = 20; i < event.size() - 1; ++i) {
+        std::size_t capacityBefore = reader.bufferCapacity();
+        CHECK(append(event.substr(i, 1)) == 0);
+        capacityChanges += reader.bufferCapacity() != capacityBefore;
+    }
+    CHECK(capacityChanges < 20); // It doubles.
+    CHECK(append("\n") == 1);
+    CHECK(reader.bufferCapacity() <= smallBytes);
+}
+
 // Guards against a position that no run made in a caller's request or in an endpoint's event.
 TEST_CASE("an event's id is a decimal number of 64 bits", "[sse][events]")
 {
