router: don't pass on a long 503 of an endpoint as not run

A caller takes 408, 421, 429 and 503 as a promise that its request has not run. An endpoint's response with such a status that doesn't say so itself is answered with 502, but not if its body was longer than 256 KB: it was passed on before its end, with its status.

The body of such a response is discarded as it arrives, so that the decision is made at its end whatever its length. The test of these responses has a long one, too.

--- a/src/router/RoutedRequestResponse.cpp
+++ b/src/router/RoutedRequestResponse.cpp
@@ -135,7 +135,9 @@
 
 void RoutedRequest::bufferBody(std::string_view chunk)
 {
-    if (!m_caller)
+    // Without a caller nobody gets the body, nor does the caller if the status would tell it that the request has not
+    // run.
+    if (!m_caller || impliesNotRun(m_responseHead.status))
         return;
     std::size_t maxBytes = m_owner.options().maxBufferedResponseBytes;
     std::size_t size = m_responseBody.size() + chunk.size();
--- a/tests/RouterLoopbackTests.cpp
+++ b/tests/RouterLoopbackTests.cpp
@@ -268,15 +268,17 @@
     CHECK(caller.readUntil("done").starts_with("HTTP/1.1 200"));
 }
 
-// Guards against a false "not run": a 503 implies it, but only the endpoint's not-executed header states it.
+// Guards against a false "not run": a 503 implies it, but only the endpoint's not-executed header states it. A body may
+// be longer than what the router buffers.
 TEST_CASE("a 503 without the not-executed header is not forwarded", "[router]")
 {
+    std::size_t bodyBytes = GENERATE(0, 300'000);
     LoopbackRouter router;
     BlockingSocket caller = router.connectCaller();
     caller.write(LoopbackRouter::request("POST", "/book/x", "id-1", "order"));
     BlockingSocket service = router.serviceListener.accept();
     static_cast<void>(service.readUntil("order"));
-    service.write(LoopbackRouter::response("id-1", "", 503));
+    service.write(LoopbackRouter::response("id-1", std::string(bodyBytes, 'x'), 503));
     CHECK(caller.readUntil("\r\n\r\n").starts_with("HTTP/1.1 502"));
 }
 
