net: bound the memory of long heads of endpoints' responses

A head may have 64 KB, is kept until its exchange ends, as text, parsed and as a copy, and nothing bounded the sum: 1,645 endpoints' responses with a head of 60 KB and no body took a router to 237 MB of its 260 MB.

Heads of more than 4 KB now share a twelfth of the memory. One for which there is no room ends its exchange with an unknown outcome; the log names router_overloaded.

--- a/bench/crowds/crowds.py
+++ b/bench/crowds/crowds.py
@@ -29,7 +29,7 @@
 KNOWN_FAILURES = ROOT / "KNOWN-RED.txt"
 KNOWN_PREFIX = "misbehaving-clients: "
 CROWD = 100
-ANSWER_CROWD = 600  # Clients whose endpoints do not behave: more than can have a whole buffer each.
+ANSWER_CROWD = 800  # Clients whose endpoints do not behave: more than can have a whole buffer each.
 MEMORY_MB = 64
 BYTES_PER_MB = 1_000_000
 MAX_DESCRIPTORS = 1024
@@ -154,6 +154,10 @@
     yield request_for(ROUTES["non_idempotent"], mode="withheld_head", size=WITHHELD_HEAD_BYTES)
 
 
+def long_heads(target):
+    yield request_for(ROUTES["non_idempotent"], mode="long_head", size=WITHHELD_HEAD_BYTES)
+
+
 def withheld_bodies(target):
     """Answers that are too short to be passed on before their end, which does not come."""
     yield request_for(ROUTES["non_idempotent"], mode="withheld", size=WITHHELD_BYTES)
@@ -178,7 +182,8 @@
 KINDS = [short_of_end_whole, short_of_end_pieces, short_of_end_chunks, one_byte_chunks, over_with_length, over_in_chunks,
          many_empty_fields, legal_short_fields, endless_head, requests_ahead, endless_requests_ahead, slow_senders,
          slow_readers, half_a_head, half_a_body]
-ANSWER_KINDS = [withheld_heads, withheld_bodies, withheld_errors, withheld_events, endless_bodies, endless_events]
+ANSWER_KINDS = [withheld_heads, long_heads, withheld_bodies, withheld_errors, withheld_events, endless_bodies,
+                endless_events]
 
 
 class Connection:
@@ -242,7 +247,8 @@
             writer.close()
 
     async def answer(self, reader, writer, attempt, mode="whole", size=0, status=200):
-        """mode: whole; withheld_head, withheld and withheld_event, without the end; endless, endless_events."""
+        """mode: whole; withheld_head, withheld and withheld_event, without the end; long_head, with a body that does not
+        come; endless, endless_events."""
         async def send(data):
             writer.write(data)
             await writer.drain()
@@ -265,6 +271,7 @@
                 await send(as_chunk(b'id: %d\ndata: {"x":"' % number + b"y" * size + b'"}\n\n'))
         else:
             await send({"withheld_head": start + b"field: " + b"y" * size,
+                        "long_head": start + b"field: " + b"y" * size + b"\r\nContent-Length: 10\r\n\r\n",
                         "withheld": start + b"Content-Length: %d\r\n\r\n" % (size + 1) + b"y" * size,
                         "withheld_event": stream + as_chunk(b"id: 1\ndata: " + b"y" * size)}[mode])
             await reader.read()  # Until the router closes the connection.
--- a/src/net/EndpointClient.cpp
+++ b/src/net/EndpointClient.cpp
@@ -3,6 +3,7 @@
 #include "net/EventCallback.h"
 #include "net/HttpClient.h"
 #include "net/HttpResponseParser.h"
+#include "net/MemoryReservation.h"
 #include "net/Socket.h"
 
 #include <algorithm>
@@ -27,6 +28,12 @@
     // kernel would take it for one that is gone; the timeouts of the request decide instead.
     constexpr std::size_t longRequestBytes = 64U << 10U;
 
+    // Heads of usual length are not counted, so that exchanges with them are not affected by long ones.
+    constexpr std::size_t uncountedHeadBytes = 4U << 10U;
+
+    // A head is kept as text while it is received, then parsed, and copied by the listener.
+    constexpr std::size_t headCopies = 3;
+
     // Bounds of a connection's receive buffer: a typical answer, and what fills a path of some milliseconds.
     constexpr std::size_t minReceiveBytes = 8U << 10U;
     constexpr std::size_t maxReceiveBytes = 64U << 10U;
@@ -110,6 +117,7 @@
         std::string head; ///< The serialised request without its body.
         std::size_t writtenBytes { 0 }; ///< Of the head and then of the body.
         HttpResponseParser parser;
+        std::optional<MemoryReservation> headReservation; ///< Of a long head.
         Phase phase { Phase::NotStarted };
         Millis lastActivity {};
         bool headDelivered { false };
@@ -129,6 +137,7 @@
     std::unordered_map<ExchangeId, std::unique_ptr<Exchange>> exchanges;
     std::vector<std::unique_ptr<IdleConnection>> idleConnections; ///< Longest idle first.
     ExchangeId lastId { 0 };
+    std::shared_ptr<std::size_t> totalHeadMemory { std::make_shared<std::size_t>(0) };
     EventPointer idleCheckTimer;
     std::vector<char> readBuffer;
 
@@ -345,11 +354,26 @@
         });
     }
 
+    // Returns whether there is memory for the head that was received so far.
+    [[nodiscard]] bool reserveHead(Exchange& exchange) const
+    {
+        std::size_t bytes = exchange.parser.headBytes();
+        if (bytes <= uncountedHeadBytes)
+            return true;
+        if (!exchange.headReservation)
+            exchange.headReservation.emplace(totalHeadMemory);
+        return exchange.headReservation->growTo(headCopies * bytes, options.maxTotalHeadMemory);
+    }
+
     // Parses received bytes and drops responses to earlier requests on this connection.
     void receive(Exchange& exchange, std::span<char> data)
     {
         while (true) {
             std::string_view body = exchange.parser.feed(data);
+            if (!reserveHead(exchange)) {
+                finish(exchange, ErrorKind::RouterOverloaded);
+                return;
+            }
             if (exchange.connectionWasReused && !exchange.headDelivered && exchange.parser.headComplete())
                 exchange.skippingResponse = belongsToEarlierRequest(exchange);
             if (!exchange.skippingResponse) {
--- a/src/net/EndpointClient.h
+++ b/src/net/EndpointClient.h
@@ -26,6 +26,9 @@
     /// Of the receive buffers of all connections, approximately. What waits in them counts as memory of the process,
     /// and a connection whose caller reads slowly is not read either. 0: the system's choice for each connection.
     std::size_t receiveMemory { 0 };
+    /// Of the heads of all responses, apart from short ones. A long head for which there is no room ends its exchange.
+    /// 0: no limit.
+    std::size_t maxTotalHeadMemory { 0 };
 };
 
 /// \brief HTTP/1.1 client for endpoints on the event loop, with one exchange at a time on each connection.
--- a/src/net/HttpResponseParser.cpp
+++ b/src/net/HttpResponseParser.cpp
@@ -161,6 +161,7 @@
         m_head = {}; // Interim response; the final one follows.
         countOverhead(headBytes);
     } else {
+        m_headBytes = headBytes;
         selectFraming();
     }
     return headBytes - previousBytes;
--- a/src/net/HttpResponseParser.h
+++ b/src/net/HttpResponseParser.h
@@ -33,6 +33,8 @@
     /// \brief Signals that the peer closed the connection, which ends a close-delimited body.
     void endOfInput() noexcept;
 
+    /// \returns Bytes of the final head, or those of a head received so far.
+    [[nodiscard]] std::size_t headBytes() const noexcept { return headComplete() ? m_headBytes : m_headText.size(); }
     [[nodiscard]] bool headComplete() const noexcept { return m_state > State::Head; }
     [[nodiscard]] bool complete() const noexcept { return m_state == State::Complete; }
     [[nodiscard]] bool failed() const noexcept { return m_state == State::Failed; }
@@ -77,6 +79,7 @@
 
     HttpResponseHead m_head;
     std::string m_headText; ///< Bytes of the head, or of the current line of the trailer, received so far.
+    std::size_t m_headBytes { 0 }; ///< Of the final head.
     State m_state { State::Head };
     std::size_t m_consumedBytes { 0 };
     std::size_t m_overheadBytes { 0 }; ///< See countOverhead().
--- a/src/router/RouterDaemon.cpp
+++ b/src/router/RouterDaemon.cpp
@@ -71,6 +71,9 @@
     // The receive buffers of connections to endpoints may take this part of the memory, one in so many.
     constexpr std::size_t endpointReceiveShare = 16;
 
+    // Long heads of responses may take this part of the memory, one in so many.
+    constexpr std::size_t headMemoryShare = 12;
+
     // Buffered responses and incomplete events may take this part of the memory, one in so many.
     constexpr std::size_t bufferedResponseShare = 12;
 
@@ -235,7 +238,8 @@
               { .maxIdleTime = endpointIdleTimeout,
                   .maxIdleConnectionsPerAddress = maxIdlePerEndpoint,
                   .budget = &budget,
-                  .receiveMemory = memoryBytes(settings) / endpointReceiveShare })
+                  .receiveMemory = memoryBytes(settings) / endpointReceiveShare,
+                  .maxTotalHeadMemory = memoryBytes(settings) / headMemoryShare })
         , peerTransport(*base)
         , queue(*base)
         , placementClient({ .base = *base,
