net: bound the idle time that an endpoint announces

The plain build doesn't end; it takes the wrapped number for a negative time and doesn't use the connection again, which costs a new connection for each request.

Cause: the seconds were converted to milliseconds by a multiplication that overflows.

Change: the seconds are clamped to 0 to 1,000,000 before the conversion. EndpointClientOptions::maxIdleTime still has the bound that is used.

--- a/src/net/EndpointClient.cpp
+++ b/src/net/EndpointClient.cpp
@@ -54,6 +54,10 @@
         return sendmsg(descriptor, &message, MSG_NOSIGNAL);
     }
 
+    // Bounds an announced idle time, so that its conversion to milliseconds doesn't overflow; EndpointClientOptions has
+    // the bound that is used.
+    constexpr std::int64_t maxAnnouncedIdleSeconds = 1'000'000;
+
     // Returns the idle time that the endpoint announced in `Keep-Alive: timeout=SECONDS`, if any.
     std::optional<Millis> announcedIdleTime(const HttpResponseHead& head)
     {
@@ -65,7 +69,7 @@
         value.remove_prefix(position + std::string_view("timeout=").size());
         if (std::from_chars(value.data(), value.data() + value.size(), seconds).ec != std::errc {})
             return std::nullopt;
-        return Millis { seconds * 1000 };
+        return Millis { std::clamp<std::int64_t>(seconds, 0, maxAnnouncedIdleSeconds) * 1'000 };
     }
 
 }
