router, daemon: end streams with too many bytes between events

Cause: a blank line or comment is a block of its own that is checked and forwarded like an event. 64 KB of blank lines take longer to handle than the next 64 KB need to arrive, so the connection was ready in each turn of the event loop, and callers' events have a lower priority. Nothing bounded such blocks: only an incomplete one had a limit.

Change: more than 256 KB (the limit of one event) of blank lines and comments between two events is a malformed answer. Both request paths had the fault, so both have the limit. A sound stream that sends a comment of 10 bytes each second reaches it after 7 hours without an event.

The two tests fail without the change.

--- a/src/daemon/SseScanner.cpp
+++ b/src/daemon/SseScanner.cpp
@@ -59,8 +59,14 @@
         return Action::Stop;
     }
     m_isDone = event.isEndMarker;
-    if (!event.id)
-        return Action::Forward;
+    if (!event.id) {
+        m_bytesSinceToken += text.size();
+        if (m_bytesSinceToken <= maxEventBytes)
+            return Action::Forward;
+        stop(EventViolation::TooLong, m_bytesSinceToken);
+        return Action::Stop;
+    }
+    m_bytesSinceToken = 0;
     m_lastIndexOfAnswer = event.id;
     if (*event.id < m_nextIndex)
         return Action::Omit;
@@ -118,6 +124,7 @@
     m_lastIndexOfAnswer.reset();
     m_violation = EventViolation::None;
     m_violatingBytes = 0;
+    m_bytesSinceToken = 0;
     m_isAnswerStart = true;
     m_isLineFeedHandled = false;
 }
--- a/src/daemon/SseScanner.h
+++ b/src/daemon/SseScanner.h
@@ -66,6 +66,9 @@
     std::optional<std::uint64_t> m_lastIndexOfAnswer; ///< Of the last event in this answer, returned or omitted.
     EventViolation m_violation { EventViolation::None };
     std::size_t m_violatingBytes { 0 };
+    /// Of blank lines and comments since the last token. Each is a block of its own, so that an engine that sends them
+    /// without end would take all processor time.
+    std::size_t m_bytesSinceToken { 0 };
     bool m_isDone { false };
     bool m_isAnswerStart { true }; ///< No block of this answer has been read.
     bool m_hasForwarded { false };
--- a/src/net/SseEvent.h
+++ b/src/net/SseEvent.h
@@ -31,7 +31,7 @@
     MissingData, ///< An id without data: callers' parsers drop such an event.
     MisplacedEndMarker, ///< The end marker in an event with an id or with other data.
     OutOfOrder, ///< The id is not the one that follows.
-    TooLong, ///< More than maxEventBytes.
+    TooLong, ///< More than maxEventBytes, also of comments and blank lines between two events.
     BlankLine, ///< A blank line between two lines: several events.
     Incomplete, ///< The stream ended within the event.
 };
--- a/src/router/SseSplitter.cpp
+++ b/src/router/SseSplitter.cpp
@@ -45,8 +45,14 @@
     if (event.id) {
         m_lastId = *event.id;
         ++m_eventCount;
+        m_bytesSinceEvent = 0;
+        return true;
     }
-    return true;
+    m_bytesSinceEvent += text.size();
+    if (m_bytesSinceEvent <= maxEventBytes)
+        return true;
+    stop(EventViolation::TooLong, m_bytesSinceEvent);
+    return false;
 }
 
 void SseSplitter::endAnswer() noexcept
@@ -68,6 +74,7 @@
     m_reader.clear();
     m_violation = EventViolation::None;
     m_violatingBytes = 0;
+    m_bytesSinceEvent = 0;
     m_isAnswerStart = true;
 }
 
--- a/src/router/SseSplitter.h
+++ b/src/router/SseSplitter.h
@@ -58,6 +58,9 @@
     std::uint64_t m_eventCount { 0 };
     EventViolation m_violation { EventViolation::None };
     std::size_t m_violatingBytes { 0 };
+    /// Of blank lines and comments since the last event with data. Each is a block of its own, so that an endpoint that
+    /// sends them without end would take all processor time.
+    std::size_t m_bytesSinceEvent { 0 };
     bool m_isAnswerStart { true }; ///< No block of this answer has been read.
     bool m_hasForwarded { false };
 };
--- a/tests/SseScannerTests.cpp
+++ b/tests/SseScannerTests.cpp
@@ -237,6 +237,26 @@
     CHECK(scanner.violation() == EventViolation::TooLong);
 }
 
+// Guards against an engine that sends line ends or comments without end: each of them is a block of its own, and a
+// daemon that forwards them reads nothing else meanwhile.
+TEST_CASE("too many bytes between two tokens are reported", "[sse][endless]")
+{
+    for (const char* block : { "\n", ":\n\n" }) {
+        CAPTURE(block);
+        SseScanner scanner;
+        std::string blocks;
+        while (blocks.size() + std::string_view(block).size() <= maxEventBytes)
+            blocks += block;
+        std::string sound = blocks + sseEvent(0) + blocks;
+        CHECK(scanner.feed(sound) == sound);
+        CHECK(scanner.violation() == EventViolation::None);
+        CHECK(scanner.feed(block).empty());
+        CHECK(scanner.violation() == EventViolation::TooLong);
+        scanner.prepareToResume();
+        CHECK(scanner.feed(blocks + sseEvent(1)) == blocks + sseEvent(1));
+    }
+}
+
 // Guards against a byte order mark in the middle of what the caller is sent, where it hides the first field of an
 // event.
 TEST_CASE("the scanner forwards a byte order mark only at the start of the caller's stream", "[sse][events]")
--- a/tests/SseSplitterTests.cpp
+++ b/tests/SseSplitterTests.cpp
@@ -96,3 +96,23 @@
         CHECK(violation != EventViolation::None);
     }
 }
+
+// Guards against an endpoint that sends line ends or comments without end: each of them is a block of its own, and a
+// router that forwards them reads nothing else meanwhile.
+TEST_CASE("a stream with too many bytes between two events is malformed", "[router][events][endless]")
+{
+    for (const char* block : { "\n", "\r\n", ":\n\n", ": comment\n\n" }) {
+        CAPTURE(block);
+        SseSplitter splitter { {} };
+        std::string blocks;
+        while (blocks.size() + std::string_view(block).size() <= maxEventBytes)
+            blocks += block;
+        std::string sound = blocks + "id: 1\ndata: a\n\n" + blocks;
+        CHECK(splitter.feed(sound) == sound);
+        CHECK(splitter.violation() == EventViolation::None);
+        CHECK(splitter.feed(block).empty());
+        CHECK(splitter.violation() == EventViolation::TooLong);
+        splitter.resume();
+        CHECK(splitter.feed(blocks + "id: 2\ndata: b\n\n") == blocks + "id: 2\ndata: b\n\n");
+    }
+}
