net: answers that are always readable leave turns to callers

Cause: an exchange's read event has the priority of requests in progress. While it is ready in each turn, the event loop handles no event of callers, which have a lower priority.

Change: the fourth of four reads in a row that fill the buffer of 64 KB is followed by one read with the priority of callers' events, so that these are handled first come, first served once in 256 KB. Answers that arrive in smaller parts keep their priority.

--- a/src/net/EndpointClient.cpp
+++ b/src/net/EndpointClient.cpp
@@ -1,6 +1,7 @@
 #include "net/EndpointClient.h"
 
 #include "net/EventCallback.h"
+#include "net/EventPriority.h"
 #include "net/HttpClient.h"
 #include "net/HttpResponseParser.h"
 #include "net/Socket.h"
@@ -23,6 +24,11 @@
 
     constexpr std::size_t readBufferBytes = 64U << 10U;
 
+    // Reads that fill the buffer, one after the other, before the next one waits with the events of callers. A
+    // connection whose bytes take longer to handle than to arrive is ready in each turn of the loop, and callers, whose
+    // events have a lower priority, would not be read until its end.
+    constexpr unsigned maxFullReadsInRow = 4;
+
     // An endpoint may read a request that is longer than its receive window late, even after it began to respond. The
     // kernel would take it for one that is gone; the timeouts of the request decide instead.
     constexpr std::size_t longRequestBytes = 64U << 10U;
@@ -109,6 +115,7 @@
         bool skippingResponse { false }; ///< The response being read belongs to an earlier request.
         bool paused { false };
         bool isLongRequest { false };
+        unsigned fullReadsInRow { 0 };
 
         [[nodiscard]] std::size_t requestBytes() const noexcept { return head.size() + request.body.size(); }
         [[nodiscard]] bool isRequestWritten() const noexcept { return writtenBytes == requestBytes(); }
@@ -403,10 +410,20 @@
         runCallback("endpoint_read", exchange, [&] { exchange.owner->read(exchange, descriptor); });
     }
 
+    void selectReadPriority(Exchange& exchange, std::size_t readBytes) const
+    {
+        bool isFull = readBytes == readBuffer.size();
+        exchange.fullReadsInRow = isFull ? exchange.fullReadsInRow % maxFullReadsInRow + 1 : 0;
+        setEventPriority(*exchange.readEvent,
+            exchange.fullReadsInRow == maxFullReadsInRow ? EventPriority::IncomingRequests
+                                                         : EventPriority::ActiveRequests);
+    }
+
     void read(Exchange& exchange, evutil_socket_t descriptor)
     {
         ssize_t length = recv(descriptor, readBuffer.data(), readBuffer.size(), 0);
         if (length > 0) {
+            selectReadPriority(exchange, static_cast<std::size_t>(length));
             exchange.lastActivity = clock.now();
             if (exchange.phase == Phase::AwaitingResponse) {
                 exchange.phase = Phase::ReceivingResponse;
--- a/tests/EndpointReadTests.cpp
+++ b/tests/EndpointReadTests.cpp
@@ -58,6 +58,32 @@
 
 }
 
+// Guards against a daemon that reads no callers while the bytes of one answer arrive as fast as it handles them.
+TEST_CASE("an answer that is always readable leaves turns to callers", "[endpoint][starvation]")
+{
+    ReadFixture fixture;
+    BlockingSocket endpoint = fixture.start();
+    endpoint.write("HTTP/1.1 200 OK\r\n\r\n");
+    const std::string bytes(1U << 20U, 'x');
+    constexpr int maxReads = 200;
+    int reads = 0;
+    std::optional<int> readsBeforeCaller;
+    std::function<void()> handleCaller = [&] { readsBeforeCaller = readsBeforeCaller.value_or(reads); };
+    EventPointer callerEvent(event_new(
+        fixture.base.get(), -1, 0,
+        [](evutil_socket_t, short, void* handle) { (*static_cast<std::function<void()>*>(handle))(); }, &handleCaller));
+    setEventPriority(*callerEvent, EventPriority::IncomingRequests);
+    fixture.listener.handleBody = [&] {
+        if (++reads < maxReads)
+            endpoint.writeSome(bytes, 0); // The connection is readable again before the loop asks.
+        if (reads == 1)
+            event_active(callerEvent.get(), EV_TIMEOUT, 0);
+    };
+    endpoint.writeSome(bytes, 0);
+    fixture.runUntil([&] { return readsBeforeCaller && reads >= maxReads; });
+    CHECK(*readsBeforeCaller <= 8);
+}
+
 // Guards against the overflow of an announced idle time, after which the connection would not be used again.
 TEST_CASE("an endpoint may announce an idle time of any size", "[endpoint][odd]")
 {
