router: bound the number of peers that datagrams add

Cause: addresses in datagrams are added to the peers unchecked and kept for 60 s, and each message and each tick costs time for every known peer.

Change: datagrams add peers up to 2,000, several times the largest fleet. What the store announces and the seeds are always added. Rejected ones count as jasminestack_peer_rejected_total{reason="too_many_peers"}.

--- a/src/router/FleetSync.cpp
+++ b/src/router/FleetSync.cpp
@@ -29,6 +29,10 @@
     // An address that is not announced at the store is removed when no update came from it for this long.
     constexpr Millis unannouncedPeerRetention { 60'000 };
 
+    // Addresses from datagrams are not checked, and the work of each message and tick grows with their number. Several
+    // times the largest fleet; daemons beyond it are known once the store announces them.
+    constexpr std::size_t maxUnannouncedPeers = 2'000;
+
     // The store notifies all daemons at about the same time; documents are requested from a peer only if they have been
     // newer for this long.
     constexpr Millis documentLagTolerance { 150 };
@@ -162,6 +166,14 @@
     m_isHeartbeatDue = true;
 }
 
+void FleetSync::addUnannouncedPeer(const std::string& address)
+{
+    if (m_peers.size() < maxUnannouncedPeers)
+        addPeer(address);
+    else if (!m_peers.contains(address))
+        m_context.metrics.add(Counter::PeerRejected, { "too_many_peers" });
+}
+
 void FleetSync::setAnnouncedPeers(const std::vector<std::string>& addresses)
 {
     for (auto& [address, peer] : m_peers)
@@ -708,10 +720,10 @@
 {
     if (update.instanceId == m_options.instanceId)
         return;
-    addPeer(update.address);
+    addUnannouncedPeer(update.address);
     auto found = m_peers.find(update.address);
     if (found == m_peers.end())
-        return; // From an earlier instance of this daemon: addPeer() never adds this daemon's address.
+        return; // From an earlier instance of this daemon, whose address is never added, or there are too many peers.
     applyUpdate(update, found->second);
 }
 
@@ -773,7 +785,7 @@
     if (!update.workspaceRates.empty())
         board.shares.peerRates[update.instanceId] = update.workspaceRates;
     for (const std::string& address : update.livePeerAddresses)
-        addPeer(address);
+        addUnannouncedPeer(address);
     updateVersions(peer,
         { .configurationVersion = update.configurationVersion,
             .registrationsPosition = update.registrationsPosition,
--- a/src/router/FleetSync.h
+++ b/src/router/FleetSync.h
@@ -157,6 +157,8 @@
     void applyLatestState(const FleetUpdate&, Peer&);
     void rejectMessage(const Error&);
     void addPeer(const std::string& address);
+    /// \brief Adds a peer whose address comes from a datagram, unless there are too many.
+    void addUnannouncedPeer(const std::string& address);
     void discardInstanceState(Peer&);
     void fetchDocumentsFromPeer();
     void handleDocuments(const std::string& address, const Result<HttpResponse>&);
--- a/tests/FleetSyncTests.cpp
+++ b/tests/FleetSyncTests.cpp
@@ -1,6 +1,7 @@
 #include "RouterHarness.h"
 #include "net/EventPriority.h"
 #include "router/FleetSync.h"
+#include "router/FleetUpdateCodec.h"
 #include "router/StoreConfirmationCodec.h"
 
 #include <algorithm>
@@ -652,3 +653,29 @@
     fleet.network.undelivered.clear();
     fleet.runFor(Millis { 2'000 });
 }
+
+// Guards against made-up or outdated addresses without end: each message and tick costs time for each known peer, and a
+// router with 12,000 of them answered nobody for seconds.
+TEST_CASE("datagrams add a bounded number of peers, and announced ones are always added", "[exchange][limits]")
+{
+    Fleet fleet(2, 1);
+    Fleet::Member& member = *fleet.members[0];
+    auto addressOf
+        = [](unsigned i) { return "10.1." + std::to_string(i / 250) + "." + std::to_string(i % 250) + ":7400"; };
+    FleetUpdate update { .instanceId = 1'000'000, .daemonId = "listed", .address = addressOf(0), .sequence = 1 };
+    for (unsigned i = 0; i < 4'000; ++i)
+        update.livePeerAddresses.push_back(addressOf(i));
+    member.transport.handler(encodeFleetUpdate(update, fleet.clock.now()));
+    for (unsigned i = 4'000; i < 8'000; ++i) {
+        FleetUpdate own {
+            .instanceId = 1'000'000 + i, .daemonId = "pretended", .address = addressOf(i), .sequence = 1
+        };
+        member.transport.handler(encodeFleetUpdate(own, fleet.clock.now()));
+    }
+    CHECK(member.sync->possibleDaemonCount() <= 2'100);
+    member.sync->setAnnouncedPeers({ fleet.members[1]->address, "10.2.0.1:7400" });
+    FleetUpdate announced { .instanceId = 7, .daemonId = "announced", .address = "10.2.0.1:7400", .sequence = 1 };
+    member.transport.handler(encodeFleetUpdate(announced, fleet.clock.now()));
+    CHECK(member.sync->addressOf(7) == "10.2.0.1:7400");
+    CHECK(member.sync->addressOf(2) == fleet.members[1]->address);
+}
