--- a/src/net/EndpointClient.cpp
+++ b/src/net/EndpointClient.cpp
@@ -1,6 +1,7 @@
 #include "net/EndpointClient.h"
 
 #include "net/EventCallback.h"
+#include "net/EventPriority.h"
 #include "net/HttpClient.h"
 #include "net/HttpResponseParser.h"
 #include "net/MemoryReservation.h"
@@ -24,6 +25,11 @@
 
     constexpr std::size_t readBufferBytes = 64U << 10U;
 
+    // Reads that fill the buffer, one after the other, before the next one waits with the events of callers. A
+    // connection whose bytes take longer to handle than to arrive is ready in each turn of the loop, and callers, whose
+    // events have a lower priority, would not be read until its end.
+    constexpr unsigned maxFullReadsInRow = 4;
+
     // An endpoint may read a request that is longer than its receive window late, even after it began to respond. The
     // kernel would take it for one that is gone; the timeouts of the request decide instead.
     constexpr std::size_t longRequestBytes = 64U << 10U;
@@ -74,6 +80,10 @@
         return sendmsg(descriptor, &message, MSG_NOSIGNAL);
     }
 
+    // Bounds an announced idle time, so that its conversion to milliseconds doesn't overflow; EndpointClientOptions has
+    // the bound that is used.
+    constexpr std::int64_t maxAnnouncedIdleSeconds = 1'000'000;
+
     // Returns the idle time that the endpoint announced in `Keep-Alive: timeout=SECONDS`, if any.
     std::optional<Millis> announcedIdleTime(const HttpResponseHead& head)
     {
@@ -85,7 +95,7 @@
         value.remove_prefix(position + std::string_view("timeout=").size());
         if (std::from_chars(value.data(), value.data() + value.size(), seconds).ec != std::errc {})
             return std::nullopt;
-        return Millis { seconds * 1000 };
+        return Millis { std::clamp<std::int64_t>(seconds, 0, maxAnnouncedIdleSeconds) * 1'000 };
     }
 
 }
@@ -126,6 +136,7 @@
         bool skippingResponse { false }; ///< The response being read belongs to an earlier request.
         bool paused { false };
         bool isLongRequest { false };
+        unsigned fullReadsInRow { 0 };
 
         [[nodiscard]] std::size_t requestBytes() const noexcept { return head.size() + request.body.size(); }
         [[nodiscard]] bool isRequestWritten() const noexcept { return writtenBytes == requestBytes(); }
@@ -437,10 +448,20 @@
         runCallback("endpoint_read", exchange, [&] { exchange.owner->read(exchange, descriptor); });
     }
 
+    void selectReadPriority(Exchange& exchange, std::size_t readBytes) const
+    {
+        bool isFull = readBytes == readBuffer.size();
+        exchange.fullReadsInRow = isFull ? exchange.fullReadsInRow % maxFullReadsInRow + 1 : 0;
+        setEventPriority(*exchange.readEvent,
+            exchange.fullReadsInRow == maxFullReadsInRow ? EventPriority::IncomingRequests
+                                                         : EventPriority::ActiveRequests);
+    }
+
     void read(Exchange& exchange, evutil_socket_t descriptor)
     {
         ssize_t length = recv(descriptor, readBuffer.data(), readBuffer.size(), 0);
         if (length > 0) {
+            selectReadPriority(exchange, static_cast<std::size_t>(length));
             exchange.lastActivity = clock.now();
             if (exchange.phase == Phase::AwaitingResponse) {
                 exchange.phase = Phase::ReceivingResponse;
