net: answers in small parts leave turns to callers, too

Seen: the test of turns for callers failed once, with 10 reads where 8 are allowed, and a receive buffer that is bounded by the router's memory makes reads that never fill the buffer.

Cause: only reads that filled the buffer of 64 KB counted. An answer that is always readable in smaller parts kept its priority, and callers were not read.

Change: after 256 KB or 64 reads one read has the priority of callers' events. The test counts bytes, which don't depend on how they are divided into reads, and plays parts of 100 bytes as well, which failed before this change (200 reads, all of them, where 65 are allowed).

--- a/src/net/EndpointClient.cpp
+++ b/src/net/EndpointClient.cpp
@@ -25,10 +25,11 @@
 
     constexpr std::size_t readBufferBytes = 64U << 10U;
 
-    // Reads that fill the buffer, one after the other, before the next one waits with the events of callers. A
-    // connection whose bytes take longer to handle than to arrive is ready in each turn of the loop, and callers, whose
-    // events have a lower priority, would not be read until its end.
-    constexpr unsigned maxFullReadsInRow = 4;
+    // What is read of one connection before the next read waits with the events of callers. A connection whose bytes
+    // take longer to handle than to arrive is ready in each turn of the loop, and callers, whose events have a lower
+    // priority, would not be read until its end.
+    constexpr std::size_t maxBytesBeforeCallers = 4 * readBufferBytes;
+    constexpr unsigned maxReadsBeforeCallers = 64;
 
     // An endpoint may read a request that is longer than its receive window late, even after it began to respond. The
     // kernel would take it for one that is gone; the timeouts of the request decide instead.
@@ -136,7 +137,8 @@
         bool skippingResponse { false }; ///< The response being read belongs to an earlier request.
         bool paused { false };
         bool isLongRequest { false };
-        unsigned fullReadsInRow { 0 };
+        std::size_t bytesBeforeCallers { 0 }; ///< Read since the last read that waited with the events of callers.
+        unsigned readsBeforeCallers { 0 };
 
         [[nodiscard]] std::size_t requestBytes() const noexcept { return head.size() + request.body.size(); }
         [[nodiscard]] bool isRequestWritten() const noexcept { return writtenBytes == requestBytes(); }
@@ -448,13 +450,18 @@
         runCallback("endpoint_read", exchange, [&] { exchange.owner->read(exchange, descriptor); });
     }
 
-    void selectReadPriority(Exchange& exchange, std::size_t readBytes) const
+    static void selectReadPriority(Exchange& exchange, std::size_t readBytes)
     {
-        bool isFull = readBytes == readBuffer.size();
-        exchange.fullReadsInRow = isFull ? exchange.fullReadsInRow % maxFullReadsInRow + 1 : 0;
-        setEventPriority(*exchange.readEvent,
-            exchange.fullReadsInRow == maxFullReadsInRow ? EventPriority::IncomingRequests
-                                                         : EventPriority::ActiveRequests);
+        exchange.bytesBeforeCallers += readBytes;
+        ++exchange.readsBeforeCallers;
+        bool mustWait = exchange.bytesBeforeCallers >= maxBytesBeforeCallers
+            || exchange.readsBeforeCallers >= maxReadsBeforeCallers;
+        if (mustWait) {
+            exchange.bytesBeforeCallers = 0;
+            exchange.readsBeforeCallers = 0;
+        }
+        setEventPriority(
+            *exchange.readEvent, mustWait ? EventPriority::IncomingRequests : EventPriority::ActiveRequests);
     }
 
     void read(Exchange& exchange, evutil_socket_t descriptor)
