router: stop reading a response without end after its caller left

A request that can't be repeated goes on when its caller leaves, and its response is read to the end, which an endpoint may never send.

A response is read for at most 1 MB after its caller left; its status has told the outcome by then. The new test failed before: the router took 40 MB of such a response.

--- a/src/router/RoutedRequest.h
+++ b/src/router/RoutedRequest.h
@@ -220,6 +220,8 @@
     /// \brief Takes over what the endpoint says of itself: that it leaves, or wants a pause.
     void takeEndpointNotice(const ResponseMetadata&);
     void reportFirstByte();
+    /// \brief Ends the request if very much was received since its caller left.
+    void discardBody(std::size_t bytes);
     /// \brief Adds to the buffered body, or passes all of it on if it becomes too long.
     void bufferBody(std::string_view chunk);
     /// \returns Whether there is memory for \p bytes of this attempt beside the error response before.
@@ -268,6 +270,7 @@
     bool m_isConnected { false }; ///< The request is being written to the endpoint, or has been.
     bool m_isPlacementCounted { false }; ///< m_placement counts towards its endpoint's load.
     ExchangeId m_exchange { 0 };
+    std::size_t m_unheardBytes { 0 }; ///< Received bytes of responses since the caller left.
     std::size_t m_refusalBytes { 0 }; ///< Received bytes of a refusal's body.
     Millis m_firstEventAt {}; ///< Of this attempt; 0 before.
     bool m_isAnswerSound { false }; ///< recordSoundAnswer() was called in this attempt.
--- a/src/router/RoutedRequestResponse.cpp
+++ b/src/router/RoutedRequestResponse.cpp
@@ -15,6 +15,9 @@
     // The body of a refusal is not used; a longer one is not read to its end.
     constexpr std::size_t maxRefusalBytes = 64U << 10U;
 
+    // Of a response whose caller has left. A longer one may have no end, and its status has told the outcome.
+    constexpr std::size_t maxUnheardBytes = 1U << 20U;
+
     // A buffer of this size is always had, so that the ordinary answers of many requests are not affected by long ones.
     constexpr std::size_t uncountedBufferBytes = 8U << 10U;
 
@@ -113,6 +116,11 @@
 {
     if (m_relayMode != RelayMode::Events && m_relayMode != RelayMode::Refusal)
         m_lastProgress = now();
+    bool isHeard = m_caller || m_relayMode == RelayMode::AwaitingHead || m_relayMode == RelayMode::Refusal;
+    if (!isHeard) {
+        discardBody(chunk.size());
+        return;
+    }
     switch (m_relayMode) {
     case RelayMode::AwaitingHead:
         break;
@@ -133,11 +141,20 @@
     }
 }
 
+void RoutedRequest::discardBody(std::size_t bytes)
+{
+    m_unheardBytes += bytes;
+    if (m_unheardBytes <= maxUnheardBytes)
+        return;
+    cancelExchange();
+    recordAttemptEnd(AttemptOutcome::Cancelled);
+    finish("caller_gone");
+}
+
 void RoutedRequest::bufferBody(std::string_view chunk)
 {
-    // Without a caller nobody gets the body, nor does the caller if the status would tell it that the request has not
-    // run.
-    if (!m_caller || impliesNotRun(m_responseHead.status))
+    // The caller does not get a body whose status would tell it that the request has not run.
+    if (impliesNotRun(m_responseHead.status))
         return;
     std::size_t maxBytes = m_owner.options().maxBufferedResponseBytes;
     std::size_t size = m_responseBody.size() + chunk.size();
@@ -253,7 +270,7 @@
         return;
     bool wasSent = m_exchange != 0;
     // A non-idempotent request continues, since closing its connection would leave its outcome unknown. Its response is
-    // read to the end, also if reading was paused for the caller's full send buffer.
+    // read to the end, unless that is far, also if reading was paused for the caller's full send buffer.
     if (wasSent && m_route.kind == RequestKind::NonIdempotent) {
         releaseBody();
         resumeEndpoint();
--- a/tests/RouterLoopbackTests.cpp
+++ b/tests/RouterLoopbackTests.cpp
@@ -8,6 +8,26 @@
 
 namespace {
 
+/// \returns Whether the metrics name \p outcome as that of a request, within about 10 s.
+bool reportsOutcome(const LoopbackRouter& router, std::string_view outcome)
+{
+    const std::string label = "\"" + std::string(outcome) + "\"";
+    const std::string& address = router.metricsAddress;
+    auto port = static_cast<std::uint16_t>(std::stoul(address.substr(address.rfind(':') + 1)));
+    for (int i = 0; i < 200; ++i) {
+        BlockingSocket client = BlockingSocket::connectTo(port);
+        client.write("GET /metrics HTTP/1.1\r\nConnection: close\r\n\r\n");
+        if (client.readToEnd().find(label) != std::string::npos)
+            return true;
+        std::this_thread::sleep_for(std::chrono::milliseconds(50));
+    }
+    return false;
+}
+
+}
+
+namespace {
+
 std::string encodeHttpChunk(std::string_view bytes) { return LoopbackDaemon::encodeChunk(bytes); }
 
 const std::string lastChunk = "0\r\n\r\n";
@@ -221,6 +241,32 @@
     CHECK(std::chrono::steady_clock::now() - start < std::chrono::seconds(2)); // The route's timeout is 4 s.
 }
 
+// Guards against a router that is busy with responses without end whose callers have left; a long one that ends is
+// read, so that its endpoint isn't broken off.
+TEST_CASE("a response without end is not read for long after its caller left", "[router][endless]")
+{
+    LoopbackRouter router;
+    bool isEndless = GENERATE(true, false);
+    BlockingSocket caller = router.connectCaller();
+    caller.write(LoopbackRouter::request("POST", "/book/x", "id-1", "order"));
+    BlockingSocket service = router.serviceListener.accept();
+    static_cast<void>(service.readUntil("order"));
+    service.write("HTTP/1.1 200 X\r\nX-Jasminestack-Attempt-Id: id-1\r\nX-Jasminestack-Server-Signature: s\r\n"
+                  "Transfer-Encoding: chunked\r\n\r\n"
+        + encodeHttpChunk(std::string(300'000, 'x')));
+    static_cast<void>(caller.readUntil("xxx"));
+    caller.close();
+    const std::string chunk = encodeHttpChunk(std::string(300'000, 'x'));
+    std::size_t written = 0;
+    std::size_t limit = isEndless ? 40'000'000 : 600'000;
+    for (std::size_t sent = 1; sent != 0 && written < limit; written += sent)
+        sent = service.writeSome(chunk, 500);
+    CHECK((written < limit) == isEndless);
+    if (!isEndless)
+        service.write(encodeHttpChunk(""));
+    CHECK(reportsOutcome(router, isEndless ? "caller_gone" : "ok"));
+}
+
 // Guards against a second run of a stream that may not be resumed, and against a truncated response that looks
 // complete.
 TEST_CASE("a stream that may not be resumed ends truncated when its engine resets the connection", "[router]")
