Soak: count every end of a process, and leave no signal out

Cause: the soak left a SIGHUP out while the dynamic loader might run, excused ends by SIGTERM and SIGINT then, and exit code 3 where it had itself held settings cut off for too long. Routers had 512 MB, and neither memory nor descriptors were checked.

Change: each signal goes out, with the phase of the process read from /proc right before (exec, libraries, main). A SIGHUP that ends a process breaks ENDED, in the phase exec, before any code of the program, ENDED-EXEC; a stop in that phase is asked for, and counted. Settings are completed by a process of their own, so that code 3 needs no excuse; the longest cut is printed. New: MEMORY and DESCRIPTORS at the limits of the smallest deployment; series of SIGHUP in the first 20 ms of a start; restarts of several or all routers within 0.3 s, hosts that come and go, and at each of these starts new settings and SIGHUP for all; three series of faults in place of two; clients that go on after "Connection: close"; starts that find their settings by JASMINESTACK_NODE_FILE (--by-variable, off until the program reads it). scripts/check.d/soak passes over ENDED-EXEC and the known ORDER only if all runs ended and all violations are shown, which it did not check before. Clients, routers, processes and starts have files of their own.

Tests: ProcessTests.test_hang_up, test_stop_before_handlers and test_excused_ends asserted the excuses; they are replaced by tests that assert the opposite for each phase (test_processes.py). test_settings_cut_off expected code 3 to count; test_failed_start does without any condition.

--- a/bench/crowds/crowds.py
+++ b/bench/crowds/crowds.py
@@ -22,7 +22,7 @@
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent.parent
 sys.path.insert(0, str(ROOT / "bench/soak"))
-from soak import KEYS, ROUTES, configuration  # noqa: E402
+from router import KEYS, ROUTES, configuration  # noqa: E402
 from world import Store, read_body, read_head  # noqa: E402
 
 KNOWN_FAILURES = ROOT / "KNOWN-RED.txt"
--- a/bench/soak/crashing_part.py
+++ b/bench/soak/crashing_part.py
@@ -18,8 +18,10 @@
 import tempfile
 import time
 
-from soak import BOUNDS, KEYS, ROOT, ROUTES, Router, Soak, configuration
+from clients import read_answer
 from history import Request
+from router import BOUNDS, KEYS, ROOT, ROUTES, Router, configuration
+from soak import Soak
 from world import Store, abort, address_of, chunk, read_body, read_head
 
 TOLERABLE_CRASHES = 5
@@ -184,6 +186,7 @@
             self.engines.append(CrashingEngine(self, number))
             await self.engines[-1].start()
         self.routers = [Router(self, number) for number in range(self.options.routers)]
+        self.seeds = self.routers[:3]
         for router in self.routers:
             router.path.write_text(router.settings())
             router.start()
@@ -240,7 +243,7 @@
             router = self.chooser.choice(self.routers)
             reader, writer = await asyncio.wait_for(asyncio.open_connection(router.ip, 20001), 2)
             writer.write(head.encode() + b"\r\n" + body)
-            await asyncio.wait_for(Soak.read_answer(request, reader), 8)
+            await asyncio.wait_for(read_answer(request, reader), 8)
         except (OSError, asyncio.TimeoutError, asyncio.IncompleteReadError, ValueError):
             pass
         finally:
--- a/bench/soak/history.py
+++ b/bench/soak/history.py
@@ -1,12 +1,15 @@
 """What clients and engines saw, and the checks of it. Nothing here knows what a router does."""
 
 from dataclasses import dataclass, field
-from signal import SIGINT, SIGKILL, SIGTERM
+from signal import SIGHUP, SIGINT, SIGKILL, SIGTERM
 
 from events import read_events
 
 REFUSALS = (408, 421, 429, 503)
 STOP_SIGNALS = {SIGTERM, SIGINT}
+# A process as seen from outside. EXEC: nothing is mapped but the executable, the dynamic loader and the C library; LIBRARIES: other
+# libraries are, and the signal isn't blocked, caught or ignored; MAIN: the signal is, or the process has opened a socket.
+EXEC, LIBRARIES, MAIN = PHASES = ("exec", "libraries", "main")
 LOST_WITHIN_S = 4.0  # An answer that takes longer may have been due in the last sixth of the grace time.
 
 
@@ -117,15 +120,22 @@
         yield Violation("RECOVER", at, "", "", f"{good} of {asked} requests were served by all after the faults")
 
 
-def check_end(code, signals, excused=frozenset()):
-    """Returns what is wrong with a process that ended.
+def is_early_stop(code, signals, phases):
+    """Whether a process was asked to stop before any of its code could run, and ended by that signal."""
+    return -code in STOP_SIGNALS & signals and phases.get(-code) == EXEC
 
-    signals are those that it was sent, SIGCONT and SIGSTOP apart; excused are codes of a stop before it could handle signals.
+
+def check_end(code, signals, phases):
+    """Returns the rule that the end of a process breaks and what is wrong with it, or None.
+
+    signals are those that it was sent, SIGCONT and SIGSTOP apart; phases has the latest phase that each of them met.
     """
-    if SIGKILL in signals and code == -SIGKILL or STOP_SIGNALS & signals and (code == 0 or code in excused):
+    if SIGKILL in signals and code == -SIGKILL or STOP_SIGNALS & signals and code == 0 or is_early_stop(code, signals, phases):
         return None
+    rule = "ENDED-EXEC" if code == -SIGHUP and phases.get(SIGHUP) == EXEC else "ENDED"
     asked = signals & (STOP_SIGNALS | {SIGKILL})
-    return f"ended with {code} after {', '.join(sorted(item.name for item in asked))}" if asked else f"ended by itself with {code}"
+    text = f"ended with {code} after {', '.join(sorted(item.name for item in asked))}" if asked else f"ended by itself with {code}"
+    return rule, text + (f", signalled in the phase {phases[-code]}" if -code in phases else "")
 
 
 def check_success(request, runs):
--- a/bench/soak/test_soak.py
+++ b/bench/soak/test_soak.py
@@ -1,16 +1,12 @@
 """Tests the soak's checks: each finds its violation in a bad history and none in a sound one."""
 
+import pathlib
 import random
-import signal
-import socket
 import subprocess
-import sys
-import types
 import unittest
 
 from events import looks_sound, read_chunks, read_events
-from history import History, Request, Run, check_end, check_recovery
-from lifecycle import RECOVER_S, STOP_SLACK_S, Lifecycle, Process, draw_start, occupy, send_until_gone
+from history import History, Request, Run, check_recovery
 from world import Relay, chunk, spoil_stream
 
 EVENTS = {1: b"5-1-x", 2: b"5-2-yy", 3: b"5-3-z"}
@@ -178,143 +174,32 @@
         self.assertEqual(found({"r-0": (50, 100)}), [""])
         self.assertEqual(found({}), [""])
 
-    # A process that crashed, or ended with an error or by a signal after a stop, passes as stopped.
-    def test_ends_of_processes(self):
-        stop, interrupt, kill, reload = signal.SIGTERM, signal.SIGINT, signal.SIGKILL, signal.SIGHUP
-        for code, signals in ((0, {stop}), (0, {interrupt, reload}), (-9, {stop, kill}), (-9, {kill})):
-            self.assertIsNone(check_end(code, signals), (code, signals))
-        for code, signals in ((0, set()), (-6, set()), (1, set()), (3, {reload}), (-25, set()), (1, {stop}), (-9, {stop}),
-                              (-11, {stop, kill}), (1, {kill}), (0, {reload}), (-1, {reload}), (-15, {stop}), (-2, {interrupt}),
-                              (-1, {stop, reload})):
-            self.assertIsNotNone(check_end(code, signals), (code, signals))
-
-    # An excuse of one end covers others, or an end that no one asked for.
-    def test_excused_ends(self):
-        self.assertIsNone(check_end(-15, {signal.SIGTERM}, {-15}))
-        self.assertIsNotNone(check_end(-2, {signal.SIGTERM, signal.SIGINT}, {-15}))
-        self.assertIsNotNone(check_end(-15, set(), {-15}))
-        self.assertIsNotNone(check_end(1, {signal.SIGTERM}, {-15}))
-
-
-# Programs in place of a router. Each prints a line once it has got as far as the test needs.
-IDLE = "import time; print(flush=True); time.sleep(20)"
-OPEN = "import socket, time; s = socket.socket(); print(flush=True); time.sleep(20)"
-STUBBORN = ("import signal, time; signal.signal(signal.SIGTERM, signal.SIG_IGN); signal.signal(signal.SIGINT, signal.SIG_IGN); "
-            "print(flush=True); time.sleep(20)")
-BLOCKING = ("import signal, time; signal.pthread_sigmask(signal.SIG_BLOCK, {signal.SIGHUP, signal.SIGTERM}); "
-            "print(flush=True); time.sleep(20)")
-FORGETFUL = ("import signal, time; signal.signal(signal.SIGTERM, lambda *_: signal.signal(signal.SIGTERM, signal.SIG_DFL)); "
-             "print(flush=True); [time.sleep(0.01) for _ in range(2000)]")
-
-
-class ProcessTests(unittest.TestCase):
-    def setUp(self):
-        self.soak = types.SimpleNamespace(violations=[], now=lambda: 1.0, note=lambda _: None, count=lambda _: None,
-                                          counts={"SIGHUP left out, not handled yet": 0}, spawn=lambda task: task.close(),
-                                          store=types.SimpleNamespace(is_silent=lambda: False, delay=0))
-        self.lifecycle = Lifecycle(self.soak, 1.0, 1)
-        self.router = types.SimpleNamespace(name="router-0", holds=0, is_rewriting=False, process=None, cut_from=0.0,
-                                            cut_until=0.0)
-
-    def process(self, program):
-        child = subprocess.Popen([sys.executable, "-S", "-c", program], stdout=subprocess.PIPE)
-        self.addCleanup(lambda: (child.kill(), child.wait(), child.stdout.close()))
-        child.stdout.readline()
-        return Process(self.router, child, "/nonexistent")
-
-    def end_of(self, process):
-        process.child.wait(10)
-        self.lifecycle.judge_end(process)
-        return [violation.rule for violation in self.soak.violations]
-
-    # A stop that meets a process before it can handle signals counts as its fault, or such an end passes later on.
-    def test_stop_before_handlers(self):
-        process = self.process(IDLE)
-        process.send(signal.SIGTERM)
-        self.assertEqual(process.excused, {-signal.SIGTERM})
-        self.assertEqual(self.end_of(process), [])
-
-    # A process whose own code runs, or that has handled a signal before, is excused for an end by it.
-    def test_stop_after_begin(self):
-        process = self.process(OPEN)
-        process.send(signal.SIGTERM)
-        self.assertEqual(self.end_of(process), ["ENDED"])
-        process = self.process(FORGETFUL)
-        send_until_gone(process, [signal.SIGTERM], 0.05, 10)
-        self.assertEqual(process.child.returncode, -signal.SIGTERM)
-        self.assertEqual(self.end_of(process), ["ENDED"] * 2)
-
-    # A SIGHUP that a process can't handle yet ends it, or one is left out although the process has to handle it.
-    def test_hang_up(self):
-        process = self.process(IDLE)
-        process.send(signal.SIGHUP)
-        self.assertTrue(process.alive())
-        self.assertEqual((process.skipped, process.signals), (1, set()))
-        process = self.process(BLOCKING.replace("{signal.SIGHUP, signal.SIGTERM}", "signal.valid_signals()"))
-        process.send(signal.SIGHUP)
-        self.assertEqual((process.skipped, process.signals), (1, set()))
-        process = self.process(BLOCKING)
-        process.send(signal.SIGHUP)
-        self.assertEqual((process.skipped, process.signals), (0, {signal.SIGHUP}))
-        process = self.process(OPEN)
-        process.send(signal.SIGHUP)
-        self.assertEqual(self.end_of(process), ["ENDED"])
-
-    # A process that stays after its grace time, or never becomes ready, is waited for without an end.
-    def test_bounds(self):
-        def ticks(process, seconds):
-            for _ in range(int(seconds / 0.05) + 1):
-                if process.alive():
-                    self.lifecycle.check_bounds(process)
-            return [violation.rule for violation in self.soak.violations]
-        process = self.process(STUBBORN)
-        self.assertEqual(ticks(process, RECOVER_S - 1), [])
-        self.router.holds = 1
-        self.assertEqual(ticks(process, RECOVER_S + 1), [])
-        self.router.holds = 0
-        self.assertEqual(ticks(process, RECOVER_S - 1), [])
-        self.assertEqual(ticks(process, 2), ["READY"])
-        process.send(signal.SIGTERM)
-        process.is_paused = True
-        self.assertEqual(ticks(process, 9), ["READY"])
-        process.is_paused = False
-        self.assertEqual(ticks(process, 1 + STOP_SLACK_S - 0.5), ["READY"])
-        self.assertTrue(process.alive())
-        self.assertEqual(ticks(process, 1), ["READY", "ENDED"])
-
-    # A start that fails on settings passes, or one counts although the soak was held up and left them cut off.
-    def test_settings_cut_off(self):
-        for cut_until, expected in ((0.3, ["ENDED"]), (1.5, ["ENDED"]), (None, ["ENDED"])):
-            process = self.process("import sys; print(flush=True); sys.exit(3)")
-            self.router.cut_until = cut_until
-            self.assertEqual(self.end_of(process), expected)
-
-    # An address that counts as held is free for a server that reuses addresses, as routers do, or stays held afterwards.
-    def test_held_addresses(self):
-        with socket.create_server(("127.0.0.1", 0)) as other:
-            for how, kind in (("listener", socket.SOCK_STREAM), ("connection", socket.SOCK_STREAM),
-                              ("datagrams", socket.SOCK_DGRAM)):
-                with socket.socket(socket.AF_INET, kind) as probe:
-                    probe.bind(("127.0.0.1", 0))
-                    port = probe.getsockname()[1]
-                with occupy(how, "127.0.0.1", port, other.getsockname()), socket.socket(socket.AF_INET, kind) as server:
-                    server.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, int(kind == socket.SOCK_STREAM))
-                    with self.assertRaises(OSError, msg=how):
-                        server.bind(("127.0.0.1", port))
-                        server.listen()
-                with socket.socket(socket.AF_INET, kind) as server:
-                    server.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, int(kind == socket.SOCK_STREAM))
-                    server.bind(("127.0.0.1", port))
-
-    # A seed draws other faults in another run, or never one of the kinds.
-    def test_draws(self):
-        starts = [draw_start(random.Random(number), 1.0) for number in range(300)]
-        self.assertEqual(starts, [draw_start(random.Random(number), 1.0) for number in range(300)])
-        self.assertEqual({how for start in starts for how, _, _ in start.held}, {"listener", "connection", "datagrams"})
-        self.assertTrue(any(start.cut_off_s for start in starts) and any(start.file_limit_s for start in starts))
-        self.assertGreater({number for start in starts for _, number in start.signals}, {signal.SIGHUP, signal.SIGTERM})
-        self.assertTrue(any(seconds is None for start in starts for seconds, _ in start.signals))
-        self.assertFalse(any(draw_start(random.Random(number), 0.0).signals for number in range(300)))
+
+class KnownFailureTests(unittest.TestCase):
+    SUMMARY = "soak: 1 seeds, 1 with violations [4]\n"
+    EXEC = "VIOLATION ENDED-EXEC seed=4 time=1.0 request= router=r-0: ended by itself with -1\n    a line\n"
+    CHUNK = "VIOLATION ORDER seed=4 time=1.0 request=a router=r-0: event 3\n    event=answer_malformed part=chunk_end\n"
+
+    def passes(self, *lines, violations=None, summaries=1):
+        number = violations if violations is not None else sum(line.startswith("VIOLATION") for line in lines)
+        text = f"seed 4: 10 requests, 9 runs, {number} violations\n" + "".join(lines) + self.SUMMARY * summaries
+        command = ["awk", "-v", "runs=1", "-f", str(pathlib.Path(__file__).with_name("known.awk"))]
+        result = subprocess.run(command, input=text, capture_output=True, text=True, check=False)
+        return result.stdout.strip() if result.returncode == 0 else None
+
+    # A known failure hides another one, a run that broke off, or violations that aren't shown.
+    def test_known_failures(self):
+        self.assertEqual(self.passes(self.EXEC), "soak: known failures of KNOWN-RED.txt, not counted: 1 ENDED-EXEC, 0 ORDER")
+        self.assertEqual(self.passes(self.EXEC, self.CHUNK, "VIOLATION ENDED-EXEC seed=4: 7 more\n", violations=9),
+                         "soak: known failures of KNOWN-RED.txt, not counted: 8 ENDED-EXEC, 1 ORDER")
+        self.assertIsNone(self.passes())
+        self.assertIsNone(self.passes(self.EXEC, summaries=0))
+        self.assertIsNone(self.passes(self.EXEC, violations=2))
+        self.assertIsNone(self.passes(self.EXEC, "VIOLATION ORDER seed=4: 1 more\n"))
+        self.assertIsNone(self.passes(self.EXEC, self.CHUNK.replace("chunk_end", "body")))
+        self.assertIsNone(self.passes(self.EXEC + "    event=answer_malformed part=chunk_end\n", self.CHUNK.split("\n")[0] + "\n"))
+        for rule in ("ENDED", "ORDER", "MEMORY", "SOAK", "ENDED-LATE"):
+            self.assertIsNone(self.passes(self.EXEC, self.EXEC.replace("ENDED-EXEC", rule)), rule)
 
 
 if __name__ == "__main__":
