--- a/bench/soak/test_processes.py
+++ b/bench/soak/test_processes.py
@@ -18,7 +18,7 @@
 from lifecycle import RECOVER_S, STOP_SLACK_S, Lifecycle
 from limits import FOR_FILES, Usage, check_usage, receive_queues, usage
 from process import Process, libraries, send_early, send_until_gone
-from starts import SERIES, SERIES_S, draw_start, occupy
+from starts import SERIES, SERIES_S, Start, draw_start, occupy
 
 STOP, INTERRUPT, KILL, RELOAD = signal.SIGTERM, signal.SIGINT, signal.SIGKILL, signal.SIGHUP
 
@@ -212,6 +212,29 @@
         self.assertEqual([violation.rule for violation in self.soak.violations], ["ENDED"])
         self.assertEqual((alive.child.returncode, self.tasks), (-9, []))
 
+    # What a process uses is looked at, but no violation comes of it.
+    def test_watch_of_usage(self):
+        async def watch():
+            self.soak.is_over = False
+            self.lifecycle.processes = [types.SimpleNamespace(router=self.router)]
+            for used in (Usage(100, 0, 10, 5), Usage(261_000_000, 0, 10, 5), Usage(100, 0, 4200, 5)):
+                self.lifecycle.look_at = lambda processes, used=used: [(process, used) for process in processes]
+                task = asyncio.create_task(self.lifecycle.watch_usage())
+                await asyncio.sleep(0.1)
+                task.cancel()
+        asyncio.run(watch())
+        self.assertEqual([violation.rule for violation in self.soak.violations], ["MEMORY", "DESCRIPTORS"])
+        self.assertEqual((self.lifecycle.most_bytes, self.lifecycle.most_descriptors), (261_000_000, 4200))
+
+    # A signal at once waits for other work of the soak, so that it never meets a process before its main function.
+    def test_signal_at_once(self):
+        done = []
+        self.router.is_rewriting = True
+        self.router.start = lambda by_variable: (done.append(by_variable), types.SimpleNamespace(send=done.append))[1]
+        self.lifecycle.add = lambda process: done.append("watched")
+        self.lifecycle.start(self.router, Start(0.0, at_once=RELOAD, by_variable=True))
+        self.assertEqual(done, [True, RELOAD, "watched"])
+
     # Settings stay cut off while the soak's loop is busy, or aren't completed at all.
     def test_cut_off_settings(self):
         async def cut(folder):
