--- a/bench/soak/soak.py
+++ b/bench/soak/soak.py
@@ -321,7 +321,7 @@
     parser.add_argument("--spoilt", type=float, default=0.35, metavar="PART", help="the part of spoilt answers")
     parser.add_argument("--lifecycle", type=float, default=0.5, metavar="PART",
                         help="the part of faults, and of starts that meet faults, of the processes' starts and ends")
-    parser.add_argument("--by-variable", type=float, default=0.0, metavar="PART",
+    parser.add_argument("--by-variable", type=float, default=0.3, metavar="PART",
                         help="the part of starts that find their settings by JASMINESTACK_NODE_FILE alone")
     parser.add_argument("--keep-logs", metavar="DIR", help="keeps the logs of runs with violations here")
     parser.add_argument("--binary", default=str(ROOT / "build/release/jasminestack"))
