--- a/bench/soak/clients.py
+++ b/bench/soak/clients.py
@@ -25,7 +25,8 @@
     async def run(self, number):
         chooser = random.Random(f"{self.soak.seed}/{number}")
         while not self.soak.is_over:
-            router = self.soak.routers[number % len(self.soak.routers)] if chooser.random() < 0.5 else chooser.choice(self.soak.routers)
+            routers = self.soak.routers
+            router = routers[number % len(routers)] if chooser.random() < 0.5 else chooser.choice(routers)
             try:
                 reader, writer = await asyncio.wait_for(asyncio.open_connection(router.ip, PORTS["callers"]), 1)
             except (OSError, asyncio.TimeoutError):
--- a/bench/soak/lifecycle.py
+++ b/bench/soak/lifecycle.py
@@ -40,8 +40,8 @@
         self.longest_cut_s = 0.0
         self.most_bytes = 0
         self.most_descriptors = 0
-        self.faults = [*self.fleet.faults, self.stop, self.stop, self.kill, self.herd_kill, self.overlap, self.rewrite_settings, self.rewrite_settings,
-                       self.start_without_store, self.send_odd_bytes, self.send_odd_bytes]
+        self.faults = [*self.fleet.faults, self.stop, self.stop, self.kill, self.herd_kill, self.overlap, self.rewrite_settings,
+                       self.rewrite_settings, self.start_without_store, self.send_odd_bytes, self.send_odd_bytes]
 
     @staticmethod
     def use_threads():
--- a/bench/soak/router.py
+++ b/bench/soak/router.py
@@ -62,7 +62,8 @@
         seeds = [f"{router.ip}:{PORTS['peers']}" for router in self.soak.seeds]
         values = {"nodeName": self.name, "zone": "gebze", **{"limits." + name: str(value) for name, value in LIMITS.items()},
                   "listen.frontend": f"{self.ip}:{PORTS['callers']}",
-                  "listen.ready": f"{self.ip}:{PORTS['health']}", "listen.controlPlane": f"{self.ip}:{PORTS['peers']}", "platform.address": self.soak.store_address,
+                  "listen.ready": f"{self.ip}:{PORTS['health']}", "listen.controlPlane": f"{self.ip}:{PORTS['peers']}",
+                  "platform.address": self.soak.store_address,
                   **{"bounds." + name: str(value) for name, value in BOUNDS.items()}}
         text = (ROOT / "deploy/settings.json.template").read_text().replace("{{ip}}:9464", f"{self.ip}:{PORTS['metrics']}")
         text = re.sub(r"{{#seeds}}.*?{{/seeds}}", ",".join(f'"{seed}"' for seed in seeds), text)
