--- a/bench/lifecycle/test_lifecycle.py
+++ b/bench/lifecycle/test_lifecycle.py
@@ -4,6 +4,7 @@
 import json
 import os
 import re
+import shutil
 import signal
 import socket
 import struct
@@ -28,10 +29,7 @@
 
 
 class SignalsDuringStartTest(LifecycleTest):
-    """A FIFO in the place of the settings holds the process in its start: it waits for a writer.
-
-    The loader's time before main() can't be covered from inside the process, so nothing is sent in it.
-    """
+    """A FIFO in the place of the settings holds the process in its start: it waits for a writer."""
 
     def start_held(self, command):
         """Returns the process, and the descriptor to which its settings are written."""
@@ -95,6 +93,37 @@
                     started.wait_for(send_and_look, "event=started")
 
 
+class LoaderTest(LifecycleTest):
+    """The executable loads the program's libraries itself, so that signals are held by then."""
+
+    # Guards against processes that end by a signal which arrives before main() while the dynamic loader maps libraries.
+    def test_signals_while_libraries_are_loaded_do_not_end_the_process(self):
+        for command in ("router", "daemon"):
+            for number in LIFECYCLE_SIGNALS:
+                with self.subTest(command, signal=number):
+                    self.setUp()
+                    with Service(command, self.folder, self.settings(command)) as started:
+                        started.wait_for(started.has_mapped_libraries, "mapped libraries")
+                        started.send(number)
+                        if number == signal.SIGHUP:
+                            started.wait_for_event("started")
+                        else:
+                            self.assertEqual(started.exit_code(), 0, started.log())
+
+    # Guards against a start that fails without a reason where only the executable was copied.
+    def test_executable_without_its_library_names_the_library(self):
+        copy = os.path.join(self.folder, "jasminestack")
+        shutil.copy(service.BINARY, copy)
+        run = subprocess.run([copy, "--help"], capture_output=True, text=True)
+        self.assertEqual(run.returncode, 1)
+        self.assertIn("libjasminestack_program.so", run.stderr)
+
+    # Guards against a library that is looked up relative to the working directory.
+    def test_program_is_found_from_any_working_directory(self):
+        run = subprocess.run([service.BINARY, "--help"], capture_output=True, text=True, cwd=self.folder)
+        self.assertEqual(run.returncode, 0, run.stderr)
+
+
 class SignalsAfterStartTest(LifecycleTest):
     def test_signals_until_the_end_of_a_stop_leave_exit_code_0(self):
         # Each stop meets the end of the process at another moment.
@@ -194,6 +223,24 @@
                     self.assertNotIn("trying again", started.log())
 
 
+class SettingsLocationTest(LifecycleTest):
+    # Guards against a router that doesn't start where the platform names the settings in the environment alone, as it
+    # does for several routers on one host.
+    def test_router_reads_the_file_that_the_platform_names_in_the_environment(self):
+        with Service("router", self.folder, self.settings("router"), variable="JASMINESTACK_NODE_FILE") as started:
+            started.wait_for_event("started")
+            started.send(signal.SIGHUP)
+            started.wait_for_event("settings_reloaded")
+            started.send(signal.SIGTERM)
+            self.assertEqual(started.exit_code(), 0, started.log())
+
+    def test_flag_goes_before_the_environment(self):
+        os.environ["JASMINESTACK_NODE_FILE"] = os.path.join(self.folder, "missing.json")
+        self.addCleanup(os.environ.pop, "JASMINESTACK_NODE_FILE")
+        with Service("router", self.folder, self.settings("router")) as started:
+            started.wait_for_event("started")
+
+
 class OddSettingsTest(LifecycleTest):
     """Settings that other programs write in another way, or that are stale."""
 
@@ -205,6 +252,9 @@
                           "retries": {"ratio": 2.0, "windowSeconds": 0.5}},
             "a seed with a host name": {"peers": {"seeds": [f"{self.ip}:8785", "host-a:8785"]}},
             "a short contact time": {"store": {"contactMs": 100}},
+            "a host name beyond ASCII": {"router": {"id": "k\u0131l\u0131\u00e7 edge/1", "availabilityZone": "Kad\u0131k\u00f6y 2"}},
+            "a long host name": {"router": {"id": "edge-" * 60}},
+            "a very high limit": {"router": {"maxDescriptors": 1 << 40}},
         }
         for name, sections in changes.items():
             with self.subTest(name):
--- a/src/net/EndpointClient.cpp
+++ b/src/net/EndpointClient.cpp
@@ -1,8 +1,10 @@
 #include "net/EndpointClient.h"
 
 #include "net/EventCallback.h"
+#include "net/EventPriority.h"
 #include "net/HttpClient.h"
 #include "net/HttpResponseParser.h"
+#include "net/MemoryReservation.h"
 #include "net/Socket.h"
 
 #include <algorithm>
@@ -23,10 +25,34 @@
 
     constexpr std::size_t readBufferBytes = 64U << 10U;
 
+    // Reads that fill the buffer, one after the other, before the next one waits with the events of callers. A
+    // connection whose bytes take longer to handle than to arrive is ready in each turn of the loop, and callers, whose
+    // events have a lower priority, would not be read until its end.
+    constexpr unsigned maxFullReadsInRow = 4;
+
     // An endpoint may read a request that is longer than its receive window late, even after it began to respond. The
     // kernel would take it for one that is gone; the timeouts of the request decide instead.
     constexpr std::size_t longRequestBytes = 64U << 10U;
 
+    // Heads of usual length are not counted, so that exchanges with them are not affected by long ones.
+    constexpr std::size_t uncountedHeadBytes = 4U << 10U;
+
+    // A head is kept as text while it is received, then parsed, and copied by the listener.
+    constexpr std::size_t headCopies = 3;
+
+    // Bounds of a connection's receive buffer: a typical answer, and what fills a path of some milliseconds.
+    constexpr std::size_t minReceiveBytes = 8U << 10U;
+    constexpr std::size_t maxReceiveBytes = 64U << 10U;
+
+    // Returns the receive buffer of one more connection beside \p openConnections.
+    int receiveBufferBytes(std::size_t receiveMemory, std::size_t openConnections) noexcept
+    {
+        if (receiveMemory == 0)
+            return 0;
+        std::size_t share = receiveMemory / 2 / (openConnections + 1); // The system doubles it.
+        return static_cast<int>(std::clamp(share, minReceiveBytes, maxReceiveBytes));
+    }
+
     constexpr Millis half(Millis duration) noexcept { return { duration.count / 2 }; }
 
     std::string formatHead(const EndpointRequest& request)
@@ -54,6 +80,10 @@
         return sendmsg(descriptor, &message, MSG_NOSIGNAL);
     }
 
+    // Bounds an announced idle time, so that its conversion to milliseconds doesn't overflow; EndpointClientOptions has
+    // the bound that is used.
+    constexpr std::int64_t maxAnnouncedIdleSeconds = 1'000'000;
+
     // Returns the idle time that the endpoint announced in `Keep-Alive: timeout=SECONDS`, if any.
     std::optional<Millis> announcedIdleTime(const HttpResponseHead& head)
     {
@@ -65,7 +95,7 @@
         value.remove_prefix(position + std::string_view("timeout=").size());
         if (std::from_chars(value.data(), value.data() + value.size(), seconds).ec != std::errc {})
             return std::nullopt;
-        return Millis { seconds * 1000 };
+        return Millis { std::clamp<std::int64_t>(seconds, 0, maxAnnouncedIdleSeconds) * 1'000 };
     }
 
 }
@@ -97,6 +127,7 @@
         std::string head; ///< The serialised request without its body.
         std::size_t writtenBytes { 0 }; ///< Of the head and then of the body.
         HttpResponseParser parser;
+        std::optional<MemoryReservation> headReservation; ///< Of a long head.
         Phase phase { Phase::NotStarted };
         Millis lastActivity {};
         bool headDelivered { false };
@@ -105,6 +136,7 @@
         bool skippingResponse { false }; ///< The response being read belongs to an earlier request.
         bool paused { false };
         bool isLongRequest { false };
+        unsigned fullReadsInRow { 0 };
 
         [[nodiscard]] std::size_t requestBytes() const noexcept { return head.size() + request.body.size(); }
         [[nodiscard]] bool isRequestWritten() const noexcept { return writtenBytes == requestBytes(); }
@@ -116,6 +148,7 @@
     std::unordered_map<ExchangeId, std::unique_ptr<Exchange>> exchanges;
     std::vector<std::unique_ptr<IdleConnection>> idleConnections; ///< Longest idle first.
     ExchangeId lastId { 0 };
+    std::shared_ptr<std::size_t> totalHeadMemory { std::make_shared<std::size_t>(0) };
     EventPointer idleCheckTimer;
     std::vector<char> readBuffer;
 
@@ -223,7 +256,8 @@
             finish(exchange, ErrorKind::RouterOverloaded);
             return;
         }
-        auto socket = startConnection(exchange.request.address);
+        auto socket = startConnection(exchange.request.address,
+            receiveBufferBytes(options.receiveMemory, exchanges.size() + idleConnections.size()));
         if (!socket) {
             finish(exchange, socket.error().kind);
             return;
@@ -331,11 +365,26 @@
         });
     }
 
+    // Returns whether there is memory for the head that was received so far.
+    [[nodiscard]] bool reserveHead(Exchange& exchange) const
+    {
+        std::size_t bytes = exchange.parser.headBytes();
+        if (bytes <= uncountedHeadBytes)
+            return true;
+        if (!exchange.headReservation)
+            exchange.headReservation.emplace(totalHeadMemory);
+        return exchange.headReservation->growTo(headCopies * bytes, options.maxTotalHeadMemory);
+    }
+
     // Parses received bytes and drops responses to earlier requests on this connection.
     void receive(Exchange& exchange, std::span<char> data)
     {
         while (true) {
             std::string_view body = exchange.parser.feed(data);
+            if (!reserveHead(exchange)) {
+                finish(exchange, ErrorKind::RouterOverloaded);
+                return;
+            }
             if (exchange.connectionWasReused && !exchange.headDelivered && exchange.parser.headComplete())
                 exchange.skippingResponse = belongsToEarlierRequest(exchange);
             if (!exchange.skippingResponse) {
@@ -399,10 +448,20 @@
         runCallback("endpoint_read", exchange, [&] { exchange.owner->read(exchange, descriptor); });
     }
 
+    void selectReadPriority(Exchange& exchange, std::size_t readBytes) const
+    {
+        bool isFull = readBytes == readBuffer.size();
+        exchange.fullReadsInRow = isFull ? exchange.fullReadsInRow % maxFullReadsInRow + 1 : 0;
+        setEventPriority(*exchange.readEvent,
+            exchange.fullReadsInRow == maxFullReadsInRow ? EventPriority::IncomingRequests
+                                                         : EventPriority::ActiveRequests);
+    }
+
     void read(Exchange& exchange, evutil_socket_t descriptor)
     {
         ssize_t length = recv(descriptor, readBuffer.data(), readBuffer.size(), 0);
         if (length > 0) {
+            selectReadPriority(exchange, static_cast<std::size_t>(length));
             exchange.lastActivity = clock.now();
             if (exchange.phase == Phase::AwaitingResponse) {
                 exchange.phase = Phase::ReceivingResponse;
--- a/src/router/SseSplitter.h
+++ b/src/router/SseSplitter.h
@@ -33,6 +33,12 @@
     /// violation.
     void resume() noexcept;
 
+    /// \brief Gives back memory after the forwarded events, which are no longer valid, were used.
+    void compact() { m_reader.compact(); }
+
+    /// \returns Bytes of memory that are kept for an incomplete event.
+    [[nodiscard]] std::size_t bufferCapacity() const noexcept { return m_reader.bufferCapacity(); }
+
     /// \returns The id of the last event that the caller has; 0 if it has none.
     [[nodiscard]] std::uint64_t lastId() const noexcept { return m_lastId; }
 
@@ -58,6 +64,9 @@
     std::uint64_t m_eventCount { 0 };
     EventViolation m_violation { EventViolation::None };
     std::size_t m_violatingBytes { 0 };
+    /// Of blank lines and comments since the last event with data. Each is a block of its own, so that an endpoint that
+    /// sends them without end would take all processor time.
+    std::size_t m_bytesSinceEvent { 0 };
     bool m_isAnswerStart { true }; ///< No block of this answer has been read.
     bool m_hasForwarded { false };
 };
