--- a/bench/soak/day.py
+++ b/bench/soak/day.py
@@ -503,7 +503,7 @@
             process.send(signal.SIGKILL)
 
     async def freeze(self):
-        processes = [host.process for host in self.chooser.sample(self.kept(), self.chooser.choice([1, 1, 2, 4]))]
+        processes = [host.process for host in self.chooser.sample(self.kept(), min(len(self.kept()), self.chooser.choice([1, 1, 2, 4])))]
         for process in processes:
             process.is_paused = True
             process.send(signal.SIGSTOP)
