--- a/src/net/EndpointClient.cpp
+++ b/src/net/EndpointClient.cpp
@@ -35,7 +35,7 @@
     constexpr std::size_t headCopies = 3;
 
     // Bounds of a connection's receive buffer: a typical answer, and what fills a path of some milliseconds.
-    constexpr std::size_t minReceiveBytes = 8U << 10U;
+    constexpr std::size_t minReceiveBytes = 16U << 10U;
     constexpr std::size_t maxReceiveBytes = 64U << 10U;
 
     // Returns the receive buffer of one more connection beside \p openConnections.
--- a/src/router/RouterDaemon.cpp
+++ b/src/router/RouterDaemon.cpp
@@ -69,7 +69,7 @@
     }
 
     // The receive buffers of connections to endpoints may take this part of the memory, one in so many.
-    constexpr std::size_t endpointReceiveShare = 16;
+    constexpr std::size_t endpointReceiveShare = 8;
 
     // Long heads of responses may take this part of the memory, one in so many.
     constexpr std::size_t headMemoryShare = 12;
