--- a/bench/soak/day.py
+++ b/bench/soak/day.py
@@ -25,7 +25,9 @@
 
 from day_clients import run_clients
 from day_engines import run_engines
-from lifecycle import PORTS, Process
+from history import check_end, is_early_stop
+from process import Process
+from starts import PORTS
 from world import Relay, Store
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent.parent
@@ -99,11 +101,10 @@
 
 
 class DayProcess(Process):
-    """A process that gets every signal; `early` are exit codes by signals that met the dynamic loader."""
+    """A process whose memory, descriptors and times are kept."""
 
     def __init__(self, router, child, settings):
         super().__init__(router, child, settings)
-        self.early = set()
         self.stopped_at = None
         self.peak = collections.Counter()
         self.is_throttled = False
@@ -111,12 +112,9 @@
     def send(self, number):
         if not self.alive():
             return
-        if number in (signal.SIGHUP, signal.SIGTERM, signal.SIGINT) and not self.must_handle(number):
-            self.early.add(-number)
         if number in (signal.SIGTERM, signal.SIGINT) and self.stopped_at is None:
             self.stopped_at = time.monotonic()
-        self.signals.add(number)
-        self.child.send_signal(number)
+        super().send(number)
 
 
 class Host:
@@ -281,15 +279,15 @@
         host = process.router
         age = time.monotonic() - process.started
         self.note(f"{host.name} ended with {code} after {age:.2f} s, signals {sorted(process.signals)}, last line {host.last_line()}")
-        asked = bool(process.signals & {signal.SIGTERM, signal.SIGINT, signal.SIGKILL})
-        if signal.SIGKILL in process.signals and code == -signal.SIGKILL:
-            self.counts["ends by SIGKILL"] += 1
-        elif code in process.early:
-            self.counts[f"ends by a signal in the loader ({code})"] += 1
-        elif code != 0 or not asked:
-            self.find("ENDED", process, f"code {code}, signals {sorted(int(number) for number in process.signals)}")
+        problem = check_end(code, process.signals, process.phases)
+        if problem and problem[0] == "ENDED-EXEC":
+            self.counts["ends by SIGHUP before any code of the program"] += 1
+        elif problem:
+            self.find(problem[0], process, f"{problem[1]}, signals {sorted(int(number) for number in process.signals)}")
+        elif is_early_stop(code, process.signals, process.phases):
+            self.counts["stops before any code of the program"] += 1
         else:
-            self.counts["ends as asked"] += 1
+            self.counts["ends by SIGKILL" if code == -signal.SIGKILL else "ends as asked"] += 1
         if host.process is process and host.is_kept and not self.is_over:
             self.spawn(self.start_again(process))
 
--- a/bench/soak/test_day.py
+++ b/bench/soak/test_day.py
@@ -11,6 +11,7 @@
 
 import day
 from day import Day, DayProcess
+from history import EXEC, LIBRARIES, MAIN
 
 SOCKET_OPEN = "import socket, time; s = socket.socket(); print('open', flush=True); time.sleep(30)"
 
@@ -69,13 +70,16 @@
         process.send(signal.SIGHUP)
         self.assertEqual(["ENDED"], self.judged(process))
 
-    def test_sighup_that_meets_the_loader_is_counted_apart(self):
-        # The sleep of a process without a socket stands for the dynamic loader.
-        process = self.process("import time; print('no socket', flush=True); time.sleep(30)")
-        process.child.stdout.readline()
-        process.send(signal.SIGHUP)
-        self.assertEqual([], self.judged(process))
-        self.assertEqual(1, self.day.counts["ends by a signal in the loader (-1)"])
+    def test_sighup_is_counted_apart_only_before_any_code_of_the_program(self):
+        for phase, rules, count in ((EXEC, [], 1), (LIBRARIES, ["ENDED"], 0), (MAIN, ["ENDED"], 0)):
+            with self.subTest(phase):
+                self.setUp()
+                process = self.process("import time; time.sleep(30)")
+                process.phases[signal.SIGHUP] = phase
+                process.signals.add(signal.SIGHUP)
+                process.child.send_signal(signal.SIGHUP)
+                self.assertEqual(rules, self.judged(process))
+                self.assertEqual(count, self.day.counts["ends by SIGHUP before any code of the program"])
 
     def test_start_without_readiness_is_found_after_the_last_hindrance(self):
         process = self.process(SOCKET_OPEN)
