platform: a page of a list without keys is not its end

Found by review: if a page after the first one held no usable key and said that there are more, the part of the list read so far was taken for the whole, and the registrations after it disappeared until the next change.

--- a/tests/KeyedTopicReaderTests.cpp
+++ b/tests/KeyedTopicReaderTests.cpp
@@ -97,6 +97,28 @@
     CHECK((fixture.clock.now() - start).count >= 100); // Two calls and a pause of at least 20 ms in turn.
 }
 
+// Guards against registrations that disappear because a page without keys, with more to come, is taken for the last
+// one.
+TEST_CASE("a page without keys is not the end of a list that has more", "[platform][store][odd]")
+{
+    ReaderFixture fixture;
+    fixture.reader.start();
+    fixture.serve(4, [&](const std::string&) {
+        switch (fixture.targets.size()) {
+        case 1:
+            return page(entry, true, "7");
+        case 2:
+            return page("", true, "7");
+        case 3:
+            return page(entry, true, "7");
+        default:
+            CHECK(fixture.listed.empty());
+            return page(R"({"key":"m","value":"e30="})", false, "7");
+        }
+    });
+    fixture.runUntil([&] { return fixture.listed.size() == 2; });
+}
+
 // Guards against keys that break the request for the next page, so that the list is never complete.
 TEST_CASE("the key after which a page begins may have any characters", "[platform][store][odd]")
 {
