router: end the read of a 503 without end that no caller gets

Found by review, a fault of: the body of an endpoint's 408, 421, 429 or 503 that doesn't say that the request was not executed is discarded, without a bound. Two callers of such endless responses kept a router at 0.57 of a core until the route's timeout of 6 s.

Change: after 1 MB the exchange is ended, and the request is handled as at the end of the body: with a retry if it may be repeated, otherwise with 502.

The new test writes up to 40 MB of such a response and asks for the 502.

--- a/src/router/RoutedRequestResponse.cpp
+++ b/src/router/RoutedRequestResponse.cpp
@@ -15,7 +15,7 @@
     // The body of a refusal is not used; a longer one is not read to its end.
     constexpr std::size_t maxRefusalBytes = 64U << 10U;
 
-    // Of a response whose caller has left. A longer one may have no end, and its status has told the outcome.
+    // Of a response whose body no caller gets. A longer one may have no end, and its status has told the outcome.
     constexpr std::size_t maxUnheardBytes = 1U << 20U;
 
     // A buffer of this size is always had, so that the ordinary answers of many requests are not affected by long ones.
@@ -154,8 +154,14 @@
 void RoutedRequest::bufferBody(std::string_view chunk)
 {
     // The caller does not get a body whose status would tell it that the request has not run.
-    if (impliesNotRun(m_responseHead.status))
+    if (impliesNotRun(m_responseHead.status)) {
+        m_refusalBytes += chunk.size();
+        if (m_refusalBytes > maxUnheardBytes) {
+            cancelExchange();
+            finishBuffered();
+        }
         return;
+    }
     std::size_t maxBytes = m_owner.options().maxBufferedResponseBytes;
     std::size_t size = m_responseBody.size() + chunk.size();
     // The string would double its memory beyond the limit.
--- a/tests/RouterLoopbackTests.cpp
+++ b/tests/RouterLoopbackTests.cpp
@@ -314,6 +314,25 @@
     CHECK(caller.readUntil("done").starts_with("HTTP/1.1 200"));
 }
 
+// Guards against a router that is busy with a body without end that no caller gets, until the route's timeout.
+TEST_CASE("a 503 without the not-executed header and without an end is answered early", "[router][endless]")
+{
+    LoopbackRouter router;
+    BlockingSocket caller = router.connectCaller();
+    caller.write(LoopbackRouter::request("POST", "/book/x", "id-1", "order"));
+    BlockingSocket service = router.serviceListener.accept();
+    static_cast<void>(service.readUntil("order"));
+    service.write("HTTP/1.1 503 X\r\nX-Jasminestack-Attempt-Id: id-1\r\nX-Jasminestack-Server-Signature: s\r\n"
+                  "Transfer-Encoding: chunked\r\n\r\n");
+    const std::string chunk = encodeHttpChunk(std::string(300'000, 'x'));
+    constexpr std::size_t limit = 40'000'000;
+    std::size_t written = 0;
+    for (std::size_t sent = 1; sent != 0 && written < limit; written += sent)
+        sent = service.writeSome(chunk, 500);
+    CHECK(written < limit);
+    CHECK(caller.readUntil("\r\n\r\n").starts_with("HTTP/1.1 502"));
+}
+
 // Guards against a false "not run": a 503 implies it, but only the endpoint's not-executed header states it. A body may
 // be longer than what the router buffers.
 TEST_CASE("a 503 without the not-executed header is not forwarded", "[router]")
