net: streams that pause keep their priority

Found by review: each 64th read of an exchange waited with the events of callers, also if nothing else was to be done, so that one event of each longer token stream waited behind new connections on a busy router.

Change: a connection that had nothing to read for 2 ms has left turns to callers, and its counts begin anew. The test of an answer that is always readable passes as before; no latency was measured.

--- a/src/net/EndpointClient.cpp
+++ b/src/net/EndpointClient.cpp
@@ -31,6 +31,9 @@
     constexpr std::size_t maxBytesBeforeCallers = 4 * readBufferBytes;
     constexpr unsigned maxReadsBeforeCallers = 64;
 
+    // A connection that had nothing to read for this long has left turns of the loop to callers.
+    constexpr Millis readPauseForCallers { 2 };
+
     // An endpoint may read a request that is longer than its receive window late, even after it began to respond. The
     // kernel would take it for one that is gone; the timeouts of the request decide instead.
     constexpr std::size_t longRequestBytes = 64U << 10U;
@@ -450,8 +453,12 @@
         runCallback("endpoint_read", exchange, [&] { exchange.owner->read(exchange, descriptor); });
     }
 
-    static void selectReadPriority(Exchange& exchange, std::size_t readBytes)
+    void selectReadPriority(Exchange& exchange, std::size_t readBytes) const
     {
+        if (clock.now() - exchange.lastActivity >= readPauseForCallers) {
+            exchange.bytesBeforeCallers = 0;
+            exchange.readsBeforeCallers = 0;
+        }
         exchange.bytesBeforeCallers += readBytes;
         ++exchange.readsBeforeCallers;
         bool mustWait = exchange.bytesBeforeCallers >= maxBytesBeforeCallers
