Load the program by the path of the executable

Found by review: RUNPATH is searched after LD_LIBRARY_PATH, so that another file of the library's name there was loaded in place of the program: exit code 1, or old code without a word.

Change: the library is opened by its path beside the executable, then by that path relative to the working directory. RUNPATH is left for processes without /proc.

The new test fails with the lookup by name, as the review's run did (exit code 1), and passes now.

--- a/bench/lifecycle/test_lifecycle.py
+++ b/bench/lifecycle/test_lifecycle.py
@@ -118,6 +118,13 @@
         self.assertEqual(run.returncode, 1)
         self.assertIn("libjasminestack_program.so", run.stderr)
 
+    # Guards against another library of the same name that is found first.
+    def test_library_beside_the_executable_goes_before_the_library_path(self):
+        shutil.copy("/bin/true", os.path.join(self.folder, "libjasminestack_program.so"))
+        run = subprocess.run([service.BINARY, "--help"], capture_output=True, text=True,
+                             env={**os.environ, "LD_LIBRARY_PATH": self.folder})
+        self.assertEqual(run.returncode, 0, run.stderr)
+
     # Guards against a library that is looked up relative to the working directory.
     def test_program_is_found_from_any_working_directory(self):
         run = subprocess.run([service.BINARY, "--help"], capture_output=True, text=True, cwd=self.folder)
--- a/src/cli/Launcher.cpp
+++ b/src/cli/Launcher.cpp
@@ -18,34 +18,44 @@
 
 using Path = char[PATH_MAX];
 
-// Writes the path of the library as seen from the working directory. Returns false if the executable isn't below it.
-bool writeRelativeLibraryPath(Path& path)
+// Writes the path of the library in the folder of the executable. Returns false if it can't be told.
+bool writeLibraryPath(Path& path)
 {
     Path executable;
     ssize_t executableSize = readlink("/proc/self/exe", executable, sizeof executable - 1);
-    if (executableSize < 0 || !getcwd(path, sizeof path))
+    if (executableSize < 0)
         return false;
     executable[executableSize] = '\0';
-    std::size_t folderSize = std::strlen(path);
-    if (std::strncmp(executable, path, folderSize) != 0 || executable[folderSize] != '/')
+    const char* name = std::strrchr(executable, '/');
+    if (!name)
         return false;
-    const char* relative = executable + folderSize + 1;
-    const char* name = std::strrchr(executable, '/') + 1;
-    int size = std::snprintf(
-        path, sizeof path, "./%.*s%s", static_cast<int>(name - relative), relative, JASMINESTACK_PROGRAM_LIBRARY);
+    int folderSize = static_cast<int>(name + 1 - executable);
+    int size = std::snprintf(path, sizeof path, "%.*s%s", folderSize, executable, JASMINESTACK_PROGRAM_LIBRARY);
     return size > 0 && static_cast<std::size_t>(size) < sizeof path;
 }
 
-// The library is found in the executable's folder (RUNPATH). A process that sees only a part of the file system, such
-// as one with a private /tmp, may reach that folder through its working directory alone.
+// Returns the part of the path below the working directory, or null if it isn't below it.
+const char* relativeToWorkingDirectory(const Path& path)
+{
+    Path folder;
+    if (!getcwd(folder, sizeof folder))
+        return nullptr;
+    std::size_t size = std::strlen(folder);
+    return std::strncmp(path, folder, size) == 0 && path[size] == '/' ? path + size + 1 : nullptr;
+}
+
+// The library is in the folder of the executable. A process that sees only a part of the file system, such as one with
+// a private /tmp, may reach that folder through its working directory alone; one without /proc has RUNPATH.
 void* loadProgram()
 {
     constexpr int mode = RTLD_NOW | RTLD_GLOBAL;
-    void* program = dlopen(JASMINESTACK_PROGRAM_LIBRARY, mode);
     Path path;
-    if (!program && writeRelativeLibraryPath(path))
-        program = dlopen(path, mode);
-    return program;
+    if (!writeLibraryPath(path))
+        return dlopen(JASMINESTACK_PROGRAM_LIBRARY, mode);
+    if (void* program = dlopen(path, mode))
+        return program;
+    const char* relative = relativeToWorkingDirectory(path);
+    return relative && std::strchr(relative, '/') ? dlopen(relative, mode) : nullptr;
 }
 
 }
