Lower limits of memory and processors that are very high

Found by review: memoryMb of 2,000,000 and processorShare of 2,000 or 0.005 ended a router's start with exit code 3, as maxDescriptors of 2^40 did.

Change: values above the maximum are lowered with a notice, and small shares of a processor are accepted. The test of such limits has these values too.

--- a/src/config/RouterSettings.cpp
+++ b/src/config/RouterSettings.cpp
@@ -65,6 +65,18 @@
                 "above the maximum, " + std::to_string(maxDescriptors) + " is used");
     }
 
+    // Reads a number from \p minimum on; one above \p maximum is lowered to it.
+    void readLimit(JsonObjectReader& section, RouterSettings& settings, std::string_view name, double& destination,
+        double minimum, double maximum)
+    {
+        section.number(name, destination, minimum, std::numeric_limits<double>::max());
+        if (destination <= maximum)
+            return;
+        destination = maximum;
+        addNotice(settings, section, *section.field(name), name,
+            "above the maximum, " + std::to_string(static_cast<std::int64_t>(maximum)) + " is used");
+    }
+
     void readContactTime(JsonObjectReader& store, RouterSettings& settings)
     {
         auto contactMs = static_cast<double>(settings.store.contactTime.count);
@@ -154,8 +166,8 @@
         // Compared with the names in registrations, so it is kept as it is.
         daemon.text("availabilityZone", settings.daemon.availabilityZone, FieldPresence::Required);
         readMaxDescriptors(daemon, settings);
-        daemon.number("memoryMb", settings.daemon.memoryMb, 0.0, 1'000'000.0);
-        daemon.number("processorShare", settings.daemon.cpuCores, 0.01, 1'024.0);
+        readLimit(daemon, settings, "memoryMb", settings.daemon.memoryMb, 0.0, 1'000'000.0);
+        readLimit(daemon, settings, "processorShare", settings.daemon.cpuCores, 0.001, 1'024.0);
     }
     readAddresses(reader, settings);
     readOptionalSections(reader, settings);
--- a/tests/RouterSettingsTests.cpp
+++ b/tests/RouterSettingsTests.cpp
@@ -143,6 +143,12 @@
     CHECK(manyDescriptors.value().daemon.maxDescriptors == 10'000'000);
     REQUIRE(manyDescriptors.value().notices.size() == 1);
     CHECK(manyDescriptors.value().notices[0].path == "router.maxDescriptors");
+    auto manyResources = parse("edge-1", "gebze", "4100, \"memoryMb\": 2000000, \"processorShare\": 2000");
+    REQUIRE(manyResources);
+    CHECK(manyResources.value().daemon.memoryMb == 1'000'000);
+    CHECK(manyResources.value().daemon.cpuCores == 1'024);
+    CHECK(manyResources.value().notices.size() == 2);
+    CHECK(parse("edge-1", "gebze", "4100, \"processorShare\": 0.005"));
     CHECK_FALSE(parse("", "gebze", "4100"));
     CHECK_FALSE(parse("edge-1", "", "4100"));
 }
