--- a/bench/soak/day.py
+++ b/bench/soak/day.py
@@ -231,7 +231,7 @@
         self.findings = []
         self.readies = []
         self.peak = collections.Counter()
-        self.memory_kb = int(LIMITS["memoryMb"]) * 1024
+        self.memory_kb = int(LIMITS["memoryMb"]) * 1_000_000 // 1024
         self.is_over = False
         self.version = 1
         self.routes_more = 8
