--- a/review/common-3/fleet.py
+++ b/review/common-3/fleet.py
@@ -71,12 +71,13 @@
             if not connection.recv(64).startswith(b"HTTP/1.1 200"):
                 raise CannotRun("the store refused the configuration")
 
-    def start_engine(self, name, backend, **options):
+    def start_engine(self, name, backend, program="standins.py", **options):
         host = f"127.0.2.{len([p for p in self.processes]) + 1}"
         address = f"{host}:{free_port(host)}"
         journal = os.path.join(self.folder, f"{name}.journal")
-        command = [sys.executable, os.path.join(HERE, "standins.py"), "engine", address, "--store", self.store,
-                   "--id", name, "--backend", backend, "--journal", journal]
+        role = ["engine"] if program == "standins.py" else []
+        command = [sys.executable, os.path.join(HERE, program), *role, address, "--store", self.store, "--id", name,
+                   "--backend", backend, "--journal", journal]
         for option, value in options.items():
             command += [f"--{option.replace('_', '-')}", str(value)]
         self.start(command, f"{name}.log")
--- a/review/common-3/standins.py
+++ b/review/common-3/standins.py
@@ -260,4 +260,5 @@
     server.close()
 
 
-asyncio.run(main())
+if __name__ == "__main__":
+    asyncio.run(main())
