net, router: report answers to earlier requests

The client of endpoints now reports each late response to its listener. The router writes `late_answer` with the request in progress, the endpoint, the request that the answer belongs to and what delimits it, and counts them in `jasminestack_late_answers_total{pool,framing}`. No decision changes.

--- a/src/net/EndpointClient.cpp
+++ b/src/net/EndpointClient.cpp
@@ -390,8 +390,8 @@
                 finish(exchange, ErrorKind::RouterOverloaded);
                 return;
             }
-            if (exchange.connectionWasReused && !exchange.headDelivered && exchange.parser.headComplete())
-                exchange.skippingResponse = belongsToEarlierRequest(exchange);
+            if (isLateResponse(exchange) && !reportLateResponse(exchange))
+                return;
             if (!exchange.skippingResponse) {
                 static_cast<void>(deliver(exchange, body));
                 return;
@@ -410,14 +410,28 @@
         }
     }
 
-    static bool belongsToEarlierRequest(const Exchange& exchange)
+    // Returns whether the head just received is that of a response to an earlier request.
+    static bool isLateResponse(const Exchange& exchange)
     {
-        if (exchange.request.correlationHeader.empty())
+        if (exchange.skippingResponse || !exchange.connectionWasReused || exchange.headDelivered
+            || exchange.request.correlationHeader.empty() || !exchange.parser.headComplete())
             return false;
         std::string_view echoedValue = findHeader(exchange.parser.head().headers, exchange.request.correlationHeader);
         return !echoedValue.empty() && echoedValue != exchange.request.correlationValue;
     }
 
+    // Returns false if the exchange has ended.
+    bool reportLateResponse(Exchange& exchange)
+    {
+        ExchangeId id = exchange.id;
+        const HttpResponseHead& head = exchange.parser.head();
+        exchange.skippingResponse = true;
+        exchange.listener->onLateResponse({ .status = head.status,
+            .correlationValue = findHeader(head.headers, exchange.request.correlationHeader),
+            .endsWithConnection = exchange.parser.isCloseDelimited() });
+        return isInProgress(id);
+    }
+
     // Passes the parsed head and body to the listener. Returns false if the exchange has ended.
     bool deliver(Exchange& exchange, std::string_view body)
     {
--- a/src/net/HttpResponseParser.h
+++ b/src/net/HttpResponseParser.h
@@ -39,6 +39,9 @@
     [[nodiscard]] bool complete() const noexcept { return m_state == State::Complete; }
     [[nodiscard]] bool failed() const noexcept { return m_state == State::Failed; }
 
+    /// \returns Whether the body has no length, so that only the end of the connection ends it.
+    [[nodiscard]] bool isCloseDelimited() const noexcept { return m_state == State::CloseDelimitedBody; }
+
     /// \returns The part of the response that made it fail; None unless failed().
     [[nodiscard]] MalformedPart malformedPart() const noexcept { return m_malformedPart; }
 
--- a/src/net/Interfaces.h
+++ b/src/net/Interfaces.h
@@ -120,12 +120,21 @@
     std::string_view malformedPart {}; ///< Name of the part that violates HTTP, if \c error is AnswerMalformed.
 };
 
+/// \brief A response to an earlier request on the same connection, found where the response to this one is due.
+struct LateResponse {
+    int status { 0 };
+    std::string_view correlationValue; ///< That of the earlier request; valid during the call that passes it.
+    bool endsWithConnection { false }; ///< It has no length, so that no other response can follow it.
+};
+
 /// \brief Receives the events of one exchange. onEnd() is the last call; it is always made unless the exchange is
 /// cancelled. If a call throws, the exchange ends with ErrorKind::Internal.
 class EndpointListener {
 public:
     virtual ~EndpointListener() = default;
     virtual void onConnected() = 0; ///< The connection is established and the request is being written.
+    /// \brief The head of a late response was received; the response is not passed on. Called for each of them.
+    virtual void onLateResponse(const LateResponse&) { }
     virtual void onHead(const HttpResponseHead&) = 0;
     virtual void onBody(std::string_view chunk) = 0;
     virtual void onEnd(const EndpointExchangeResult&) = 0;
--- a/src/observe/Metrics.h
+++ b/src/observe/Metrics.h
@@ -24,6 +24,7 @@
     Quarantined, ///< Requests refused because requests like them crash endpoints. No labels.
     Expired, ///< Queued requests whose deadline passed. Label: workspace.
     MalformedAnswers, ///< Answers of endpoints that violate HTTP or the grammar of events. Labels: pool, part.
+    LateAnswers, ///< Answers of endpoints to earlier requests. Labels: pool, framing ("length", "connection").
     CallerConnections, ///< Label: outcome ("accepted", "abandoned", "expired", "dropped").
     PaceDeferrals, ///< Placement decisions that left out an endpoint because of its pace. No labels.
     ProcessCpuSeconds, ///< Processor time of the process, in seconds. No labels.
--- a/src/router/RoutedRequest.h
+++ b/src/router/RoutedRequest.h
@@ -120,6 +120,10 @@
         guard("request_caller", [this] { resumeEndpoint(); });
     }
     void onConnected() override { m_isConnected = true; }
+    void onLateResponse(const LateResponse& response) override
+    {
+        guard("request_late_response", [&] { logLateAnswer(response); });
+    }
     void onHead(const HttpResponseHead& head) override
     {
         guard("request_head", [&] { handleHead(head); });
@@ -217,6 +221,7 @@
     void handleMalformedEvent();
     /// \param eventBytes Length of the event that is malformed; 0 if the fault is outside of the events.
     void logMalformedAnswer(std::string_view malformedPart, std::size_t eventBytes = 0) const;
+    void logLateAnswer(const LateResponse&) const;
     /// \brief Takes over what the endpoint says of itself: that it leaves, or wants a pause.
     void takeEndpointNotice(const ResponseMetadata&);
     void reportFirstByte();
--- a/src/router/RoutedRequestResponse.cpp
+++ b/src/router/RoutedRequestResponse.cpp
@@ -324,6 +324,16 @@
             { "since_send_ms", (now() - m_placement.sentAt).count } });
 }
 
+void RoutedRequest::logLateAnswer(const LateResponse& response) const
+{
+    std::string_view framing = response.endsWithConnection ? "connection" : "length";
+    m_owner.context().metrics.add(Counter::LateAnswers, { m_pool.value, framing });
+    logEvent(LogLevel::Warning, "late_answer",
+        { { "request", m_metadata.id }, { "endpoint", m_placement.endpoint.value },
+            { "answer_to", response.correlationValue }, { "status", response.status }, { "framing", framing },
+            { "since_send_ms", (now() - m_placement.sentAt).count } });
+}
+
 void RoutedRequest::finishStream()
 {
     m_splitter.endAnswer();
--- a/tests/RequestRouterTests.cpp
+++ b/tests/RequestRouterTests.cpp
@@ -591,6 +591,19 @@
     CHECK(fixture.endpointTransport.paused == std::vector<ExchangeId> { 1, 2 });
 }
 
+// Guards against second answers of endpoints that no metric shows.
+TEST_CASE("late answers are counted by what delimits them", "[router][flow][late]")
+{
+    Fixture fixture;
+    bool endsWithConnection = GENERATE(false, true);
+    fixture.request("/book/x", "id-1");
+    fixture.endpointTransport.listeners.front()->onLateResponse(
+        { .status = 200, .correlationValue = "id-0", .endsWithConnection = endsWithConnection });
+    std::string framing = endsWithConnection ? "connection" : "length";
+    std::string counter = "jasminestack_late_answers_total{framing=\"" + framing + "\",pool=\"desk\"} 1";
+    CHECK(fixture.metrics.text().find(counter) != std::string::npos);
+}
+
 // Guards against a change of a header that means nothing to the router on a route without streams.
 TEST_CASE("Last-Event-Id is passed on unread on routes without streams", "[router][events]")
 {
