net: the end of a late response is not the end of the response

The exchange ended as complete although no head had been passed on; the request then relayed an empty head with the status 0.

Now only a response whose head was passed on can be completed by the end of the connection. Any other end is that of an endpoint without an answer: the request is sent to another endpoint if it may be, or ends with 502.

--- a/src/net/EndpointClient.cpp
+++ b/src/net/EndpointClient.cpp
@@ -502,7 +502,7 @@
         if (length < 0 && (errno == EAGAIN || errno == EINTR))
             return;
         // The end of a connection whose endpoint has not received the whole request is no end of an answer.
-        if (length == 0 && isRequestReceived(exchange)) {
+        if (length == 0 && exchange.headDelivered && isRequestReceived(exchange)) {
             exchange.parser.endOfInput();
             if (exchange.parser.complete()) {
                 finish(exchange, ErrorKind::Internal, true);
--- a/src/net/Interfaces.h
+++ b/src/net/Interfaces.h
@@ -112,7 +112,7 @@
 
 /// \brief How an exchange with an endpoint ended.
 struct EndpointExchangeResult {
-    bool isComplete { false }; ///< The response was received up to the end that its framing defines.
+    bool isComplete { false }; ///< The response was received up to the end that its framing defines; its head first.
     bool requestMayHaveBeenSent { false }; ///< A byte of the request may have reached the endpoint.
     bool responseStarted { false }; ///< At least one byte of a response was received.
     bool connectionWasReused { false }; ///< The connection had been used by an earlier exchange.
