net: a late response without a length ends the exchange at once

An engine that sends a second answer without a length and keeps the connection open kept the next caller waiting: a booking got 504 at the route's timeout, and a request that may be repeated lost the time until its attempt counted as stalled.

Cause: the client went on to skip the response until the connection ended, although a body without a length takes all that the connection still brings, so that no other answer can follow.

Now the exchange ends with AnswerMismatch as soon as the head of such a response is read. The request is sent elsewhere if it may be, else it ends with 502 at once. Since the endpoint isn't lost, the request's content is not suspected of crashing it.

--- a/src/net/EndpointClient.cpp
+++ b/src/net/EndpointClient.cpp
@@ -390,7 +390,7 @@
                 finish(exchange, ErrorKind::RouterOverloaded);
                 return;
             }
-            if (isLateResponse(exchange) && !reportLateResponse(exchange))
+            if (isLateResponse(exchange) && !beginSkipping(exchange))
                 return;
             if (!exchange.skippingResponse) {
                 static_cast<void>(deliver(exchange, body));
@@ -420,16 +420,23 @@
         return !echoedValue.empty() && echoedValue != exchange.request.correlationValue;
     }
 
-    // Returns false if the exchange has ended.
-    bool reportLateResponse(Exchange& exchange)
+    // Reports a late response. Returns false if the exchange has ended.
+    bool beginSkipping(Exchange& exchange)
     {
         ExchangeId id = exchange.id;
         const HttpResponseHead& head = exchange.parser.head();
+        bool endsWithConnection = exchange.parser.isCloseDelimited();
         exchange.skippingResponse = true;
         exchange.listener->onLateResponse({ .status = head.status,
             .correlationValue = findHeader(head.headers, exchange.request.correlationHeader),
-            .endsWithConnection = exchange.parser.isCloseDelimited() });
-        return isInProgress(id);
+            .endsWithConnection = endsWithConnection });
+        if (!isInProgress(id))
+            return false;
+        if (!endsWithConnection)
+            return true;
+        // Nothing can follow a response without a length.
+        finish(exchange, ErrorKind::AnswerMismatch);
+        return false;
     }
 
     // Passes the parsed head and body to the listener. Returns false if the exchange has ended.
--- a/src/net/Interfaces.h
+++ b/src/net/Interfaces.h
@@ -90,7 +90,7 @@
     std::string_view body; ///< Must stay valid until the exchange has ended or is cancelled.
     /// Name of the response header in which the endpoint returns \c correlationValue; if empty, responses are not
     /// checked. On a reused connection, a response with another value in this header belongs to an earlier request and
-    /// is skipped.
+    /// is skipped. If it has no length, the exchange ends with AnswerMismatch, since nothing can follow it.
     std::string correlationHeader;
     std::string correlationValue;
     bool requiresFreshConnection {
--- /dev/null
+++ b/tests/LateResponseTests.cpp
@@ -0,0 +1,137 @@
+#include "LoopbackHarness.h"
+#include "net/EndpointClient.h"
+#include "net/EventPriority.h"
+#include "net/Socket.h"
+
+#include <catch2/catch.hpp>
+#include <event2/event.h>
+#include <functional>
+#include <optional>
+
+/// \file
+/// \brief The clients of endpoints and of the platform where a server sends a response to an earlier request.
+
+using namespace jasminestack;
+using namespace jasminestack::test;
+
+namespace {
+
+struct RecordingListener final : EndpointListener {
+    std::optional<EndpointExchangeResult> result;
+    std::vector<std::string> lateTo; ///< Correlation values of late responses.
+    int status { 0 };
+    std::string body;
+
+    void onConnected() override { }
+    void onLateResponse(const LateResponse& response) override { lateTo.emplace_back(response.correlationValue); }
+    void onHead(const HttpResponseHead& head) override { status = head.status; }
+    void onBody(std::string_view bytes) override { body.append(bytes); }
+    void onEnd(const EndpointExchangeResult& end) override { result = end; }
+};
+
+/// \returns A response to the request \p id; \p fields frame its body.
+std::string response(std::string_view id, std::string_view fields, std::string_view body)
+{
+    return "HTTP/1.1 200 OK\r\nX-Id: " + std::string(id) + "\r\n" + std::string(fields) + "\r\n" + std::string(body);
+}
+
+std::string framedResponse(std::string_view id, std::string_view body, std::string_view extraFields = "")
+{
+    return response(id, "Content-Length: " + std::to_string(body.size()) + "\r\n" + std::string(extraFields), body);
+}
+
+struct Loop {
+    EventBasePointer base { makePrioritizedEventBase() };
+    SystemClock clock;
+
+    void runUntil(const std::function<bool()>& isReached) const
+    {
+        auto end = clock.now() + Millis { 5'000 };
+        while (!isReached()) {
+            if (clock.now() >= end)
+                FAIL("not reached in time");
+            event_base_loop(base.get(), EVLOOP_NONBLOCK);
+        }
+    }
+
+    [[nodiscard]] BlockingSocket accept(const ListeningSocket& listener) const
+    {
+        runUntil([&] { return listener.hasPendingConnection(0); });
+        return listener.accept();
+    }
+
+    /// \brief Reads the head of a request.
+    void readRequest(BlockingSocket& server) const
+    {
+        runUntil([&] {
+            pollfd state { .fd = server.descriptor(), .events = POLLIN };
+            return poll(&state, 1, 0) > 0;
+        });
+        static_cast<void>(server.readUntil("\r\n\r\n"));
+    }
+};
+
+/// \brief A client that keeps the connection of its first exchange, the one with the id 1.
+struct KeptConnection : Loop {
+    EndpointClient client { *base, clock, {} };
+    ListeningSocket listeningSocket;
+    RecordingListener first;
+    RecordingListener second;
+    BlockingSocket endpoint;
+
+    explicit KeptConnection(const std::string& method = "GET")
+        : endpoint(answerFirst(method))
+    {
+    }
+
+    [[nodiscard]] EndpointRequest request(const std::string& id, const std::string& method) const
+    {
+        return { .address = listeningSocket.address(),
+            .method = method,
+            .target = "/",
+            .correlationHeader = "X-Id",
+            .correlationValue = id,
+            .firstByteTimeout = Millis { 60'000 },
+            .responseIdleTimeout = Millis { 60'000 } };
+    }
+
+    /// \brief Starts the second exchange on the kept connection.
+    void startSecond(const EndpointRequest& secondRequest)
+    {
+        static_cast<void>(client.start(secondRequest, second));
+        readRequest(endpoint);
+    }
+
+    void runUntilSecondEnds()
+    {
+        runUntil([this] { return second.result.has_value(); });
+    }
+
+private:
+    BlockingSocket answerFirst(const std::string& method)
+    {
+        static_cast<void>(client.start(request("1", method), first));
+        BlockingSocket connection = accept(listeningSocket);
+        readRequest(connection);
+        connection.write(method == "HEAD" ? response("1", "Content-Length: 5\r\n", "") : framedResponse("1", "first"));
+        runUntil([this] { return first.result.has_value(); });
+        return connection;
+    }
+};
+
+}
+
+// Guards against a request that waits for its timeout although no response to it can follow: a late response without a
+// length takes all that the connection still brings.
+TEST_CASE("a late response without a length ends the exchange at once", "[endpoint][late]")
+{
+    KeptConnection kept;
+    kept.startSecond(kept.request("2", "GET"));
+    kept.endpoint.write(response("1", "", "first"));
+    kept.runUntilSecondEnds();
+    CHECK(!kept.second.result->isComplete);
+    CHECK(kept.second.result->error == ErrorKind::AnswerMismatch);
+    CHECK(kept.second.result->requestMayHaveBeenSent);
+    CHECK(kept.second.lateTo == std::vector<std::string> { "1" });
+    CHECK(kept.endpoint.readToEnd().empty()); // The connection is closed.
+}
