net: a late response does not begin the response

After a late answer, an endpoint that closed or went silent was taken for one whose answer had begun. The memory reserved for a long late head was held until the end of the exchange.

Cause: the first byte received on the connection started the response, whichever request it belonged to.

Now a response begins with a byte that may be its own; once a head turns out to be late, the exchange waits again, with what is left of the first timeout, counted from the sending of the request. The reservation ends with the late response.

--- a/src/net/EndpointClient.cpp
+++ b/src/net/EndpointClient.cpp
@@ -133,7 +133,8 @@
         HttpResponseParser parser;
         std::optional<MemoryReservation> headReservation; ///< Of a long head.
         Phase phase { Phase::NotStarted };
-        Millis lastActivity {};
+        Millis awaitingSince {}; ///< Start of the timeout for the first byte of the response.
+        Millis lastActivity {}; ///< Late responses included.
         bool headDelivered { false };
         bool requestMayHaveBeenSent { false };
         bool connectionWasReused { false };
@@ -278,7 +279,8 @@
     void sendRequest(Exchange& exchange)
     {
         exchange.phase = Phase::AwaitingResponse;
-        exchange.lastActivity = clock.now();
+        exchange.awaitingSince = clock.now();
+        exchange.lastActivity = exchange.awaitingSince;
         exchange.head = formatHead(exchange.request);
         exchange.isLongRequest = exchange.requestBytes() > longRequestBytes;
         if (exchange.isLongRequest)
@@ -381,10 +383,21 @@
         return exchange.headReservation->growTo(headCopies * bytes, options.maxTotalHeadMemory);
     }
 
+    // Starts the timeout between two reads of the response.
+    static void beginResponse(Exchange& exchange)
+    {
+        if (exchange.phase != Phase::AwaitingResponse || exchange.skippingResponse)
+            return;
+        exchange.phase = Phase::ReceivingResponse;
+        timeval timeout = toTimeval(exchange.request.responseIdleTimeout);
+        evtimer_add(exchange.timer.get(), &timeout);
+    }
+
     // Parses received bytes and drops responses to earlier requests on this connection.
     void receive(Exchange& exchange, std::span<char> data)
     {
         while (true) {
+            beginResponse(exchange);
             std::string_view body = exchange.parser.feed(data);
             if (!reserveHead(exchange)) {
                 finish(exchange, ErrorKind::RouterOverloaded);
@@ -404,6 +417,7 @@
                 return;
             data = data.subspan(exchange.parser.consumedBytes());
             exchange.parser = HttpResponseParser(exchange.request.method == "HEAD");
+            exchange.headReservation.reset();
             exchange.skippingResponse = false;
             if (data.empty())
                 return;
@@ -420,13 +434,15 @@
         return !echoedValue.empty() && echoedValue != exchange.request.correlationValue;
     }
 
-    // Reports a late response. Returns false if the exchange has ended.
+    // Reports a late response, and waits for the one to this request. Returns false if the exchange has ended.
     bool beginSkipping(Exchange& exchange)
     {
         ExchangeId id = exchange.id;
         const HttpResponseHead& head = exchange.parser.head();
         bool endsWithConnection = exchange.parser.isCloseDelimited();
         exchange.skippingResponse = true;
+        exchange.phase = Phase::AwaitingResponse;
+        restartTimer(exchange, exchange.request.firstByteTimeout - (clock.now() - exchange.awaitingSince));
         exchange.listener->onLateResponse({ .status = head.status,
             .correlationValue = findHeader(head.headers, exchange.request.correlationHeader),
             .endsWithConnection = endsWithConnection });
@@ -439,6 +455,12 @@
         return false;
     }
 
+    static void restartTimer(Exchange& exchange, Millis delay)
+    {
+        timeval timeout = toTimeval(std::max(delay, Millis { 1 }));
+        evtimer_add(exchange.timer.get(), &timeout);
+    }
+
     // Passes the parsed head and body to the listener. Returns false if the exchange has ended.
     bool deliver(Exchange& exchange, std::string_view body)
     {
@@ -498,11 +520,6 @@
         if (length > 0) {
             selectReadPriority(exchange, static_cast<std::size_t>(length));
             exchange.lastActivity = clock.now();
-            if (exchange.phase == Phase::AwaitingResponse) {
-                exchange.phase = Phase::ReceivingResponse;
-                timeval timeout = toTimeval(exchange.request.responseIdleTimeout);
-                evtimer_add(exchange.timer.get(), &timeout);
-            }
             receive(exchange, { readBuffer.data(), static_cast<std::size_t>(length) });
             return;
         }
@@ -560,15 +577,14 @@
         }
         // The timer is not restarted for each chunk; instead, the time since the last received byte is checked when it
         // expires.
-        Millis timeout = exchange.phase == Phase::AwaitingResponse ? exchange.request.firstByteTimeout
-                                                                   : exchange.request.responseIdleTimeout;
-        Millis idleTime = exchange.paused ? Millis {} : clock.now() - exchange.lastActivity;
-        if (idleTime >= timeout) {
+        bool isAwaiting = exchange.phase == Phase::AwaitingResponse;
+        Millis timeout = isAwaiting ? exchange.request.firstByteTimeout : exchange.request.responseIdleTimeout;
+        Millis start = isAwaiting ? exchange.awaitingSince : exchange.lastActivity;
+        Millis waitedTime = exchange.paused ? Millis {} : clock.now() - start;
+        if (waitedTime >= timeout)
             finish(exchange, ErrorKind::EndpointTimeout);
-            return;
-        }
-        timeval remaining = toTimeval(timeout - idleTime);
-        evtimer_add(exchange.timer.get(), &remaining);
+        else
+            restartTimer(exchange, timeout - waitedTime);
     }
 };
 
@@ -605,7 +621,7 @@
         return;
     State::Exchange& exchange = *found->second;
     exchange.paused = paused;
-    exchange.lastActivity = m_state->clock.now();
+    exchange.awaitingSince = exchange.lastActivity = m_state->clock.now();
     if (exchange.phase < State::Phase::AwaitingResponse)
         return;
     if (paused)
--- a/src/net/Interfaces.h
+++ b/src/net/Interfaces.h
@@ -114,7 +114,7 @@
 struct EndpointExchangeResult {
     bool isComplete { false }; ///< The response was received up to the end that its framing defines; its head first.
     bool requestMayHaveBeenSent { false }; ///< A byte of the request may have reached the endpoint.
-    bool responseStarted { false }; ///< At least one byte of a response was received.
+    bool responseStarted { false }; ///< At least one byte of a response was received; late ones do not count.
     bool connectionWasReused { false }; ///< The connection had been used by an earlier exchange.
     ErrorKind error { ErrorKind::Internal }; ///< Valid if \c isComplete is false.
     std::string_view malformedPart {}; ///< Name of the part that violates HTTP, if \c error is AnswerMalformed.
--- a/tests/LateResponseTests.cpp
+++ b/tests/LateResponseTests.cpp
@@ -135,3 +135,70 @@
     CHECK(kept.second.lateTo == std::vector<std::string> { "1" });
     CHECK(kept.endpoint.readToEnd().empty()); // The connection is closed.
 }
+
+// Guards against a lost endpoint that counts as one that answered, and against the longer timeout of begun responses.
+TEST_CASE("a late response does not begin the response", "[endpoint][late]")
+{
+    KeptConnection kept;
+    EndpointRequest request = kept.request("2", "GET");
+    SECTION("the endpoint closes")
+    {
+        kept.startSecond(request);
+        kept.endpoint.write(framedResponse("1", "first"));
+        kept.runUntil([&] { return !kept.second.lateTo.empty(); });
+        kept.endpoint.close();
+        kept.runUntilSecondEnds();
+        CHECK(kept.second.result->error == ErrorKind::EndpointLost);
+    }
+    SECTION("the endpoint closes within the late response")
+    {
+        kept.startSecond(request);
+        kept.endpoint.write(response("1", "Content-Length: 5\r\n", "fir"));
+        kept.runUntil([&] { return !kept.second.lateTo.empty(); });
+        kept.endpoint.close();
+        kept.runUntilSecondEnds();
+        CHECK(kept.second.result->error == ErrorKind::EndpointLost);
+    }
+    SECTION("the endpoint is silent")
+    {
+        request.firstByteTimeout = Millis { 300 };
+        kept.startSecond(request);
+        kept.endpoint.write(framedResponse("1", "first"));
+        kept.runUntilSecondEnds();
+        CHECK(kept.second.result->error == ErrorKind::EndpointTimeout);
+    }
+    SECTION("the endpoint is silent within the late response")
+    {
+        request.firstByteTimeout = Millis { 300 };
+        kept.startSecond(request);
+        kept.endpoint.write(response("1", "Content-Length: 5\r\n", "fir"));
+        kept.runUntilSecondEnds();
+        CHECK(kept.second.result->error == ErrorKind::EndpointTimeout);
+    }
+    CHECK(!kept.second.result->isComplete);
+    CHECK(!kept.second.result->responseStarted);
+}
+
+// Guards against responses that are lost because one or more late ones come before them.
+TEST_CASE("a response after late ones is received whole", "[endpoint][late]")
+{
+    KeptConnection kept;
+    kept.startSecond(kept.request("2", "GET"));
+    std::string late = GENERATE(as<std::string> {}, framedResponse("1", "first"),
+        framedResponse("1", "first") + framedResponse("1", "first"),
+        response("1", "Transfer-Encoding: chunked\r\n", "5\r\nfirst\r\n0\r\n\r\n"),
+        "HTTP/1.1 204 No Content\r\nX-Id: 1\r\n\r\n",
+        "HTTP/1.1 304 Not Modified\r\nX-Id: 1\r\nContent-Length: 5\r\n\r\n",
+        "HTTP/1.1 103 Early Hints\r\nX-Id: 1\r\n\r\n");
+    std::size_t firstBytes = GENERATE(std::size_t { 0 }, std::size_t { 20 }, std::size_t { 45 });
+    CAPTURE(late, firstBytes);
+    std::string bytes = late + framedResponse("2", "second");
+    kept.endpoint.write(bytes.substr(0, firstBytes));
+    event_base_loop(kept.base.get(), EVLOOP_NONBLOCK);
+    kept.endpoint.write(bytes.substr(firstBytes));
+    kept.runUntilSecondEnds();
+    CHECK(kept.second.result->isComplete);
+    CHECK(kept.second.result->responseStarted);
+    CHECK(kept.second.body == "second");
+    CHECK(kept.client.idleConnectionCount() == 1);
+}
