net: a connection that a late response says to close is not kept

A request could be sent on a connection whose endpoint had announced to close it (`Connection: close` in a late answer), and was lost with it.

Cause: only the last response on the connection was asked whether it may be used again.

Now a late response without keep-alive excludes the connection from reuse. The exchange still waits for its own answer, which some endpoints send nevertheless; the end of the connection tells if not.

Before: the test finds one idle connection after such an exchange, now none.

--- a/src/net/EndpointClient.cpp
+++ b/src/net/EndpointClient.cpp
@@ -139,6 +139,7 @@
         bool requestMayHaveBeenSent { false };
         bool connectionWasReused { false };
         bool skippingResponse { false }; ///< The response being read belongs to an earlier request.
+        bool mustCloseConnection { false }; ///< It cannot be used for another exchange, whatever its response says.
         bool paused { false };
         bool isLongRequest { false };
         std::size_t bytesBeforeCallers { 0 }; ///< Read since the last read that waited with the events of callers.
@@ -347,7 +348,8 @@
         if (auto announced = announcedIdleTime(exchange.parser.head()))
             idleTimeout
                 = std::min(idleTimeout, std::max(*announced - options.keepAliveMargin, *announced - half(*announced)));
-        if (isComplete && exchange.parser.connectionIsReusable() && prepareReuseAfterRequest(exchange)) {
+        bool isReusable = exchange.parser.connectionIsReusable() && !exchange.mustCloseConnection;
+        if (isComplete && isReusable && prepareReuseAfterRequest(exchange)) {
             exchange.readEvent.reset();
             exchange.writeEvent.reset();
             reusableSocket = std::move(exchange.socket);
@@ -441,6 +443,7 @@
         const HttpResponseHead& head = exchange.parser.head();
         bool endsWithConnection = exchange.parser.isCloseDelimited();
         exchange.skippingResponse = true;
+        exchange.mustCloseConnection = exchange.mustCloseConnection || !exchange.parser.keepsConnection();
         exchange.phase = Phase::AwaitingResponse;
         restartTimer(exchange, exchange.request.firstByteTimeout - (clock.now() - exchange.awaitingSince));
         exchange.listener->onLateResponse({ .status = head.status,
--- a/src/net/HttpResponseParser.h
+++ b/src/net/HttpResponseParser.h
@@ -45,6 +45,9 @@
     /// \returns The part of the response that made it fail; None unless failed().
     [[nodiscard]] MalformedPart malformedPart() const noexcept { return m_malformedPart; }
 
+    /// \returns Whether the peer may keep the connection after this response; valid once the head is complete.
+    [[nodiscard]] bool keepsConnection() const noexcept { return m_keepAlive; }
+
     /// \returns Whether the connection can be used for another exchange after this response.
     [[nodiscard]] bool connectionIsReusable() const noexcept { return complete() && m_keepAlive && !m_hasExcessBytes; }
 
--- a/tests/LateResponseTests.cpp
+++ b/tests/LateResponseTests.cpp
@@ -202,3 +202,15 @@
     CHECK(kept.second.body == "second");
     CHECK(kept.client.idleConnectionCount() == 1);
 }
+
+// Guards against requests on a connection that its endpoint has announced to close.
+TEST_CASE("a connection that a late response says to close is not kept", "[endpoint][late]")
+{
+    KeptConnection kept;
+    kept.startSecond(kept.request("2", "GET"));
+    kept.endpoint.write(framedResponse("1", "first", "Connection: close\r\n") + framedResponse("2", "second"));
+    kept.runUntilSecondEnds();
+    CHECK(kept.second.result->isComplete);
+    CHECK(kept.second.body == "second");
+    CHECK(kept.client.idleConnectionCount() == 0);
+}
