net: connections are not shared by HEAD and other methods

A late answer to GET where the answer to HEAD was due made the request fail as malformed, and a late answer to HEAD could take the bytes of the next answer for its body, so that the next request got none.

Cause: the end of a response depends on the method of its request. The client read late ones as answers to the request in progress.

Now a connection that carried HEAD is not kept, and a late response to a request with HEAD ends the exchange with AnswerMismatch.

Before: the test gets AnswerMalformed for the first, and a kept connection for the second. Callers use HEAD rarely; this was found by reading, not in a run with callers.

--- a/src/net/EndpointClient.cpp
+++ b/src/net/EndpointClient.cpp
@@ -282,6 +282,9 @@
         exchange.phase = Phase::AwaitingResponse;
         exchange.awaitingSince = clock.now();
         exchange.lastActivity = exchange.awaitingSince;
+        // The body of a response depends on the method of its request, so that a late one could not be told apart from
+        // what follows it.
+        exchange.mustCloseConnection = exchange.request.method == "HEAD";
         exchange.head = formatHead(exchange.request);
         exchange.isLongRequest = exchange.requestBytes() > longRequestBytes;
         if (exchange.isLongRequest)
@@ -451,9 +454,10 @@
             .endsWithConnection = endsWithConnection });
         if (!isInProgress(id))
             return false;
-        if (!endsWithConnection)
+        // Nothing can follow a response without a length; where one to HEAD would end is not known.
+        bool mayBeFollowed = !endsWithConnection && exchange.request.method != "HEAD";
+        if (mayBeFollowed)
             return true;
-        // Nothing can follow a response without a length.
         finish(exchange, ErrorKind::AnswerMismatch);
         return false;
     }
--- a/tests/LateResponseTests.cpp
+++ b/tests/LateResponseTests.cpp
@@ -214,3 +214,29 @@
     CHECK(kept.second.body == "second");
     CHECK(kept.client.idleConnectionCount() == 0);
 }
+
+// Guards against a response to GET that is taken for one to HEAD, or the other way round: their bodies differ, so that
+// the end of a late one is not known.
+TEST_CASE("connections are not shared by HEAD and other methods", "[endpoint][late]")
+{
+    SECTION("a late response to GET")
+    {
+        KeptConnection kept;
+        kept.startSecond(kept.request("2", "HEAD"));
+        kept.endpoint.write(framedResponse("1", "first") + response("2", "Content-Length: 6\r\n", ""));
+        kept.runUntilSecondEnds();
+        CHECK(!kept.second.result->isComplete);
+        CHECK(kept.second.result->error == ErrorKind::AnswerMismatch);
+    }
+    SECTION("a late response to HEAD")
+    {
+        KeptConnection kept("HEAD");
+        CHECK(kept.client.idleConnectionCount() == 0);
+        static_cast<void>(kept.client.start(kept.request("2", "GET"), kept.second));
+        BlockingSocket connection = kept.accept(kept.listeningSocket);
+        kept.readRequest(connection);
+        connection.write(framedResponse("2", "second"));
+        kept.runUntilSecondEnds();
+        CHECK(kept.second.body == "second");
+    }
+}
