net: late responses without end end the exchange

An endpoint that sends second answers one after the other kept the exchange open until the request's deadline, and wrote a log line for each of them since late answers are reported.

Now the exchange ends with AnswerMismatch after eight of them.

The clients of the store, of peers' documents and of status addresses have no id to compare. They open a connection for each request and send `Connection: close`; a test, which passes before as well, guards that a second response cannot reach the next request.

--- a/src/net/EndpointClient.cpp
+++ b/src/net/EndpointClient.cpp
@@ -38,6 +38,9 @@
     // kernel would take it for one that is gone; the timeouts of the request decide instead.
     constexpr std::size_t longRequestBytes = 64U << 10U;
 
+    // An endpoint that sends more late responses in one exchange may send them without end.
+    constexpr unsigned maxLateResponses = 8;
+
     // Heads of usual length are not counted, so that exchanges with them are not affected by long ones.
     constexpr std::size_t uncountedHeadBytes = 4U << 10U;
 
@@ -139,6 +142,7 @@
         bool requestMayHaveBeenSent { false };
         bool connectionWasReused { false };
         bool skippingResponse { false }; ///< The response being read belongs to an earlier request.
+        unsigned lateResponses { 0 };
         bool mustCloseConnection { false }; ///< It cannot be used for another exchange, whatever its response says.
         bool paused { false };
         bool isLongRequest { false };
@@ -456,7 +460,7 @@
             return false;
         // Nothing can follow a response without a length; where one to HEAD would end is not known.
         bool mayBeFollowed = !endsWithConnection && exchange.request.method != "HEAD";
-        if (mayBeFollowed)
+        if (mayBeFollowed && ++exchange.lateResponses <= maxLateResponses)
             return true;
         finish(exchange, ErrorKind::AnswerMismatch);
         return false;
--- a/tests/LateResponseTests.cpp
+++ b/tests/LateResponseTests.cpp
@@ -1,6 +1,7 @@
 #include "LoopbackHarness.h"
 #include "net/EndpointClient.h"
 #include "net/EventPriority.h"
+#include "net/HttpClient.h"
 #include "net/Socket.h"
 
 #include <catch2/catch.hpp>
@@ -203,6 +204,20 @@
     CHECK(kept.client.idleConnectionCount() == 1);
 }
 
+// Guards against an exchange that lasts as long as its endpoint sends late responses, and a log line for each of them.
+TEST_CASE("late responses without end end the exchange", "[endpoint][late]")
+{
+    KeptConnection kept;
+    kept.startSecond(kept.request("2", "GET"));
+    std::string responses;
+    for (int i = 0; i < 100; ++i)
+        responses += framedResponse("1", "first");
+    kept.endpoint.write(responses);
+    kept.runUntilSecondEnds();
+    CHECK(kept.second.result->error == ErrorKind::AnswerMismatch);
+    CHECK(kept.second.lateTo.size() < 20);
+}
+
 // Guards against requests on a connection that its endpoint has announced to close.
 TEST_CASE("a connection that a late response says to close is not kept", "[endpoint][late]")
 {
@@ -240,3 +255,24 @@
         CHECK(kept.second.body == "second");
     }
 }
+
+// Guards against a second response of the store or of a status address that is taken for the next request's: these
+// responses bear no id.
+TEST_CASE("the platform's client opens a connection for each request", "[http][late]")
+{
+    Loop loop;
+    HttpClient client(*loop.base);
+    ListeningSocket server;
+    for (const char* body : { "first", "second" }) {
+        std::optional<HttpResponse> received;
+        client.send({ .address = server.address(), .target = "/" }, [&](const Result<HttpResponse>& result) {
+            REQUIRE(result);
+            received = result.value();
+        });
+        BlockingSocket connection = loop.accept(server);
+        loop.readRequest(connection);
+        connection.write(framedResponse("1", body) + framedResponse("1", body));
+        loop.runUntil([&] { return received.has_value(); });
+        CHECK(received->body == body);
+    }
+}
