router, daemon: an exchange that is complete without a head is a failed attempt

Now both treat a complete exchange without a head as a failed attempt (`answer_without_head`, `answer_mismatch`): it is repeated if it may be, else the caller gets 502, or its stream is broken off.

Before: the tests on mocks get the status 0, and a second response in a stream. `answer_without_head` isn't expected in logs.

--- a/src/daemon/ProxiedRequest.cpp
+++ b/src/daemon/ProxiedRequest.cpp
@@ -408,6 +408,12 @@
         handleFailedAttempt(exchangeResult.error, attempt);
         return;
     }
+    if (m_relayMode == RelayMode::Undecided) {
+        // There is no answer to relay; the transport should have reported a failure.
+        attempt.isComplete = false;
+        handleFailedAttempt(ErrorKind::AnswerMismatch, attempt);
+        return;
+    }
     if (m_relayMode == RelayMode::PassThrough) {
         completeStream();
         return;
--- a/src/router/RoutedRequestResponse.cpp
+++ b/src/router/RoutedRequestResponse.cpp
@@ -300,6 +300,11 @@
         handleAttemptFailure(result.error, result, errorResponseFor(result.error).name);
         return;
     }
+    if (m_relayMode == RelayMode::AwaitingHead) {
+        // No answer to relay; the transport should have reported a failure.
+        handleAttemptFailure(ErrorKind::AnswerMismatch, result, "answer_without_head");
+        return;
+    }
     if (m_relayMode == RelayMode::Events) {
         finishStream();
         return;
--- a/tests/RequestRouterTests.cpp
+++ b/tests/RequestRouterTests.cpp
@@ -591,6 +591,32 @@
     CHECK(fixture.endpointTransport.paused == std::vector<ExchangeId> { 1, 2 });
 }
 
+// Guards against an answer that nobody has received, made of an exchange that ends as complete without a head.
+TEST_CASE("an exchange that is complete without a head is a failed attempt", "[router][flow][late]")
+{
+    Fixture fixture;
+    SECTION("before the response")
+    {
+        RecordingCaller& caller = fixture.request("/book/x", "id-1");
+        EndpointListener& listener = *fixture.endpointTransport.listeners.front();
+        listener.onConnected();
+        listener.onEnd({ .isComplete = true, .requestMayHaveBeenSent = true });
+        REQUIRE(caller.head);
+        CHECK(caller.head->status == 502);
+    }
+    SECTION("at the second endpoint of a stream")
+    {
+        allowRetries(fixture);
+        RecordingCaller& caller = fixture.request("/quote/x", "id-1");
+        fixture.endpointTransport.listeners.front()->onHead(eventStreamHead("id-1"));
+        fixture.endpointTransport.listeners.front()->onBody("id: 1\ndata: a\n\ngarbage\n\n");
+        REQUIRE(fixture.endpointTransport.listeners.size() == 2);
+        fixture.endpointTransport.listeners.back()->onEnd({ .isComplete = true, .requestMayHaveBeenSent = true });
+        CHECK(caller.isAborted);
+        CHECK(caller.body == "id: 1\ndata: a\n\n");
+    }
+}
+
 // Guards against second answers of endpoints that no metric shows.
 TEST_CASE("late answers are counted by what delimits them", "[router][flow][late]")
 {
--- a/tests/RetryFlowTests.cpp
+++ b/tests/RetryFlowTests.cpp
@@ -304,3 +304,17 @@
     CHECK(resent.runStatus() == "not_run");
     CHECK(harness.transport.exchanges.size() == 3);
 }
+
+// Guards against an answer that nobody has received, made of an exchange that ends as complete without a head.
+TEST_CASE("an exchange that is complete without a head fails the attempt", "[retry][late]")
+{
+    RequestProxyHarness harness;
+    FakeCaller& caller = harness.sendBooking();
+    harness.exchange(0).listener->onConnected();
+    harness.exchange(0).endExchange(true);
+    CHECK(caller.hasEnded);
+    CHECK(caller.head.status == 502);
+    CHECK(caller.errorKind() == "answer_mismatch");
+    CHECK(caller.runStatus() == "unknown");
+    CHECK(harness.inFlightCount() == 0);
+}
