net: the server of callers refuses what is no response

CallerServer wrote any status that it was given ("HTTP/1.1 0", "HTTP/1.1 1000"), a head into a stream that had begun, and chunks without a head. By reading: a handler that threw after it had begun a stream would have added a second response.

Now a response begins once, with a status from 200 to 599. Any other call writes `response_rejected` with the reason and closes the connection with a reset, so that the caller detects that nothing, or not all, came.

--- a/src/net/CallerServer.cpp
+++ b/src/net/CallerServer.cpp
@@ -77,6 +77,10 @@
     // Time in which some of the requests that use the memory for bodies end.
     constexpr Millis retryAfterFullMemory { 500 };
 
+    // Statuses of final responses.
+    constexpr int minFinalStatus = 200;
+    constexpr int maxStatus = 599;
+
     // Control characters and spaces would change the request line that an endpoint receives.
     bool isRequestTarget(std::string_view target) noexcept
     {
@@ -222,26 +226,46 @@
     void sendResponse(const CallerResponseHead& head, std::string_view body) override
     {
         runGuarded(
-            "caller_response", [&] { enqueueResponse(head, body); }, [this] { failWrite(); });
+            "caller_response",
+            [&] {
+                if (mayBegin(head.status))
+                    enqueueResponse(head, body);
+            },
+            [this] { failWrite(); });
         finishResponse();
     }
 
     void startStream(const CallerResponseHead& head) override
     {
         runGuarded(
-            "caller_stream_head", [&] { prepareStream(head); }, [this] { failWrite(); });
+            "caller_stream_head",
+            [&] {
+                if (mayBegin(head.status))
+                    prepareStream(head);
+            },
+            [this] { failWrite(); });
     }
 
     void sendChunk(std::string_view bytes) override
     {
         runGuarded(
-            "caller_chunk", [&] { enqueueChunk(bytes); }, [this] { failWrite(); });
+            "caller_chunk",
+            [&] {
+                if (mayContinue())
+                    enqueueChunk(bytes);
+            },
+            [this] { failWrite(); });
     }
 
     void endStream() override
     {
         runGuarded(
-            "caller_stream_end", [&] { enqueueLastChunk(); }, [this] { failWrite(); });
+            "caller_stream_end",
+            [&] {
+                if (mayContinue())
+                    enqueueLastChunk();
+            },
+            [this] { failWrite(); });
         finishResponse();
     }
 
@@ -281,6 +305,26 @@
         evtimer_add(m_timer.get(), &interval);
     }
 
+    // Returns whether a response may begin. If not, nothing more is sent and the connection is closed, as below.
+    bool mayBegin(int status)
+    {
+        if (m_hasStreamBegun)
+            return rejectCall("response_has_begun", status);
+        if (status < minFinalStatus || status > maxStatus)
+            return rejectCall("invalid_status", status);
+        return true;
+    }
+
+    // Returns whether a stream has begun.
+    bool mayContinue() { return m_writeFailed || m_hasStreamBegun || rejectCall("no_response_head", 0); }
+
+    bool rejectCall(std::string_view reason, int status)
+    {
+        logEvent(LogLevel::Error, "response_rejected", { { "reason", reason }, { "status", status } });
+        failWrite();
+        return false;
+    }
+
     void enqueueResponse(const CallerResponseHead& head, std::string_view body)
     {
         std::string text = formatHead(head);
@@ -302,6 +346,7 @@
             text.append("Transfer-Encoding: chunked\r\n");
         text.append("\r\n");
         m_pendingHead = std::move(text);
+        m_hasStreamBegun = true;
     }
 
     void enqueueChunk(std::string_view bytes)
@@ -380,6 +425,7 @@
     void finishResponse()
     {
         m_listener = nullptr;
+        m_hasStreamBegun = false;
         m_phase = Phase::Idle;
         release(m_request);
         m_reservation.reset();
@@ -843,6 +889,7 @@
     Phase m_phase { Phase::Idle };
     std::string m_input; ///< Received bytes that are not parsed yet.
     std::string m_output; ///< Bytes to send; those before m_writtenBytes are already written to the socket.
+    bool m_hasStreamBegun { false }; ///< startStream() was called for the response in progress.
     std::string m_pendingHead; ///< Head of a stream; sent together with its first chunk.
     std::size_t m_writtenBytes { 0 };
     CallerRequest m_request;
--- a/src/net/CallerServer.h
+++ b/src/net/CallerServer.h
@@ -53,7 +53,8 @@
 };
 
 /// \brief One request in progress on a caller's connection. It becomes invalid after sendResponse(), endStream() or
-/// abort(), and after CallerListener::onCallerDisconnected().
+/// abort(), and after CallerListener::onCallerDisconnected(). A response begins once, with a status from 200 to 599;
+/// after any other call the connection is closed, so that the caller detects an incomplete response.
 class CallerExchange {
 public:
     virtual ~CallerExchange() = default;
