soak: second answers where the next one is due, with and without a length

And a client took "HTTP/1.1 0" for a failed answer: any digits passed as a status.

Engines now also keep a second copy and send it in place of, or before, the next answer on the connection: with a length, or without one and then the end of the connection, a reset, or nothing; in one or two parts; of plain answers and of streams. Clients take a status outside of 100 to 599 for bytes that are no answer.

--- a/bench/soak/clients.py
+++ b/bench/soak/clients.py
@@ -116,12 +116,16 @@
         return request, is_open
 
 
+def is_status(text):
+    return len(text) == 3 and text.isdigit() and 100 <= int(text) <= 599
+
+
 async def read_answer(request, reader):
     head = await read_head(reader)
     if head is None:
         raise ConnectionError
     protocol, status = head[0].split(" ")[:2]
-    if protocol not in ("HTTP/1.1", "HTTP/1.0") or not status.isdigit():
+    if protocol not in ("HTTP/1.1", "HTTP/1.0") or not is_status(status):
         raise ValueError("no status line")
     request.headers = head[1]
     request.status = int(status)
--- a/bench/soak/test_soak.py
+++ b/bench/soak/test_soak.py
@@ -1,13 +1,15 @@
 """Tests the soak's checks: each finds its violation in a bad history and none in a sound one."""
 
+import asyncio
 import pathlib
 import random
 import subprocess
 import unittest
 
+from clients import read_answer
 from events import looks_sound, read_chunks, read_events
 from history import History, Request, Run, check_recovery
-from world import Relay, chunk, spoil_stream
+from world import Relay, chunk, late_answer, spoil_stream
 
 EVENTS = {1: b"5-1-x", 2: b"5-2-yy", 3: b"5-3-z"}
 
@@ -78,6 +80,41 @@
         self.assertFalse(any(looks_sound(wire, EVENTS, 1) for wire in wires))
 
 
+class ClientTests(unittest.TestCase):
+    # An answer whose status line is none passes as a failed one.
+    def test_status(self):
+        def is_sound(status):
+            async def read():
+                reader = asyncio.StreamReader()
+                reader.feed_data(b"HTTP/1.1 %s x\r\nContent-Length: 0\r\n\r\n" % status)
+                request = Request("a", "idempotent", "router-0", 0.5)
+                try:
+                    await read_answer(request, reader)
+                except ValueError:
+                    return False
+                return request.is_complete
+            return asyncio.run(read())
+        for status in (b"200", b"503"):
+            self.assertTrue(is_sound(status), status)
+        for status in (b"0", b"000", b"99", b"600", b"2000", b"-12", b"x"):
+            self.assertFalse(is_sound(status), status)
+
+
+class LateAnswerTests(unittest.TestCase):
+    HEAD = b"HTTP/1.1 200 x\r\nX-Jasminestack-Attempt-Id: a\r\nTransfer-Encoding: chunked\r\n\r\n"
+
+    # A second answer that is framed otherwise than its ending says tests something else.
+    def test_framing(self):
+        chooser = random.Random(1)
+        answers = {answer.ending: answer.content for answer in (late_answer(chooser, self.HEAD, b"body") for _ in range(50))}
+        self.assertEqual(set(answers), {"length", "close", "reset", "open"})
+        for ending, content in answers.items():
+            self.assertNotIn(b"Transfer-Encoding", content)
+            self.assertEqual(b"Content-Length: 4\r\n" in content, ending == "length")
+            self.assertTrue(content.startswith(b"HTTP/1.1 200 x\r\nX-Jasminestack-Attempt-Id: a\r\n"))
+            self.assertTrue(content.endswith(b"\r\n\r\nbody"))
+
+
 class RelayTests(unittest.TestCase):
     # Connections outlive a cut that another disturbance replaces, and lose an event before a sound end.
     def test_end_of_cut(self):
--- a/bench/soak/world.py
+++ b/bench/soak/world.py
@@ -7,6 +7,7 @@
 import struct
 import time
 import urllib.parse
+from dataclasses import dataclass
 
 from events import looks_sound, read_chunks, read_events
 from history import Run
@@ -243,6 +244,26 @@
     return b"not a chunk\r\n"
 
 
+@dataclass
+class LateAnswer:
+    """A second copy of an answer, which an engine sends where the next answer on the connection is due.
+
+    ending: length (the next answer follows), close, reset, or open (nothing follows, and the connection stays open).
+    """
+    content: bytes
+    ending: str
+
+
+def late_answer(chooser, head, body):
+    """Returns a second copy of the answer with this head and the content of its body."""
+    ending = chooser.choice(["length", "close", "close", "reset", "open"])
+    framing = (b"content-length", b"transfer-encoding")
+    lines = [line for line in head[:-4].split(b"\r\n") if not line.lower().startswith(framing)]
+    if ending == "length":
+        lines.append(b"Content-Length: %d" % len(body))
+    return LateAnswer(b"\r\n".join(lines) + b"\r\n\r\n" + body, ending)
+
+
 class Engine:
     """An engine behind a relay. service: model or plain."""
 
@@ -260,6 +281,7 @@
         self.sequence = 0
         self.born = int(time.time() * 1000)
         self.writers = set()
+        self.late_answers = {}  # By writer: what to send where the next answer is due.
 
     async def start(self, port=0):
         self.server = await asyncio.start_server(self.serve, self.world.ip, 0)
@@ -297,6 +319,7 @@
             pass
         finally:
             self.writers.discard(writer)
+            self.late_answers.pop(writer, None)
             writer.close()
 
     def head(self, attempt, status, headers):
@@ -341,12 +364,29 @@
         run.wanted = wish.get("events", 0)
         self.active += 1
         try:
+            if late := self.late_answers.pop(writer, None):
+                self.world.count(f"late answer {late.ending}")
+                if not await self.send_late(late, writer):
+                    return False
             if "events" in wish:
                 return await self.run_stream(run, headers, wish, writer)
             return await self.run_plain(run, wish, writer)
         finally:
             self.active -= 1
 
+    async def send_late(self, late, writer):
+        """Returns whether the own answer of the request follows."""
+        first = self.chooser.randrange(len(late.content)) if self.chooser.random() < 0.5 else 0
+        for part in (late.content[:first], late.content[first:]):
+            writer.write(part)
+            await writer.drain()
+            await asyncio.sleep(self.chooser.choice([0, 0.01]))
+        if late.ending == "reset":
+            abort(writer)
+        elif late.ending == "open":
+            await asyncio.sleep(1.5)
+        return late.ending == "length"
+
     async def run_plain(self, run, wish, writer):
         chooser = self.chooser
         run.body = f"{run.attempt} {run.number} ".encode() + b"y" * wish["size"]
@@ -355,7 +395,7 @@
                                             "Content-Length": len(run.body)})
         fault = ""
         if self.world.faults_on and chooser.random() < self.world.spoilt_part:
-            fault = chooser.choice(["reset", "cut", "silent", "wrong id", "garbage", "twice", "late"])
+            fault = chooser.choice(["reset", "cut", "silent", "wrong id", "garbage", "twice", "late", "late at next"])
             self.world.count(f"plain {fault}")
         if fault == "reset":
             writer.write(head + run.body[:chooser.randrange(len(run.body))])
@@ -378,6 +418,8 @@
         if fault in ("twice", "late"):
             await asyncio.sleep(0 if fault == "twice" else chooser.uniform(0.01, 0.3))
             writer.write(head + run.body)
+        if fault == "late at next":
+            self.late_answers[writer] = late_answer(chooser, head, run.body)
         return fault != "garbage"
 
     async def run_stream(self, run, headers, wish, writer):
@@ -391,7 +433,7 @@
         fault = ""
         if events and self.world.faults_on and chooser.random() < self.world.spoilt_part:
             fault = chooser.choice(["spoilt"] * 6 + ["spoilt stays"] * 2 + ["twice", "late", "wrong id", "no type",
-                                    "reset", "no end", "pause", "silent"])
+                                    "reset", "no end", "pause", "silent", "late at next"])
             self.world.count(f"stream {fault}")
         if fault == "no type":
             del fields["Content-Type"]
@@ -420,6 +462,8 @@
             await asyncio.sleep(0 if fault == "twice" else chooser.uniform(0.01, 0.3))
             body = b"".join(chunk(b"id: %d\ndata: %s\n\n" % item) for item in events.items())
             writer.write(head + body + b"0\r\n\r\n")
+        if fault == "late at next":
+            self.late_answers[writer] = late_answer(chooser, head, b"".join(b"id: %d\ndata: %s\n\n" % item for item in events.items()))
         return True
 
     async def write_spoilt(self, run, head, wire, events, writer, closes):
