--- a/tests/LateAnswerTests.cpp
+++ b/tests/LateAnswerTests.cpp
@@ -220,6 +220,35 @@
     }
 }
 
+// Guards against an upload that a late answer ends, or that it completes, before the endpoint has read the upload.
+TEST_CASE("a late answer during a long upload is not the answer to it", "[router][late]")
+{
+    KeptConnection kept;
+    const std::string body = std::string(2'000'000, 'u') + ".";
+    kept.caller.write(LoopbackRouter::request("POST", "/book/x", "id-2", body));
+    static_cast<void>(kept.service.readUntil("\r\n\r\nu"));
+    SECTION("with a length")
+    {
+        kept.service.write(soundAnswer("id-1", "first"));
+        static_cast<void>(kept.service.readUntil("u."));
+        kept.service.write(soundAnswer("id-2", "second"));
+        std::string response = kept.caller.readUntil("second");
+        CHECK(response.starts_with("HTTP/1.1 200 "));
+        CHECK(response.find("first") == std::string::npos);
+    }
+    SECTION("without a length")
+    {
+        kept.service.write(unframedAnswer("id-1"));
+        CHECK(kept.caller.readUntil("\r\n\r\n").starts_with("HTTP/1.1 502 "));
+    }
+    SECTION("without a length, at the end of the connection")
+    {
+        kept.service.write(unframedAnswer("id-1"));
+        shutdown(kept.service.descriptor(), SHUT_WR);
+        CHECK(kept.caller.readUntil("\r\n\r\n").starts_with("HTTP/1.1 502 "));
+    }
+}
+
 namespace {
 
 std::string daemonAnswer(std::string_view id, std::string_view framing, std::string_view body)
