tests: random sequences of late and own responses

300 seeded sequences of up to three late responses with random framing and an own one (or none), in random parts, each ended by the endpoint: the client passes on the own response whole or reports a failure, and counts the late ones.

--- a/tests/LateResponseTests.cpp
+++ b/tests/LateResponseTests.cpp
@@ -1,9 +1,11 @@
 #include "LoopbackHarness.h"
+#include "base/Random.h"
 #include "net/EndpointClient.h"
 #include "net/EventPriority.h"
 #include "net/HttpClient.h"
 #include "net/Socket.h"
 
+#include <algorithm>
 #include <catch2/catch.hpp>
 #include <event2/event.h>
 #include <functional>
@@ -218,6 +220,87 @@
     CHECK(kept.second.lateTo.size() < 20);
 }
 
+namespace {
+
+/// \brief What an endpoint sends where the response to the request with the id 2 is due, and what a client makes of it.
+struct Script {
+    std::string bytes;
+    std::size_t lateResponses { 0 }; ///< Up to the first one without a length.
+    bool hasUnframedLate { false };
+    std::string body; ///< Of the own response; empty: there is none.
+    bool endsWithConnection { false }; ///< The own response has no length.
+};
+
+std::string randomResponse(Random& random, std::string_view id, std::string_view body)
+{
+    switch (random.uniformInteger(4)) {
+    case 0:
+        return framedResponse(id, body);
+    case 1:
+        return framedResponse(id, body, "Keep-Alive: timeout=5\r\n");
+    case 2:
+        return response(id, "Transfer-Encoding: chunked\r\n",
+            LoopbackDaemon::encodeChunk(body.substr(0, 2)) + LoopbackDaemon::encodeChunk(body.substr(2)) + "0\r\n\r\n");
+    default:
+        return "HTTP/1.1 100 Continue\r\n\r\n" + framedResponse(id, body);
+    }
+}
+
+Script randomScript(Random& random)
+{
+    Script script;
+    std::uint64_t lateResponses = random.uniformInteger(4);
+    for (std::uint64_t i = 0; i < lateResponses; ++i) {
+        bool isUnframed = random.uniformInteger(4) == 0;
+        script.bytes += isUnframed ? response("1", "", "late") : randomResponse(random, "1", "late");
+        script.lateResponses += script.hasUnframedLate ? 0 : 1;
+        script.hasUnframedLate = script.hasUnframedLate || isUnframed;
+    }
+    if (random.uniformInteger(4) == 0)
+        return script;
+    script.body = "own body";
+    script.endsWithConnection = random.uniformInteger(3) == 0;
+    script.bytes
+        += script.endsWithConnection ? response("2", "", script.body) : randomResponse(random, "2", script.body);
+    return script;
+}
+
+}
+
+// Guards against foreign or missing bytes that pass as a response, in any order of late and own responses, framings and
+// reads.
+TEST_CASE("any sequence of late and own responses gives the own one or a failure", "[endpoint][late]")
+{
+    constexpr std::uint64_t seeds = 300;
+    for (std::uint64_t seed = 1; seed <= seeds; ++seed) {
+        Random random(seed);
+        Script script = randomScript(random);
+        CAPTURE(seed, script.bytes);
+        KeptConnection kept;
+        kept.startSecond(kept.request("2", "GET"));
+        std::string_view rest = script.bytes;
+        while (!rest.empty()) {
+            std::size_t length = std::min<std::size_t>(rest.size(), 1 + random.uniformInteger(rest.size() + 40));
+            static_cast<void>(kept.endpoint.writeSome(rest.substr(0, length), 1'000));
+            rest.remove_prefix(length);
+            event_base_loop(kept.base.get(), EVLOOP_NONBLOCK);
+        }
+        shutdown(kept.endpoint.descriptor(), SHUT_WR);
+        kept.runUntilSecondEnds();
+        const EndpointExchangeResult& result = *kept.second.result;
+        bool isAnswered = !script.hasUnframedLate && !script.body.empty();
+        CHECK(result.isComplete == isAnswered);
+        CHECK(result.responseStarted == isAnswered);
+        CHECK(kept.second.status == (isAnswered ? 200 : 0));
+        CHECK(kept.second.body == (isAnswered ? script.body : ""));
+        CHECK(kept.second.lateTo.size() == script.lateResponses);
+        if (!isAnswered)
+            CHECK(result.error == (script.hasUnframedLate ? ErrorKind::AnswerMismatch : ErrorKind::EndpointLost));
+        if (result.isComplete && script.endsWithConnection)
+            CHECK(kept.client.idleConnectionCount() == 0);
+    }
+}
+
 // Guards against requests on a connection that its endpoint has announced to close.
 TEST_CASE("a connection that a late response says to close is not kept", "[endpoint][late]")
 {
